--- /dev/null
+++ b/version/decoder/decoder.go
@@ -0,0 +1,245 @@
+// Package decoder reads JSON with comments into plain structs. Names are the
+// kebab case of the Go field names. It refuses unknown and repeated names and
+// reports every problem with its place, not only the first one.
+package decoder
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// Problem is one fault of a document.
+type Problem struct {
+	// Line and Column count from 1. Column counts bytes.
+	Line   int
+	Column int
+	// Path is the place in the document, like "regions[0].zones[1].name".
+	Path string
+	// Value is the faulty text, shortened.
+	Value string
+	// Allowed says what may stand there.
+	Allowed string
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	text := fmt.Sprintf("line %d, column %d: %s", p.Line, p.Column, p.Path)
+	if p.Value != "" {
+		text += " is " + p.Value
+	}
+	return text + "; allowed: " + p.Allowed
+}
+
+// Problems are all faults of a document in the order of their places.
+type Problems []Problem
+
+// Error returns one line for each problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Place is where a value stands in a document.
+type Place struct {
+	Line   int
+	Column int
+	Text   string
+}
+
+// Document is a decoded value with the places of its parts by path.
+type Document[T any] struct {
+	Value  T
+	Places map[string]Place
+}
+
+// Problem returns a problem of the value at a path, or of its nearest parent
+// that the document has.
+func (d Document[T]) Problem(path, allowed string) Problem {
+	place, found := d.Places[path]
+	for parent := path; !found && parent != ""; {
+		parent = parentOf(parent)
+		place, found = d.Places[parent]
+	}
+	value := place.Text
+	if _, exact := d.Places[path]; !exact {
+		value = "missing"
+	}
+	return Problem{Line: place.Line, Column: place.Column, Path: path, Value: value, Allowed: allowed}
+}
+
+func parentOf(path string) string {
+	return path[:max(strings.LastIndexAny(path, ".["), 0)]
+}
+
+// Decode reads a document over the defaults in value. It returns Problems
+// when the document is not valid.
+func Decode[T any](data []byte, value T) (Document[T], error) {
+	document := Document[T]{Value: value, Places: map[string]Place{}}
+	tree, err := hujson.Parse(data)
+	if err != nil {
+		return document, Problems{{Line: 1, Column: 1, Path: "document", Allowed: "JSON with comments (" + err.Error() + ")"}}
+	}
+	reader := &reader{data: data, places: document.Places}
+	reader.read("", tree, reflect.ValueOf(&document.Value).Elem())
+	if len(reader.problems) > 0 {
+		return document, reader.problems
+	}
+	return document, nil
+}
+
+type reader struct {
+	data     []byte
+	places   map[string]Place
+	problems Problems
+}
+
+func (r *reader) read(path string, value hujson.Value, into reflect.Value) {
+	r.places[path] = r.place(value)
+	if into.Type() == reflect.TypeFor[time.Duration]() {
+		r.readDuration(path, value, into)
+		return
+	}
+	switch into.Kind() {
+	case reflect.Struct:
+		r.readStruct(path, value, into)
+	case reflect.Slice:
+		r.readSlice(path, value, into)
+	default:
+		r.readLiteral(path, value, into)
+	}
+}
+
+func (r *reader) readStruct(path string, value hujson.Value, into reflect.Value) {
+	object, ok := value.Value.(*hujson.Object)
+	if !ok {
+		r.complain(path, value, "an object")
+		return
+	}
+	fields := map[string]reflect.Value{}
+	names := make([]string, 0, into.NumField())
+	for i := range into.NumField() {
+		name := Kebab(into.Type().Field(i).Name)
+		fields[name] = into.Field(i)
+		names = append(names, name)
+	}
+	seen := map[string]bool{}
+	for _, member := range object.Members {
+		name := member.Name.Value.(hujson.Literal).String()
+		field, known := fields[name]
+		switch {
+		case !known:
+			r.complain(join(path, name), member.Name, "one of "+strings.Join(names, ", "))
+		case seen[name]:
+			r.complain(join(path, name), member.Name, "each name once")
+		default:
+			seen[name] = true
+			r.read(join(path, name), member.Value, field)
+		}
+	}
+}
+
+func (r *reader) readSlice(path string, value hujson.Value, into reflect.Value) {
+	array, ok := value.Value.(*hujson.Array)
+	if !ok {
+		r.complain(path, value, "an array")
+		return
+	}
+	slice := reflect.MakeSlice(into.Type(), len(array.Elements), len(array.Elements))
+	for i, element := range array.Elements {
+		r.read(fmt.Sprintf("%s[%d]", path, i), element, slice.Index(i))
+	}
+	into.Set(slice)
+}
+
+func (r *reader) readDuration(path string, value hujson.Value, into reflect.Value) {
+	const allowed = `a duration such as "250ms", "30s" or "24h"`
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		r.complain(path, value, allowed)
+		return
+	}
+	duration, err := time.ParseDuration(literal.String())
+	if err != nil || duration < 0 {
+		r.complain(path, value, allowed)
+		return
+	}
+	into.SetInt(int64(duration))
+}
+
+func (r *reader) readLiteral(path string, value hujson.Value, into reflect.Value) {
+	literal, _ := value.Value.(hujson.Literal)
+	kind := hujson.Kind(0)
+	if literal != nil {
+		kind = literal.Kind()
+	}
+	switch {
+	case into.Kind() == reflect.String && kind == '"':
+		into.SetString(literal.String())
+	case into.Kind() == reflect.Bool && (kind == 't' || kind == 'f'):
+		into.SetBool(literal.Bool())
+	case into.CanInt() && kind == '0' && !bytes.ContainsAny(literal, ".eE"):
+		into.SetInt(literal.Int())
+	case into.CanUint() && kind == '0' && !bytes.ContainsAny(literal, "-.eE"):
+		into.SetUint(literal.Uint())
+	case into.CanFloat() && kind == '0':
+		into.SetFloat(literal.Float())
+	default:
+		r.complain(path, value, allowedKind(into))
+	}
+}
+
+func allowedKind(into reflect.Value) string {
+	switch {
+	case into.Kind() == reflect.String:
+		return "a string"
+	case into.Kind() == reflect.Bool:
+		return "true or false"
+	case into.CanInt():
+		return "a whole number"
+	case into.CanUint():
+		return "a whole number from 0"
+	default:
+		return "a number"
+	}
+}
+
+func (r *reader) complain(path string, value hujson.Value, allowed string) {
+	place := r.place(value)
+	r.problems = append(r.problems, Problem{
+		Line: place.Line, Column: place.Column, Path: path, Value: place.Text, Allowed: allowed,
+	})
+}
+
+// maxShownLength keeps long faulty values off the operator's screen.
+const maxShownLength = 40
+
+func (r *reader) place(value hujson.Value) Place {
+	before := r.data[:value.StartOffset]
+	text := string(bytes.TrimSpace(r.data[value.StartOffset:value.EndOffset]))
+	if first, _, more := strings.Cut(text, "\n"); more {
+		text = first + "…"
+	}
+	if len(text) > maxShownLength {
+		text = text[:maxShownLength] + "…"
+	}
+	return Place{
+		Line:   bytes.Count(before, []byte("\n")) + 1,
+		Column: len(before) - (bytes.LastIndexByte(before, '\n') + 1) + 1,
+		Text:   text,
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/version/parser/parser.go
@@ -0,0 +1,105 @@
+// Package parser reads and checks the configuration document of an
+// environment.
+package parser
+
+import (
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/version/decoder"
+)
+
+// Defaults of fields that a document may leave out.
+const (
+	defaultSlots                = 3
+	defaultColdLimit            = 2
+	defaultWarmLimit            = 16
+	defaultMaxTokens            = 1024
+	defaultCallTimeout          = 10 * time.Second
+	defaultWeight               = 1
+	defaultRequestsPerSecond    = 50
+	defaultMaxInFlight          = 64
+	defaultPrefillRate          = 8000
+	defaultLinkRate             = 125e6
+	defaultQueueLength          = 256
+	defaultQueueTimeout         = 2 * time.Second
+	defaultRequestTimeout       = 2 * time.Minute
+	defaultFirstTokenTarget     = 850 * time.Millisecond
+	defaultIdempotencyRetention = 24 * time.Hour
+	defaultPlatformWriteRate    = 300
+	defaultPlatformReadRate     = 2000
+)
+
+// Parse reads a document, fills in defaults and checks it. It returns
+// decoder.Problems with all faults found.
+func Parse(data []byte) (*mulberrybeam.Environment, error) {
+	document, err := decoder.Decode(data, mulberrybeam.Environment{})
+	if err != nil {
+		return nil, err
+	}
+	fillPlaces(&document.Value)
+	fillTargets(&document.Value)
+	fillLimits(&document.Value.Limits)
+	if problems := check(document); len(problems) > 0 {
+		return nil, problems
+	}
+	return &document.Value, nil
+}
+
+func fillPlaces(environment *mulberrybeam.Environment) {
+	for i := range environment.Regions {
+		for j := range environment.Regions[i].Zones {
+			zone := &environment.Regions[i].Zones[j]
+			setDefault(&zone.State, mulberrybeam.ZoneIn)
+			setDefault(&zone.Slots, defaultSlots)
+		}
+	}
+	for i := range environment.Models {
+		setDefault(&environment.Models[i].MaxTokens, defaultMaxTokens)
+	}
+	for i := range environment.Services {
+		for j := range environment.Services[i].Calls {
+			setDefault(&environment.Services[i].Calls[j].Timeout, defaultCallTimeout)
+		}
+	}
+	for i := range environment.Workspaces {
+		workspace := &environment.Workspaces[i]
+		setDefault(&workspace.Weight, defaultWeight)
+		setDefault(&workspace.RequestsPerSecond, defaultRequestsPerSecond)
+		setDefault(&workspace.MaxInFlight, defaultMaxInFlight)
+	}
+}
+
+func fillTargets(environment *mulberrybeam.Environment) {
+	for i := range environment.EngineGroups {
+		group := &environment.EngineGroups[i]
+		setDefault(&group.ColdLimit, defaultColdLimit)
+		setDefault(&group.WarmLimit, defaultWarmLimit)
+		setDefault(&group.PrefillRate, defaultPrefillRate)
+	}
+	for i := range environment.ServiceGroups {
+		group := &environment.ServiceGroups[i]
+		setDefault(&group.ColdLimit, defaultColdLimit)
+		setDefault(&group.WarmLimit, defaultWarmLimit)
+	}
+	for i := range environment.Stores {
+		setDefault(&environment.Stores[i].LinkRate, defaultLinkRate)
+	}
+}
+
+func fillLimits(limits *mulberrybeam.Limits) {
+	setDefault(&limits.QueueLength, defaultQueueLength)
+	setDefault(&limits.QueueTimeout, defaultQueueTimeout)
+	setDefault(&limits.RequestTimeout, defaultRequestTimeout)
+	setDefault(&limits.FirstTokenTarget, defaultFirstTokenTarget)
+	setDefault(&limits.IdempotencyRetention, defaultIdempotencyRetention)
+	setDefault(&limits.PlatformWriteRate, defaultPlatformWriteRate)
+	setDefault(&limits.PlatformReadRate, defaultPlatformReadRate)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
