--- /dev/null
+++ b/request/keyer/keyer.go
@@ -0,0 +1,122 @@
+// Package keyer derives the keys of a prompt's context blocks, the cache salt
+// that engines get with them, and the fingerprints of requests.
+//
+// All values are HMAC-SHA-256 codes under a secret that the entry processes
+// of an environment share. Environment, workspace, model and weight version
+// go into the first link of the chain, so context of another workspace or
+// weight version cannot match.
+package keyer
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"hash"
+
+	"mulberrybeam"
+)
+
+const (
+	// BlockBytes is the length of one context block of a rendered prompt.
+	BlockBytes = 1024
+	// TokenBytes is the length counted as one token, for lack of a tokenizer.
+	TokenBytes = 4
+	// BlockTokens is the number of tokens counted for one block.
+	BlockTokens = BlockBytes / TokenBytes
+	// MinSecretBytes is the shortest accepted secret.
+	MinSecretBytes = 16
+)
+
+// Labels separate the uses of the secret, so that a code made for one use is
+// never valid for another.
+const (
+	labelChain       = "mulberrybeam/context-chain/1"
+	labelBlock       = "mulberrybeam/context-block/1"
+	labelSalt        = "mulberrybeam/cache-salt/1"
+	labelFingerprint = "mulberrybeam/fingerprint/1"
+)
+
+// Scope is what context is bound to. Two prompts share keys only when all
+// fields are equal.
+type Scope struct {
+	Environment mulberrybeam.EnvironmentName
+	Workspace   mulberrybeam.WorkspaceName
+	Model       mulberrybeam.ModelName
+	Version     mulberrybeam.WeightVersion
+}
+
+// Keyer derives keys under one secret. It is immutable and may be used by
+// several goroutines.
+type Keyer struct {
+	secret []byte
+}
+
+// New returns a keyer for a secret of at least MinSecretBytes, which it
+// copies.
+func New(secret []byte) (*Keyer, error) {
+	if len(secret) < MinSecretBytes {
+		return nil, fmt.Errorf("secret has %d bytes, at least %d are needed", len(secret), MinSecretBytes)
+	}
+	return &Keyer{secret: bytes.Clone(secret)}, nil
+}
+
+// Keys returns the chained keys of the whole blocks of a rendered prompt. The
+// bytes after the last whole block have no key.
+func (k *Keyer) Keys(scope Scope, prompt []byte) []mulberrybeam.BlockKey {
+	code := hmac.New(sha256.New, k.secret)
+	var link [sha256.Size]byte
+	writeScope(code, labelChain, scope)
+	code.Sum(link[:0])
+	keys := make([]mulberrybeam.BlockKey, len(prompt)/BlockBytes)
+	for i := range keys {
+		code.Reset()
+		writeField(code, labelBlock)
+		_, _ = code.Write(link[:])
+		_, _ = code.Write(prompt[i*BlockBytes : (i+1)*BlockBytes])
+		code.Sum(link[:0])
+		copy(keys[i][:], link[:])
+	}
+	return keys
+}
+
+// Salt returns the cache salt that engines get for a scope, hexadecimal.
+func (k *Keyer) Salt(scope Scope) string {
+	code := hmac.New(sha256.New, k.secret)
+	writeScope(code, labelSalt, scope)
+	return hex.EncodeToString(code.Sum(nil))
+}
+
+// Fingerprint identifies a request by its workspace and its raw body.
+func (k *Keyer) Fingerprint(workspace mulberrybeam.WorkspaceName, rawBody []byte) mulberrybeam.Fingerprint {
+	code := hmac.New(sha256.New, k.secret)
+	writeField(code, labelFingerprint)
+	writeField(code, string(workspace))
+	_, _ = code.Write(rawBody)
+	return mulberrybeam.Fingerprint(code.Sum(nil)[:len(mulberrybeam.Fingerprint{})])
+}
+
+// PromptTokens estimates the tokens of a rendered prompt of a length in
+// bytes.
+func PromptTokens(bytes int) int {
+	return (bytes + TokenBytes - 1) / TokenBytes
+}
+
+func writeScope(code hash.Hash, label string, scope Scope) {
+	writeField(code, label)
+	writeField(code, string(scope.Environment))
+	writeField(code, string(scope.Workspace))
+	writeField(code, string(scope.Model))
+	writeField(code, string(scope.Version))
+}
+
+// writeField writes the length before the bytes, so that no two sequences of
+// fields have the same encoding.
+func writeField(code hash.Hash, field string) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+	_, _ = code.Write(length[:])
+	_, _ = code.Write([]byte(field))
+}
