--- /dev/null
+++ b/request/router/estimate.go
@@ -0,0 +1,143 @@
+package router
+
+import (
+	"math"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/request/keyer"
+)
+
+// weight is the trust in a target's load report, from 0 to 1.
+func (s *search) weight(c *candidate) float64 {
+	report := &c.state.Report
+	if report.Sequence == 0 || report.Instance != c.state.Instance {
+		return 0
+	}
+	age := max(0, s.turn.Now-c.state.ReportedAt) + report.Lag
+	return math.Exp2(-float64(age) / float64(s.HalfLife))
+}
+
+func (s *search) reported(c *candidate) float64 {
+	return float64(c.state.Report.Waiting) + s.RunningWeight*float64(c.state.Report.Running)
+}
+
+// weighReports sets the load that old reports fade to. It is the mean of the
+// candidates, since fading to 0 would send everything to the target whose
+// reports stopped.
+func (s *search) weighReports() {
+	var sum, weights float64
+	for i := range s.count {
+		weight := s.weight(&s.found[i])
+		sum += weight * s.reported(&s.found[i])
+		weights += weight
+	}
+	if weights > 0 {
+		s.meanReported = sum / weights
+	}
+}
+
+// load is the number of requests ahead at a candidate. Own requests count at
+// once. Those that the report has too count twice: leaving a burst of own
+// requests out until the next report would send all of them to one target.
+func (s *search) load(c *candidate) float64 {
+	weight := s.weight(c)
+	return weight*s.reported(c) + (1-weight)*s.meanReported + float64(c.own)
+}
+
+// estimate fills the candidate's route and keeps the best candidate.
+func (s *search) estimate(c *candidate) {
+	c.route = mulberrybeam.Route{Target: c.target.ID, NeedsPermit: c.cold, Reason: c.reason, Source: mulberrybeam.SourceRecompute}
+	load := s.load(c)
+	total := s.distance(c.target.Zone)
+	if c.target.Kind == mulberrybeam.KindService {
+		total += time.Duration(load * float64(s.ServiceTime))
+	} else {
+		total += s.prefill(c, load*s.QueueTokens) + s.context(c)
+	}
+	total += s.penalty(c)
+	c.route.FirstToken = total
+	if !s.chosen || total < s.best.route.FirstToken {
+		s.best, s.chosen = *c, true
+	}
+}
+
+// penalty sums up what speaks against a candidate besides its load.
+func (s *search) penalty(c *candidate) time.Duration {
+	var sum time.Duration
+	if c.cold && !s.waiveCold {
+		sum += s.ColdPenalty * time.Duration(1+c.own/max(1, c.target.ColdLimit))
+	}
+	if version, known := c.state.Report.WeightVersions[s.query.Request.Model]; known && version != s.query.Request.Version {
+		sum += s.VersionPenalty
+	}
+	weight := s.weight(c)
+	if weight*float64(c.state.Report.Running+c.state.Report.Waiting) >= float64(c.target.WarmLimit) {
+		sum += s.OverloadPenalty
+	}
+	c.penalized = sum > 0
+	return sum
+}
+
+// prefill is the time a candidate takes to compute prompt tokens.
+func (s *search) prefill(c *candidate, tokens float64) time.Duration {
+	rate := c.target.PrefillRate
+	if rate <= 0 {
+		rate = s.PrefillRate
+	}
+	return time.Duration(tokens / rate * float64(time.Second))
+}
+
+// context chooses where the candidate gets the prompt's context from, notes it
+// in the route, and returns the time that takes.
+func (s *search) context(c *candidate) time.Duration {
+	request := s.query.Request
+	cached := 0
+	if len(request.Keys) > 0 {
+		cached = min(request.PromptTokens, s.view.CachedBlocks(c.target.ID, request.Keys)*keyer.BlockTokens)
+	}
+	best := s.prefill(c, float64(request.PromptTokens-cached))
+	c.route.CachedTokens = cached
+	c.route.RecomputedTokens = request.PromptTokens - cached
+	if cached > 0 {
+		c.route.Source = mulberrybeam.SourceCache
+	}
+	for _, manifest := range s.query.Kept {
+		kept := min(request.PromptTokens, manifest.Blocks*keyer.BlockTokens)
+		if kept <= cached || !matches(manifest, request.Keys) {
+			continue
+		}
+		transfer, known := s.transfer(c, manifest)
+		total := transfer + s.prefill(c, float64(request.PromptTokens-kept))
+		if !known || total >= best {
+			continue
+		}
+		best = total
+		c.route.Source = mulberrybeam.SourceImport
+		c.route.Import = manifest
+		c.route.ImportedTokens = kept - cached
+		c.route.RecomputedTokens = request.PromptTokens - kept
+	}
+	return best
+}
+
+// matches checks that a manifest is of a prefix of the prompt.
+func matches(manifest mulberrybeam.Manifest, keys []mulberrybeam.BlockKey) bool {
+	return manifest.Blocks > 0 && manifest.Blocks <= len(keys) && keys[manifest.Blocks-1] == manifest.Key
+}
+
+// transfer is the time to move a kept context from its store to a candidate.
+// It is false for a store that is not declared.
+func (s *search) transfer(c *candidate, manifest mulberrybeam.Manifest) (time.Duration, bool) {
+	store, declared := s.tables.Stores[manifest.Store]
+	if !declared || store.LinkRate <= 0 {
+		return 0, false
+	}
+	delay := s.MemoryDelay
+	if manifest.Tier == mulberrybeam.TierDisk {
+		delay = s.DiskDelay
+	}
+	rate := max(store.LinkRate-s.view.LinkUse(store.ID), store.LinkRate*s.MinLinkShare)
+	moving := time.Duration(float64(manifest.Bytes) / rate * float64(time.Second))
+	return delay + s.between(store.Zone, c.target.Zone) + moving, true
+}
--- /dev/null
+++ b/request/router/router_test.go
@@ -0,0 +1,202 @@
+package router_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mulberrybeam"
+	"mulberrybeam/request/router"
+)
+
+var policies = map[string]mulberrybeam.Picker{
+	"estimating":   router.New(),
+	"random":       router.NewRandom(),
+	"least-loaded": router.NewLeastLoaded(),
+	"prefix-only":  router.NewPrefixOnly(),
+}
+
+// Guards against work for targets that must not get it, and against a refusal
+// while a usable target exists in a fleet that the probes cover.
+func TestPoliciesPickOnlyUsableTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(0, 12).Draw(t, "size"))
+		query := rapid.SampledFrom([]mulberrybeam.RouteQuery{prompt(3), serviceCall()}).Draw(t, "query")
+		list := f.tables.EnginesByModel["m"]
+		if query.Request.Service != "" {
+			list = f.tables.TargetsByService["orders"]
+		}
+		f.holders = []mulberrybeam.TargetID{"undeclared"}
+		usable := map[mulberrybeam.TargetID]bool{}
+		for _, id := range list {
+			usable[id] = false
+			switch rapid.SampledFrom([]string{"usable", "tried", "leaving", "report", "full", "cold", "orphan", "zone"}).Draw(t, string(id)) {
+			case "usable":
+				usable[id] = true
+				f.inFlight[id] = 7
+			case "tried":
+				query.Tried = append(query.Tried, id)
+			case "leaving":
+				f.set(id, func(s *mulberrybeam.TargetState) { s.Phase = mulberrybeam.PhaseLeaving })
+			case "report":
+				f.set(id, func(s *mulberrybeam.TargetState) { s.Report.Leaving = true })
+			case "full":
+				f.inFlight[id] = 8
+			case "cold":
+				usable[id] = true
+				f.set(id, func(s *mulberrybeam.TargetState) { s.Phase = mulberrybeam.PhaseCold })
+			case "orphan":
+				f.set(id, func(s *mulberrybeam.TargetState) { s.Phase, s.Owner = "", "" })
+			case "zone":
+				target := f.tables.Targets[id]
+				target.Zone = "out"
+				f.tables.Targets[id] = target
+				f.tables.Zones["out"] = mulberrybeam.Zone{Name: "out", State: mulberrybeam.ZoneOut}
+			}
+			f.holders = append(f.holders, id)
+		}
+		f.holders = rapid.Permutation(f.holders).Draw(t, "holders")
+		for name, policy := range policies {
+			route, err := policy.Pick(turn(rapid.Uint64().Draw(t, "seed"), 0), f, query)
+			var failure *mulberrybeam.Failure
+			switch some := slices.ContainsFunc(list, func(id mulberrybeam.TargetID) bool { return usable[id] }); {
+			case !some && (!errors.As(err, &failure) || failure.Code != mulberrybeam.CodeNoTarget || !failure.NotRun || failure.RetryAfter <= 0):
+				t.Fatalf("%s: no target is usable: %v, %v", name, route.Target, err)
+			case some && (err != nil || !usable[route.Target]):
+				t.Fatalf("%s: picked %q of %v: %v", name, route.Target, usable, err)
+			case some && route.NeedsPermit != (f.states[route.Target].Phase == mulberrybeam.PhaseCold):
+				t.Fatalf("%s: permit for %q: %v", name, route.Target, route.NeedsPermit)
+			case some && route.CachedTokens+route.ImportedTokens+route.RecomputedTokens != query.Request.PromptTokens:
+				t.Fatalf("%s: parts of the prompt: %+v", name, route)
+			}
+		}
+	})
+}
+
+// Guards against estimates that leave out one of their terms. The fleet has
+// e0 in the zone of the query, e1 in another, e2 in another region.
+func TestEstimate(t *testing.T) {
+	kept := mulberrybeam.Manifest{Store: "store", Blocks: 8, Bytes: 100_000, Key: prompt(10).Request.Keys[7], Tier: mulberrybeam.TierMemory}
+	wrongKey := kept
+	wrongKey.Key[5]++
+	cases := []struct {
+		name   string
+		change func(*fleet)
+		kept   mulberrybeam.Manifest
+		want   mulberrybeam.TargetID
+		source mulberrybeam.Source
+		time   time.Duration
+	}{
+		{"same zone first", nil, mulberrybeam.Manifest{}, "e0", mulberrybeam.SourceRecompute, 512 * time.Millisecond},
+		{"cache beats zone", func(f *fleet) { f.cached["e2"] = 5 }, mulberrybeam.Manifest{}, "e2", mulberrybeam.SourceCache, 286 * time.Millisecond},
+		{"report ahead", func(f *fleet) { f.report("e0", 0, 1) }, mulberrybeam.Manifest{}, "e1", mulberrybeam.SourceRecompute, 513 * time.Millisecond},
+		{"own ahead", func(f *fleet) { f.inFlight["e0"], f.inFlight["e1"] = 1, 1 }, mulberrybeam.Manifest{}, "e2", mulberrybeam.SourceRecompute, 542 * time.Millisecond},
+		{"import", nil, kept, "e0", mulberrybeam.SourceImport, 203400 * time.Microsecond},
+		{"import over a used link", func(f *fleet) { f.linkUse = 0.5e6 }, kept, "e0", mulberrybeam.SourceImport, 303400 * time.Microsecond},
+		{"recompute when the link is full", func(f *fleet) { f.linkUse = 1e6 }, kept, "e0", mulberrybeam.SourceRecompute, 512 * time.Millisecond},
+		{"manifest of another context", nil, wrongKey, "e0", mulberrybeam.SourceRecompute, 512 * time.Millisecond},
+		{"cold", func(f *fleet) {
+			f.set("e0", func(s *mulberrybeam.TargetState) { s.Phase = mulberrybeam.PhaseCold })
+		}, mulberrybeam.Manifest{}, "e1", mulberrybeam.SourceRecompute, 513 * time.Millisecond},
+		{"other version", func(f *fleet) {
+			f.set("e0", func(s *mulberrybeam.TargetState) {
+				s.Report.WeightVersions = map[mulberrybeam.ModelName]mulberrybeam.WeightVersion{"m": "v0"}
+			})
+		}, mulberrybeam.Manifest{}, "e1", mulberrybeam.SourceRecompute, 513 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(3)
+			if c.change != nil {
+				c.change(f)
+			}
+			query := prompt(10)
+			query.Kept = []mulberrybeam.Manifest{c.kept}
+			route, err := router.New(router.WithColdPenalty(250*time.Millisecond, 0)).Pick(turn(1, 0), f, query)
+			is.NoErr(err)
+			is.Equal(route.Target, c.want)
+			is.Equal(route.Source, c.source)
+			is.Equal(route.FirstToken.Round(time.Microsecond), c.time)
+		})
+	}
+}
+
+// Guards against a target that draws all requests because its reports stopped.
+func TestOldReportFadesToTheMeanOfTheCandidates(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	f.report("e0", 0, 4)
+	f.report("e1", 0, 4)
+	f.set("e1", func(s *mulberrybeam.TargetState) { s.ReportedAt = 10 * time.Second })
+	route, err := router.New().Pick(turn(1, 10*time.Second), f, prompt(1))
+	is.NoErr(err)
+	is.Equal(route.Target, mulberrybeam.TargetID("e0")) // equal load, nearer
+	is.Equal(route.FirstToken.Round(time.Millisecond), time.Duration((4*512+256)*time.Second/5000).Round(time.Millisecond))
+}
+
+// Guards against cold targets that never turn warm for lack of load.
+func TestSomeRequestsGoToColdTargets(t *testing.T) {
+	f := newFleet(2)
+	f.set("e0", func(s *mulberrybeam.TargetState) { s.Phase = mulberrybeam.PhaseCold })
+	cold := 0
+	for seed := range uint64(1000) {
+		route, _ := router.New().Pick(turn(seed, 0), f, prompt(1))
+		if route.NeedsPermit {
+			cold++
+		}
+	}
+	is.New(t).True(cold > 30 && cold < 125) // half to twice the share of 1 in 16
+}
+
+// Guards against a cost that grows with the number of targets. The bounds are
+// the candidates of the design (2 holders, the pair, 2 random ones) and those
+// with 32 probes.
+func TestTargetsLookedAtDoNotGrowWithTheFleet(t *testing.T) {
+	is := is.New(t)
+	for _, size := range []int{20, 91, 640} {
+		f := newFleet(size)
+		f.holders = []mulberrybeam.TargetID{"e1", "e2", "e3", "e4"}
+		_, err := policies["estimating"].Pick(turn(1, 0), f, prompt(4))
+		is.NoErr(err)
+		is.True(f.looked <= 6)
+		f.looked = 0
+		for id := range f.states {
+			f.inFlight[id] = 8
+		}
+		_, err = policies["estimating"].Pick(turn(1, 0), f, prompt(4))
+		is.True(err != nil)
+		is.True(f.looked <= 38)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, size := range []int{20, 91, 640} {
+		f := newFleet(size)
+		f.holders = []mulberrybeam.TargetID{"e1", "e2"}
+		f.cached["e1"], f.cached["e2"] = 16, 8
+		full := newFleet(size)
+		for id := range full.states {
+			full.inFlight[id] = 8
+		}
+		run := func(name string, policy mulberrybeam.Picker, f *fleet, query mulberrybeam.RouteQuery) {
+			b.Run(fmt.Sprintf("%s/targets=%d", name, size), func(b *testing.B) {
+				b.ReportAllocs()
+				turn := turn(1, 0)
+				for b.Loop() {
+					_, _ = policy.Pick(turn, f, query)
+				}
+			})
+		}
+		for name, policy := range policies {
+			run(name, policy, f, prompt(32))
+		}
+		run("estimating-service", policies["estimating"], f, serviceCall())
+		run("estimating-full", policies["estimating"], full, prompt(32))
+	}
+}
