--- /dev/null
+++ b/request/placer/placer_test.go
@@ -0,0 +1,180 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mulberrybeam"
+	"mulberrybeam/request/placer"
+)
+
+func chain(blocks int) []mulberrybeam.BlockKey {
+	keys := make([]mulberrybeam.BlockKey, blocks)
+	for i := range keys {
+		keys[i] = mulberrybeam.BlockKey{byte(i + 1)}
+	}
+	return keys
+}
+
+func stores(ids ...mulberrybeam.StoreID) (stores []mulberrybeam.Store) {
+	for _, id := range ids {
+		stores = append(stores, mulberrybeam.Store{ID: id})
+	}
+	return stores
+}
+
+// Guards against a longer prompt that looks for its context in other stores
+// than the ones its beginning was put in.
+func TestStoresOfAPromptAndItsPrefixAreTheSame(t *testing.T) {
+	is := is.New(t)
+	all := stores("a", "b", "c", "d")
+	is.Equal(len(placer.Stores(chain(1), all)), 2)
+	is.Equal(placer.Stores(chain(1), all), placer.Stores(chain(9), all))
+	is.Equal(len(placer.Stores(chain(1), stores("a"))), 1)
+	is.Equal(len(placer.Stores(nil, all)), 0)
+}
+
+// Guards against the use of a manifest that is partial, of another context,
+// or of a generation that has been replaced.
+func TestUsable(t *testing.T) {
+	keys := chain(4)
+	good := mulberrybeam.Manifest{Key: keys[1], Store: "a", Blocks: 2, Bytes: 9, Generation: 2, Tier: mulberrybeam.TierDisk}
+	change := func(change func(*mulberrybeam.Manifest)) mulberrybeam.Manifest {
+		manifest := good
+		change(&manifest)
+		return manifest
+	}
+	longer := change(func(m *mulberrybeam.Manifest) { m.Key, m.Blocks = keys[3], 4 })
+	inMemory := change(func(m *mulberrybeam.Manifest) { m.Store, m.Tier = "b", mulberrybeam.TierMemory })
+	cases := map[string]struct{ found, want []mulberrybeam.Manifest }{
+		"good":             {[]mulberrybeam.Manifest{good}, []mulberrybeam.Manifest{good}},
+		"longest first":    {[]mulberrybeam.Manifest{good, longer}, []mulberrybeam.Manifest{longer, good}},
+		"memory first":     {[]mulberrybeam.Manifest{good, inMemory}, []mulberrybeam.Manifest{inMemory, good}},
+		"no bytes":         {[]mulberrybeam.Manifest{change(func(m *mulberrybeam.Manifest) { m.Bytes = 0 })}, nil},
+		"no blocks":        {[]mulberrybeam.Manifest{change(func(m *mulberrybeam.Manifest) { m.Blocks = 0 })}, nil},
+		"too many blocks":  {[]mulberrybeam.Manifest{change(func(m *mulberrybeam.Manifest) { m.Blocks = 5 })}, nil},
+		"key of another":   {[]mulberrybeam.Manifest{change(func(m *mulberrybeam.Manifest) { m.Key = keys[2] })}, nil},
+		"no generation":    {[]mulberrybeam.Manifest{change(func(m *mulberrybeam.Manifest) { m.Generation = 0 })}, nil},
+		"older generation": {[]mulberrybeam.Manifest{change(func(m *mulberrybeam.Manifest) { m.Generation = 1 }), good}, []mulberrybeam.Manifest{good}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(placer.Usable(keys, c.found), c.want)
+		})
+	}
+}
+
+// Guards against exports of what is kept, and against a generation that a
+// store already has.
+func TestExport(t *testing.T) {
+	is := is.New(t)
+	keys, all := chain(2), stores("a", "b")
+	kept := mulberrybeam.Manifest{Key: keys[1], Blocks: 2, Bytes: 9, Generation: 3}
+	store, generation, needed := placer.Export(keys, all, nil)
+	is.True(needed && generation == 1 && store.ID == placer.Stores(keys, all)[0].ID)
+	_, _, needed = placer.Export(keys, all, []mulberrybeam.Manifest{kept})
+	is.True(!needed)
+	kept.Bytes = 0 // found but not usable
+	_, generation, needed = placer.Export(keys, all, []mulberrybeam.Manifest{kept})
+	is.True(needed && generation == 4)
+	_, _, needed = placer.Export(nil, all, nil)
+	is.True(!needed)
+}
+
+// Guards against prefetch and export in the way of waiting prompts.
+func TestDecideByPriority(t *testing.T) {
+	const rate = 1e6
+	interactive, prefetch, export := mulberrybeam.PriorityInteractive, mulberrybeam.PriorityPrefetch, mulberrybeam.PriorityExport
+	cases := []struct {
+		name     string
+		use      placer.Use
+		debt     float64
+		priority mulberrybeam.Priority
+		want     bool
+	}{
+		{"idle link", placer.Use{Rate: rate, Members: 1}, 0, export, true},
+		{"no rate", placer.Use{Members: 1}, 0, interactive, false},
+		{"prompt on a full link", placer.Use{Rate: rate, Others: rate, Members: 4}, 0, interactive, true},
+		{"prefetch on a half used link", placer.Use{Rate: rate, Others: rate / 2, Members: 4}, 0, prefetch, true},
+		{"export on a half used link", placer.Use{Rate: rate, Others: rate / 2, Members: 4}, 0, export, false},
+		{"prefetch on a link used to 3/4", placer.Use{Rate: rate, Others: rate / 2, Own: rate / 4, Members: 4}, 0, prefetch, false},
+		{"prefetch while prompts wait", placer.Use{Rate: rate, Members: 1, WaitingPrompts: 1}, 0, prefetch, false},
+		{"prompt behind another", placer.Use{Rate: rate, Members: 1}, rate / 10, interactive, true},
+		{"prompt behind too much", placer.Use{Rate: rate, Members: 1}, rate / 2, interactive, false},
+		{"prefetch behind another", placer.Use{Rate: rate, Members: 1}, rate / 10, prefetch, false},
+		{"export behind another", placer.Use{Rate: rate, Members: 1}, 1000, export, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			before := placer.Link{Debt: c.debt, At: time.Second}
+			after, verdict := placer.Decide(time.Second, before, c.use, placer.Transfer{Priority: c.priority, Bytes: 1000})
+			is.Equal(verdict.Go, c.want)
+			is.Equal(after.Debt > before.Debt, c.want)
+			is.Equal(verdict.Wait > 0, !c.want)
+		})
+	}
+}
+
+// Guards against processes that together put more on a link than it carries.
+// All follow measurements that are a second old.
+func TestProcessesTogetherStayBelowTheLink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate, size, step = 1e6, 2000, 10 * time.Millisecond
+		members := rapid.IntRange(1, 9).Draw(t, "members")
+		active := rapid.IntRange(1, members).Draw(t, "active")
+		links := make([]placer.Link, active)
+		sent, measured := make([]float64, active), make([]float64, active)
+		var total, use float64
+		const seconds = 20
+		for now := time.Duration(0); now < seconds*time.Second; now += step {
+			if now%time.Second == 0 {
+				copy(measured, sent)
+				use = 0
+				for i := range sent {
+					use += measured[i]
+					sent[i] = 0
+				}
+			}
+			for i := range links {
+				var verdict placer.Verdict
+				links[i], verdict = placer.Decide(now, links[i], placer.Use{Rate: rate, Others: use - measured[i], Own: measured[i], Members: members}, placer.Transfer{Bytes: size})
+				if verdict.Go {
+					sent[i] += size
+					total += size
+				}
+			}
+		}
+		// Each process may be ahead by the backlog that a prompt accepts.
+		if limit := rate * (seconds + 0.2) * 1.01; total > limit+float64(active*size) {
+			t.Fatalf("%d of %d processes sent %.0f bytes in %d s", active, members, total, seconds)
+		}
+	})
+}
+
+// Guards against two fetches of one context at a time, and against one that
+// never ends.
+func TestOneFetchOfAContextAtATime(t *testing.T) {
+	is := is.New(t)
+	flights := placer.Flights{}
+	key := chain(1)[0]
+	first := placer.Flight{Request: "1", Target: "a", Until: time.Second}
+	second := placer.Flight{Request: "2", Target: "b", Until: 3 * time.Second}
+	_, mine := flights.Begin(0, key, first)
+	is.True(mine)
+	running, mine := flights.Begin(0, key, second)
+	is.True(!mine && running == first)
+	flights.End(key, "2")
+	_, mine = flights.Begin(0, key, second)
+	is.True(!mine) // the end of a fetch that did not begin changes nothing
+	_, mine = flights.Begin(time.Second, key, second)
+	is.True(mine) // the first counts as lost
+	flights.End(key, "1")
+	_, mine = flights.Begin(time.Second, key, first)
+	is.True(!mine)
+	flights.End(key, "2")
+	is.Equal(len(flights), 0)
+}
