--- /dev/null
+++ b/request/quarantiner/quarantiner_test.go
@@ -0,0 +1,198 @@
+package quarantiner_test
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mulberrybeam"
+	"mulberrybeam/request/quarantiner"
+)
+
+// Guards against a verdict that disagrees with the number of crashes, and
+// against a refusal that says not-run of a request that ran.
+func TestDecide(t *testing.T) {
+	one, zero := mulberrybeam.CrashFact{Count: 1}, mulberrybeam.CrashFact{}
+	cases := []struct {
+		name      string
+		suspicion quarantiner.Suspicion
+		want      quarantiner.Verdict
+		code      mulberrybeam.Code
+		notRun    bool
+	}{
+		{"nothing known", quarantiner.Suspicion{}, quarantiner.RunNormally, "", false},
+		{"cleared", quarantiner.Suspicion{Spread: []mulberrybeam.CrashFact{zero, zero}}, quarantiner.RunNormally, "", false},
+		{"one crash", quarantiner.Suspicion{Spread: []mulberrybeam.CrashFact{zero, one}}, quarantiner.RunIsolated, "", false},
+		{"copy is running", quarantiner.Suspicion{Spread: []mulberrybeam.CrashFact{one}, Copies: 1}, quarantiner.Wait, mulberrybeam.CodeOverloaded, true},
+		{"two crashes", quarantiner.Suspicion{Spread: []mulberrybeam.CrashFact{one, one}}, quarantiner.Refuse, mulberrybeam.CodeCrashesTargets, true},
+		{"own crash not in the snapshot", quarantiner.Suspicion{Broken: 1}, quarantiner.RunIsolated, "", false},
+		{"own crash in the snapshot", quarantiner.Suspicion{Spread: []mulberrybeam.CrashFact{one}, Broken: 1}, quarantiner.RunIsolated, "", false},
+		{"own crash after another's", quarantiner.Suspicion{Spread: []mulberrybeam.CrashFact{one}, Before: 1, Broken: 1}, quarantiner.Refuse, mulberrybeam.CodeCrashesTargets, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			verdict, crashes := quarantiner.Decide(c.suspicion)
+			is.Equal(verdict, c.want)
+			var failure *mulberrybeam.Failure
+			is.Equal(errors.As(quarantiner.Refusal(verdict, crashes, c.suspicion), &failure), c.code != "")
+			if c.code != "" {
+				is.Equal(failure.Code, c.code)
+				is.Equal(failure.NotRun, c.notRun)
+			}
+		})
+	}
+}
+
+// Guards against suspicion that stays after a broken path to a live target.
+func TestTargetThatSurvivedClearsItsRequests(t *testing.T) {
+	is := is.New(t)
+	facts := slices.Concat(
+		quarantiner.Crashed("a", "1", []mulberrybeam.Fingerprint{{1}, {2}, {1}}),
+		quarantiner.Crashed("a", "2", []mulberrybeam.Fingerprint{{1}}),
+	)
+	is.Equal(len(facts), 3)
+	clearing := quarantiner.Survived("a", "1", facts)
+	is.Equal(len(clearing), 2)
+	is.Equal(clearing[0].Key, facts[0].Key)
+	is.Equal(clearing[0].Crash.Count, 0)
+	is.Equal(len(quarantiner.Survived("a", "1", clearing)), 0)
+	is.Equal(len(quarantiner.Survived("a", "", facts)), 0)
+}
+
+const crasher = 0
+
+// fleet is a set of hosts that send requests to targets of which the crasher
+// crashes each. All methods use only what the sending host knows.
+type fleet struct {
+	*rapid.T
+	facts     []map[string]mulberrybeam.Fact // by host
+	instances []int                          // by target
+	runs      map[int]int                    // by request
+}
+
+func fingerprint(request int) mulberrybeam.Fingerprint {
+	return mulberrybeam.Fingerprint{byte(request)}
+}
+
+func (f *fleet) verdict(host, request int) quarantiner.Verdict {
+	var suspicion quarantiner.Suspicion
+	for _, fact := range f.facts[host] {
+		if fact.Crash.Fingerprint == fingerprint(request) {
+			suspicion.Spread = append(suspicion.Spread, *fact.Crash)
+		}
+	}
+	verdict, _ := quarantiner.Decide(suspicion)
+	return verdict
+}
+
+// spread gives all hosts the facts of all. A cleared fact has the later stamp.
+func (f *fleet) spread() {
+	all := map[string]mulberrybeam.Fact{}
+	for _, facts := range f.facts {
+		for key, fact := range facts {
+			if known, found := all[key]; !found || known.Crash.Count > 0 {
+				all[key] = fact
+			}
+		}
+	}
+	for host := range f.facts {
+		f.facts[host] = maps.Clone(all)
+	}
+}
+
+func (f *fleet) state(host int, facts []mulberrybeam.Fact) {
+	for _, fact := range facts {
+		f.facts[host][fact.Key] = fact
+	}
+}
+
+// run sends requests, each from the host of its place in senders, to one
+// target at the same time.
+func (f *fleet) run(target int, senders map[int]int) {
+	name := mulberrybeam.TargetID(fmt.Sprint(target))
+	instance := mulberrybeam.InstanceID(fmt.Sprint(f.instances[target]))
+	_, crashes := senders[crasher]
+	if crashes {
+		f.instances[target]++
+	}
+	for request, host := range senders {
+		f.runs[request]++
+		if crashes {
+			f.state(host, quarantiner.Crashed(name, instance, []mulberrybeam.Fingerprint{fingerprint(request)}))
+		} else {
+			f.state(host, quarantiner.Completed(fingerprint(request), slices.Collect(maps.Values(f.facts[host]))))
+		}
+	}
+}
+
+func (f *fleet) draw(label string, below int) int {
+	return rapid.IntRange(0, below-1).Draw(f.T, label)
+}
+
+// Guards against a crasher that takes down one target after another, and
+// against innocent requests that are refused for having been beside it.
+func TestCrasherRunsTwiceAndInnocentRequestsGetThrough(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts, targets, innocents := 4, 3, 6
+		f := &fleet{T: t, instances: make([]int, targets), runs: map[int]int{}}
+		for range hosts {
+			f.facts = append(f.facts, map[string]mulberrybeam.Fact{})
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "sends of the crasher") {
+			host, target := f.draw("host", hosts), f.draw("target", targets)
+			// An isolated crasher has no other suspect beside it.
+			beside := map[int]int{}
+			for request := 1; request <= innocents; request++ {
+				sender := f.draw("sender", hosts)
+				if f.verdict(sender, request) == quarantiner.RunNormally && rapid.Bool().Draw(t, "in flight") {
+					beside[request] = sender
+				}
+			}
+			if f.verdict(host, crasher) != quarantiner.Refuse {
+				beside[crasher] = host
+			}
+			f.run(target, beside)
+			f.spread()
+			for request := 1; request <= innocents; request++ {
+				sender := f.draw("sender of the second run", hosts)
+				if f.verdict(sender, request) == quarantiner.RunIsolated && rapid.Bool().Draw(t, "runs again") {
+					f.run(f.draw("target of the second run", targets), map[int]int{request: sender})
+					f.spread()
+				}
+				if f.verdict(sender, request) == quarantiner.Refuse {
+					t.Fatalf("innocent request %d is refused", request)
+				}
+			}
+		}
+		if f.runs[crasher] > quarantiner.RefusedFrom {
+			t.Fatalf("the crasher ran %d times", f.runs[crasher])
+		}
+	})
+}
+
+// Guards against a crasher that runs on and on where facts do not spread, and
+// against more runs after they met.
+func TestBeforeFactsSpreadEachHostStopsTheCrasherAfterTwoRuns(t *testing.T) {
+	is := is.New(t)
+	const hosts = 4
+	f := &fleet{instances: make([]int, 1), runs: map[int]int{}}
+	for range hosts {
+		f.facts = append(f.facts, map[string]mulberrybeam.Fact{})
+	}
+	for send := range 10 * hosts {
+		if host := send % hosts; f.verdict(host, crasher) != quarantiner.Refuse {
+			f.run(0, map[int]int{crasher: host})
+		}
+	}
+	is.Equal(f.runs[crasher], hosts*quarantiner.RefusedFrom)
+	f.spread()
+	for host := range hosts {
+		is.Equal(f.verdict(host, crasher), quarantiner.Refuse)
+	}
+}
