Keep separate debts for prompts, prefetches and exports on a link

Exports were paid off at the full rate of the link, so that all processes together put more than the exports' part on it; the property test now covers each priority.

--- a/request/placer/link.go
+++ b/request/placer/link.go
@@ -6,29 +6,38 @@
 	"mulberrybeam"
 )
 
-// Parts of a link's rate that transfers of a priority may fill, all processes
-// together. The rest is room for prompts that begin to wait before the use of
-// the link has spread.
-const (
-	promptPart   = 1.0
-	prefetchPart = 0.7
-	exportPart   = 0.4
-)
+// class groups the priorities that share a limit.
+type class int
 
-// Backlog that a transfer of a priority accepts before it, counted in the time
-// the link needs for it. A prompt rather recomputes than waits longer.
 const (
-	promptBacklog   = 200 * time.Millisecond
-	prefetchBacklog = 20 * time.Millisecond
+	prompts class = iota
+	prefetches
+	exports
+	classes
 )
 
+// parts are the shares of a link's rate up to which transfers of a class may
+// begin, all processes together. The rest is room for prompts that begin to
+// wait before the use of the link has spread.
+var parts = [classes]float64{prompts: 1, prefetches: 0.7, exports: 0.4}
+
+// backlogs are what a transfer accepts before it, counted in the time that the
+// class's part of the link needs for it. A prompt rather recomputes than waits
+// longer.
+var backlogs = [classes]time.Duration{prompts: 200 * time.Millisecond, prefetches: 20 * time.Millisecond}
+
+// maxDebt bounds the debt of a class in the time its part of the link needs to
+// pay it, so that prompts do not hold exports back long after they have ended.
+const maxDebt = 2 * time.Second
+
 // Link is what this process has put on one store's link. The zero value is an
 // idle link.
 type Link struct {
-	// Debt is the bytes of transfers that the link is assumed to be busy
-	// with.
-	Debt float64
-	// At is when Debt was reckoned.
+	// Debts are the bytes of transfers that are not paid off yet, for
+	// prompts, prefetches and exports. Each transfer counts for all three;
+	// they are paid at the rate that the class may fill.
+	Debts [classes]float64
+	// At is when Debts were reckoned.
 	At time.Duration
 }
 
@@ -77,41 +86,52 @@
 // away once, also when all processes see the same measurement, and a process
 // that uses more than its part gives way while the link is overused.
 func Decide(now time.Duration, link Link, use Use, transfer Transfer) (Link, Verdict) {
-	part, backlog := limits(transfer.Priority)
-	ceiling := part * use.Rate
-	waiting := transfer.Priority >= mulberrybeam.PriorityPrefetch
-	switch {
-	case use.Rate <= 0:
+	if use.Rate <= 0 {
 		return link, Verdict{Wait: recheck, Reason: "the link has no rate"}
-	case waiting && use.WaitingPrompts > 0:
+	}
+	link = link.advance(now, use)
+	of := classOf(transfer.Priority)
+	if of != prompts && use.WaitingPrompts > 0 {
 		return link, Verdict{Wait: recheck, Reason: "prompts wait for the link"}
-	case waiting && use.Others+use.Own >= ceiling:
+	}
+	if of != prompts && use.Others+use.Own >= parts[of]*use.Rate {
 		return link, Verdict{Wait: recheck, Reason: "the link is used up to the limit of the priority"}
 	}
-	rate := allowance(use, use.Rate)
-	link.Debt = max(0, link.Debt-rate*max(0, now-link.At).Seconds())
-	link.At = now
-	behind := time.Duration(link.Debt / allowance(use, ceiling) * float64(time.Second))
-	if behind > backlog {
-		return link, Verdict{Wait: behind - backlog, Reason: "earlier transfers of this process use its part of the link"}
+	behind := time.Duration(link.Debts[of] / use.allowance(of) * float64(time.Second))
+	if behind > backlogs[of] {
+		return link, Verdict{Wait: behind - backlogs[of], Reason: "earlier transfers use this process's part of the link"}
+	}
+	for i := range link.Debts {
+		link.Debts[i] += float64(transfer.Bytes)
 	}
-	link.Debt += float64(transfer.Bytes)
 	return link, Verdict{Go: true}
 }
 
-// allowance is the bytes per second this process may put on a link that all
-// together may fill up to a ceiling.
-func allowance(use Use, ceiling float64) float64 {
-	members := float64(max(1, use.Members))
-	return max(ceiling/members, use.Own+(ceiling-use.Others-use.Own)/members)
+// advance pays debts off.
+func (l Link) advance(now time.Duration, use Use) Link {
+	for i, debt := range l.Debts {
+		rate := use.allowance(class(i))
+		debt -= rate * max(0, now-l.At).Seconds()
+		l.Debts[i] = min(max(0, debt), rate*maxDebt.Seconds())
+	}
+	l.At = now
+	return l
+}
+
+// allowance is the bytes per second that this process may put on a link which
+// all together may fill up to the part of a class.
+func (u Use) allowance(of class) float64 {
+	ceiling := parts[of] * u.Rate
+	members := float64(max(1, u.Members))
+	return max(ceiling/members, u.Own+(ceiling-u.Others-u.Own)/members)
 }
 
-func limits(priority mulberrybeam.Priority) (part float64, backlog time.Duration) {
+func classOf(priority mulberrybeam.Priority) class {
 	switch priority {
 	case mulberrybeam.PriorityPrefetch:
-		return prefetchPart, prefetchBacklog
+		return prefetches
 	case mulberrybeam.PriorityExport:
-		return exportPart, 0
+		return exports
 	}
-	return promptPart, promptBacklog
+	return prompts
 }
--- a/request/placer/placer_test.go
+++ b/request/placer/placer_test.go
@@ -110,21 +110,27 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			before := placer.Link{Debt: c.debt, At: time.Second}
+			before := placer.Link{Debts: [3]float64{c.debt, c.debt, c.debt}, At: time.Second}
 			after, verdict := placer.Decide(time.Second, before, c.use, placer.Transfer{Priority: c.priority, Bytes: 1000})
 			is.Equal(verdict.Go, c.want)
-			is.Equal(after.Debt > before.Debt, c.want)
+			is.Equal(after.Debts[0] > before.Debts[0], c.want)
 			is.Equal(verdict.Wait > 0, !c.want)
 		})
 	}
 }
 
-// Guards against processes that together put more on a link than it carries.
+// Guards against processes that together put more on a link than it carries,
+// or than the part of it that the priority may fill.
 // All follow measurements that are a second old.
 func TestProcessesTogetherStayBelowTheLink(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const rate, size, step = 1e6, 2000, 10 * time.Millisecond
 		members := rapid.IntRange(1, 9).Draw(t, "members")
+		kind := rapid.SampledFrom([]placer.Transfer{{Bytes: size}, {Bytes: size, Priority: mulberrybeam.PriorityPrefetch}, {Bytes: size, Priority: mulberrybeam.PriorityExport}}).Draw(t, "transfer")
+		part := map[mulberrybeam.Priority]float64{mulberrybeam.PriorityPrefetch: 0.7, mulberrybeam.PriorityExport: 0.4}[kind.Priority]
+		if part == 0 {
+			part = 1
+		}
 		active := rapid.IntRange(1, members).Draw(t, "active")
 		links := make([]placer.Link, active)
 		sent, measured := make([]float64, active), make([]float64, active)
@@ -141,7 +147,7 @@
 			}
 			for i := range links {
 				var verdict placer.Verdict
-				links[i], verdict = placer.Decide(now, links[i], placer.Use{Rate: rate, Others: use - measured[i], Own: measured[i], Members: members}, placer.Transfer{Bytes: size})
+				links[i], verdict = placer.Decide(now, links[i], placer.Use{Rate: rate, Others: use - measured[i], Own: measured[i], Members: members}, kind)
 				if verdict.Go {
 					sent[i] += size
 					total += size
@@ -149,7 +155,7 @@
 			}
 		}
 		// Each process may be ahead by the backlog that a prompt accepts.
-		if limit := rate * (seconds + 0.2) * 1.01; total > limit+float64(active*size) {
+		if limit := part * rate * (seconds + 0.2) * 1.01; total > limit+float64(active*size) {
 			t.Fatalf("%d of %d processes sent %.0f bytes in %d s", active, members, total, seconds)
 		}
 	})
