--- /dev/null
+++ b/connection/enginecaller/body.go
@@ -0,0 +1,115 @@
+package enginecaller
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/encoder"
+)
+
+// blockBytes is the length of a context block of the rendered prompt.
+const blockBytes = 1024
+
+// extensions are the fields that the entry process sets. A caller's field
+// that differs only in case is dropped too, since decoders that ignore case
+// would let it replace the salt.
+var extensions = []string{"stream", "priority", "context"}
+
+var errNotObject = errors.New("chat body is not a JSON object")
+
+// Body returns the engine's body for a call: the raw chat body with the
+// extension fields added and every other byte of its fields unchanged.
+func Body(call mulberrybeam.EngineCall) ([]byte, error) {
+	var body bytes.Buffer
+	body.WriteByte('{')
+	if err := copyFields(&body, call.Request.Body); err != nil {
+		return nil, err
+	}
+	added, err := json.Marshal(struct {
+		Stream   bool            `json:"stream"`
+		Priority int             `json:"priority"`
+		Context  encoder.Context `json:"context"`
+	}{
+		Stream:   true,
+		Priority: int(call.Priority),
+		Context: encoder.Context{
+			Salt:       requestSalt(call.Request),
+			Keys:       encoder.KeyTexts(call.Request.Keys),
+			BlockBytes: blockBytes,
+			Version:    string(call.Request.Version),
+			Generated:  call.Generated,
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	body.Write(added[1:])
+	return body.Bytes(), nil
+}
+
+// copyFields copies the members of a JSON object, each followed by a comma,
+// but for the extension fields.
+func copyFields(out *bytes.Buffer, raw []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
+		return errNotObject
+	}
+	for decoder.More() {
+		start := decoder.InputOffset()
+		token, err := decoder.Token()
+		if err != nil {
+			return fmt.Errorf("%w: %w", errNotObject, err)
+		}
+		name := bytes.TrimLeft(raw[start:decoder.InputOffset()], ", \t\r\n")
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return fmt.Errorf("%w: %w", errNotObject, err)
+		}
+		if text, _ := token.(string); isExtension(text) {
+			continue
+		}
+		out.Write(name)
+		out.WriteByte(':')
+		out.Write(value)
+		out.WriteByte(',')
+	}
+	if _, err := decoder.Token(); err != nil {
+		return fmt.Errorf("%w: %w", errNotObject, err)
+	}
+	return nil
+}
+
+func isExtension(name string) bool {
+	for _, extension := range extensions {
+		if strings.EqualFold(name, extension) {
+			return true
+		}
+	}
+	return false
+}
+
+// requestSalt returns the cache salt of a request. A prompt shorter than a
+// block has no key, so its salt is made from what the keys are made from.
+func requestSalt(request *mulberrybeam.Request) string {
+	if len(request.Keys) > 0 {
+		return keysSalt(request.Keys)
+	}
+	sum := sha256.Sum256(fmt.Appendf(nil, "%q %q %q %q",
+		request.Environment, request.Workspace, request.Model, request.Version))
+	return hex.EncodeToString(sum[:16])
+}
+
+// keysSalt returns the cache salt of kept context: its first key, which
+// already depends on environment, workspace, model and weight version.
+func keysSalt(keys []mulberrybeam.BlockKey) string {
+	if len(keys) == 0 {
+		return ""
+	}
+	return encoder.KeyText(keys[0])
+}
--- /dev/null
+++ b/connection/enginecaller/caller.go
@@ -0,0 +1,244 @@
+// Package enginecaller calls model engines over HTTP. A Caller lives as long
+// as its pool of connections.
+package enginecaller
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/encoder"
+)
+
+// Settings are the time limits of a Caller.
+type Settings struct {
+	// DialTimeout bounds making a connection.
+	DialTimeout time.Duration
+	// CallTimeout bounds load reports, cache events and cancellations.
+	CallTimeout time.Duration
+	// TransferTimeout bounds imports and exports.
+	TransferTimeout time.Duration
+	// OrderTimeout bounds orders.
+	OrderTimeout time.Duration
+	// IdleTimeout bounds the wait for the next event of a stream and for
+	// the response headers.
+	IdleTimeout time.Duration
+}
+
+// Caller implements mulberrybeam.EngineClient.
+type Caller struct {
+	settings Settings
+	client   *http.Client
+}
+
+// Option changes the settings of a Caller.
+type Option func(*Settings)
+
+// WithCallTimeout sets the bound of short calls.
+func WithCallTimeout(timeout time.Duration) Option {
+	return func(s *Settings) { s.CallTimeout = timeout }
+}
+
+// WithTransferTimeout sets the bound of imports and exports.
+func WithTransferTimeout(timeout time.Duration) Option {
+	return func(s *Settings) { s.TransferTimeout = timeout }
+}
+
+// WithOrderTimeout sets the bound of orders.
+func WithOrderTimeout(timeout time.Duration) Option {
+	return func(s *Settings) { s.OrderTimeout = timeout }
+}
+
+// WithIdleTimeout sets the bound of the wait for the next event of a stream.
+func WithIdleTimeout(timeout time.Duration) Option {
+	return func(s *Settings) { s.IdleTimeout = timeout }
+}
+
+// New returns a Caller and the function that closes its idle connections.
+func New(options ...Option) (*Caller, func()) {
+	settings := Settings{
+		DialTimeout:     time.Second,
+		CallTimeout:     time.Second,
+		TransferTimeout: 10 * time.Second,
+		OrderTimeout:    30 * time.Second,
+		IdleTimeout:     60 * time.Second,
+	}
+	for _, option := range options {
+		option(&settings)
+	}
+	client, closeClient := encoder.NewClient(settings.DialTimeout)
+	return &Caller{settings: settings, client: client}, closeClient
+}
+
+// Generate starts an answer stream.
+func (c *Caller) Generate(ctx context.Context, call mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error) {
+	request := callOf(call.Target, http.MethodPost, "/v1/chat/completions", mulberrybeam.StepSend)
+	body, err := Body(call)
+	if err != nil {
+		return nil, &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeBadRequest, Step: mulberrybeam.StepSend, Peer: request.Peer,
+			Message: "engine body cannot be built", NotRun: true, Cause: err,
+		}
+	}
+	request.Body = body
+	request.Header = http.Header{
+		"Content-Type": {"application/json"},
+		"Accept":       {"text/event-stream"},
+		"X-Request-Id": {string(call.Request.ID)},
+		"X-Attempt":    {strconv.Itoa(call.Attempt)},
+	}
+	if call.After > 0 {
+		request.Header["Last-Event-Id"] = []string{strconv.FormatUint(call.After, 10)}
+	}
+	return c.open(ctx, request)
+}
+
+func (c *Caller) open(ctx context.Context, call encoder.Call) (mulberrybeam.EngineStream, error) {
+	streamCtx, cancel := context.WithCancel(ctx)
+	idle := newIdleTimer(c.settings.IdleTimeout, cancel)
+	response, err := encoder.Send(streamCtx, c.client, call)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = encoder.Refused(response, call)
+		_ = response.Body.Close()
+	}
+	if err != nil {
+		err = idle.explain(ctx, err)
+		idle.stop()
+		cancel()
+		return nil, err
+	}
+	return newStream(ctx, cancel, idle, response, call.Peer), nil
+}
+
+// Cancel ends a run. A run that the engine does not know is no error, since
+// it may have ended.
+func (c *Caller) Cancel(ctx context.Context, target mulberrybeam.Target, request mulberrybeam.RequestID) error {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+	defer cancel()
+	call := callOf(target, http.MethodDelete,
+		"/v1/chat/completions/"+url.PathEscape(string(request)), mulberrybeam.StepSend)
+	response, err := encoder.Send(ctx, c.client, call)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices && response.StatusCode != http.StatusNotFound {
+		return encoder.Refused(response, call)
+	}
+	return nil
+}
+
+// ImportContext makes the engine load a kept context and returns the tokens
+// loaded.
+func (c *Caller) ImportContext(
+	ctx context.Context, target mulberrybeam.Target, store mulberrybeam.Store,
+	manifest mulberrybeam.Manifest, keys []mulberrybeam.BlockKey,
+) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.TransferTimeout)
+	defer cancel()
+	call := callOf(target, http.MethodPost, "/v1/context/import", mulberrybeam.StepImport)
+	imported, err := encoder.Exchange[encoder.Import, encoder.Imported](ctx, c.client, call, encoder.Import{
+		Key:          encoder.KeyText(manifest.Key),
+		Keys:         encoder.KeyTexts(keys),
+		StoreAddress: store.Address,
+		Generation:   manifest.Generation,
+		Checksum:     encoder.ChecksumText(manifest.Checksum),
+		Bytes:        manifest.Bytes,
+		Salt:         keysSalt(keys),
+	})
+	return imported.Tokens, err
+}
+
+// ExportContext makes the engine write a context to a store.
+func (c *Caller) ExportContext(
+	ctx context.Context, target mulberrybeam.Target, store mulberrybeam.Store,
+	keys []mulberrybeam.BlockKey, generation uint64,
+) (mulberrybeam.Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.TransferTimeout)
+	defer cancel()
+	call := callOf(target, http.MethodPost, "/v1/context/export", mulberrybeam.StepExport)
+	answer, err := encoder.Exchange[encoder.Export, encoder.Manifest](ctx, c.client, call, encoder.Export{
+		Keys:         encoder.KeyTexts(keys),
+		StoreAddress: store.Address,
+		Generation:   generation,
+		Salt:         keysSalt(keys),
+	})
+	if err != nil {
+		return mulberrybeam.Manifest{}, err
+	}
+	manifest, err := answer.Plain(store.ID)
+	if err != nil {
+		return mulberrybeam.Manifest{}, invalid(call, err)
+	}
+	return manifest, nil
+}
+
+// Load returns the engine's load report.
+func (c *Caller) Load(ctx context.Context, target mulberrybeam.Target) (mulberrybeam.LoadReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+	defer cancel()
+	load, err := encoder.Fetch[encoder.Load](ctx, c.client,
+		callOf(target, http.MethodGet, "/v1/load", mulberrybeam.StepAnswer))
+	if err != nil {
+		return mulberrybeam.LoadReport{}, err
+	}
+	return load.Report(target.ID), nil
+}
+
+// CacheEvents returns the cache events after a sequence number.
+func (c *Caller) CacheEvents(ctx context.Context, target mulberrybeam.Target, after uint64) ([]mulberrybeam.CacheEvent, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+	defer cancel()
+	call := callOf(target, http.MethodGet,
+		fmt.Sprintf("/v1/cache-events?after=%d", after), mulberrybeam.StepAnswer)
+	answer, err := encoder.Fetch[encoder.CacheEvents](ctx, c.client, call)
+	if err != nil {
+		return nil, err
+	}
+	events := make([]mulberrybeam.CacheEvent, len(answer.Events))
+	for i, event := range answer.Events {
+		stored, err := encoder.ParseKeys(event.Stored)
+		if err != nil {
+			return nil, invalid(call, err)
+		}
+		removed, err := encoder.ParseKeys(event.Removed)
+		if err != nil {
+			return nil, invalid(call, err)
+		}
+		events[i] = mulberrybeam.CacheEvent{
+			Target: target.ID, Instance: mulberrybeam.InstanceID(answer.Instance),
+			Sequence: event.Sequence, Stored: stored, Removed: removed,
+		}
+	}
+	return events, nil
+}
+
+// Order gives an order to the engine and waits until it is done.
+func (c *Caller) Order(ctx context.Context, target mulberrybeam.Target, order mulberrybeam.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
+	defer cancel()
+	_, err := encoder.Exchange[encoder.Order, struct{}](ctx, c.client,
+		callOf(target, http.MethodPost, "/v1/orders", mulberrybeam.StepSend), encoder.Order{
+			Kind: string(order.Kind), Model: string(order.Model), Version: string(order.Version),
+			Adapter: order.Adapter, Role: order.Role, Fencing: uint64(order.Fencing),
+		})
+	return err
+}
+
+func callOf(target mulberrybeam.Target, method, path string, step mulberrybeam.Step) encoder.Call {
+	return encoder.Call{
+		Method: method, URL: "http://" + target.Address + path,
+		Peer: string(target.ID), Step: step,
+	}
+}
+
+func invalid(call encoder.Call, cause error) error {
+	return &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeTargetFailed, Step: call.Step, Peer: call.Peer,
+		Message: "answer is invalid", Cause: cause,
+	}
+}
--- /dev/null
+++ b/connection/enginecaller/stream.go
@@ -0,0 +1,191 @@
+package enginecaller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"iter"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/encoder"
+)
+
+const (
+	// endMarker is the data of the event that ends a whole answer.
+	endMarker = "[DONE]"
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+)
+
+// Stream implements mulberrybeam.EngineStream. Close may be called while Next
+// waits.
+type Stream struct {
+	ctx      context.Context
+	cancel   context.CancelFunc
+	idle     *idleTimer
+	body     io.Closer
+	peer     string
+	instance mulberrybeam.InstanceID
+	version  mulberrybeam.WeightVersion
+
+	mu     sync.Mutex
+	next   func() (sse.Event, error, bool)
+	stop   func()
+	finish *mulberrybeam.Token
+	ended  error
+}
+
+func newStream(
+	ctx context.Context, cancel context.CancelFunc, idle *idleTimer, response *http.Response, peer string,
+) *Stream {
+	events := sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes})
+	next, stop := iter.Pull2(iter.Seq2[sse.Event, error](events))
+	return &Stream{
+		ctx: ctx, cancel: cancel, idle: idle, body: response.Body, peer: peer,
+		instance: mulberrybeam.InstanceID(response.Header.Get("X-Instance-Id")),
+		version:  mulberrybeam.WeightVersion(response.Header.Get("X-Weight-Version")),
+		next:     next, stop: stop,
+	}
+}
+
+// Instance returns the engine's instance.
+func (s *Stream) Instance() mulberrybeam.InstanceID { return s.instance }
+
+// WeightVersion returns the weight version that runs the request.
+func (s *Stream) WeightVersion() mulberrybeam.WeightVersion { return s.version }
+
+// Next returns the next token. The token with End comes only after the end
+// marker; io.EOF follows it. A stream without the end marker ends with a
+// Failure with CodeStreamBroken.
+func (s *Stream) Next() (mulberrybeam.Token, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended != nil {
+		return mulberrybeam.Token{}, s.ended
+	}
+	for {
+		s.idle.reset()
+		event, err, more := s.next()
+		if err != nil || !more {
+			return s.end(s.broken("stream ended without its end marker", err))
+		}
+		token, found, err := s.read(event)
+		if err != nil {
+			return s.end(err)
+		}
+		if found {
+			return token, nil
+		}
+	}
+}
+
+// read decodes one event. The chunk with the finish reason is kept until the
+// end marker confirms it.
+func (s *Stream) read(event sse.Event) (mulberrybeam.Token, bool, error) {
+	if event.Data == endMarker {
+		if s.finish == nil {
+			return mulberrybeam.Token{}, false, s.broken("end marker without a finish reason", nil)
+		}
+		s.ended = io.EOF
+		return *s.finish, true, nil
+	}
+	var chunk encoder.Chunk
+	if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil {
+		return mulberrybeam.Token{}, false, s.broken("event is no chunk", err)
+	}
+	if chunk.Error != nil {
+		return mulberrybeam.Token{}, false, s.broken("engine reported "+chunk.Error.Code+": "+chunk.Error.Message, nil)
+	}
+	sequence, err := strconv.ParseUint(event.LastEventID, 10, 64)
+	if err != nil {
+		return mulberrybeam.Token{}, false, s.broken("event without a sequence number", err)
+	}
+	if len(chunk.Choices) == 0 {
+		return mulberrybeam.Token{}, false, nil
+	}
+	token := mulberrybeam.Token{
+		Request: mulberrybeam.RequestID(chunk.ID), Sequence: sequence, Text: chunk.Choices[0].Delta.Content,
+	}
+	reason := chunk.Choices[0].FinishReason
+	if reason == nil || *reason == "" {
+		return token, true, nil
+	}
+	s.finish = &mulberrybeam.Token{
+		Request: token.Request, Sequence: sequence, End: true, FinishReason: *reason,
+	}
+	return token, token.Text != "", nil
+}
+
+func (s *Stream) end(err error) (mulberrybeam.Token, error) {
+	s.ended = err
+	return mulberrybeam.Token{}, err
+}
+
+func (s *Stream) broken(message string, cause error) error {
+	failure := &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeStreamBroken, Step: mulberrybeam.StepAnswer,
+		Peer: s.peer, Message: message, Cause: cause,
+	}
+	if s.ctx.Err() != nil {
+		failure = encoder.Broken(s.ctx, mulberrybeam.StepAnswer, s.peer, message, s.ctx.Err())
+	}
+	return s.idle.explain(s.ctx, failure)
+}
+
+// Close ends the stream and frees its connection. A waiting Next returns.
+func (s *Stream) Close() error {
+	s.cancel()
+	err := s.body.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stop()
+	s.idle.stop()
+	if s.ended == nil {
+		s.ended = &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeCancelled, Step: mulberrybeam.StepAnswer,
+			Peer: s.peer, Message: "stream closed",
+		}
+	}
+	return err
+}
+
+// idleTimer cancels a stream that is silent for too long.
+type idleTimer struct {
+	timeout time.Duration
+	timer   *time.Timer
+	fired   atomic.Bool
+}
+
+func newIdleTimer(timeout time.Duration, cancel context.CancelFunc) *idleTimer {
+	idle := &idleTimer{timeout: timeout}
+	idle.timer = time.AfterFunc(timeout, func() {
+		idle.fired.Store(true)
+		cancel()
+	})
+	return idle
+}
+
+func (t *idleTimer) reset() {
+	if !t.fired.Load() {
+		t.timer.Reset(t.timeout)
+	}
+}
+
+func (t *idleTimer) stop() { t.timer.Stop() }
+
+// explain gives a failure the timeout's code when the timer caused it.
+func (t *idleTimer) explain(ctx context.Context, err error) error {
+	var failure *mulberrybeam.Failure
+	if t.fired.Load() && ctx.Err() == nil && errors.As(err, &failure) {
+		failure.Code = mulberrybeam.CodeTimeout
+	}
+	return err
+}
