--- a/connection/enginecaller/caller.go
+++ b/connection/enginecaller/caller.go
@@ -133,13 +133,14 @@
 }
 
 // ImportContext makes the engine load a kept context and returns the tokens
-// loaded.
+// loaded. Keys beyond the manifest's blocks are left out.
 func (c *Caller) ImportContext(
 	ctx context.Context, target mulberrybeam.Target, store mulberrybeam.Store,
 	manifest mulberrybeam.Manifest, keys []mulberrybeam.BlockKey,
 ) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.TransferTimeout)
 	defer cancel()
+	keys = keys[:min(len(keys), manifest.Blocks)]
 	call := callOf(target, http.MethodPost, "/v1/context/import", mulberrybeam.StepImport)
 	imported, err := encoder.Exchange[encoder.Import, encoder.Imported](ctx, c.client, call, encoder.Import{
 		Key:          encoder.KeyText(manifest.Key),
--- /dev/null
+++ b/connection/enginecaller/caller_test.go
@@ -0,0 +1,327 @@
+package enginecaller_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/enginecaller"
+	"mulberrybeam/process/standin/engine"
+	"mulberrybeam/process/standin/store"
+)
+
+var _ mulberrybeam.EngineClient = (*enginecaller.Caller)(nil)
+
+const chat = `{"model": "summary",  "messages": [{"role":"user","content":"a<b trip"}], "max_tokens": 6, "seed": 9007199254740993}`
+
+func fast(s *engine.Settings) {
+	s.Versions["summary"] = "v1"
+	s.TokenTime = time.Millisecond
+	s.PrefillRate = 1e6
+}
+
+func setUp(t *testing.T, options ...engine.Option) (*engine.Engine, *enginecaller.Caller, mulberrybeam.Target) {
+	t.Helper()
+	is := is.New(t)
+	fake, closeFake, err := engine.New(append([]engine.Option{engine.WithSettings(fast)}, options...)...)
+	is.NoErr(err)
+	t.Cleanup(closeFake)
+	caller, closeCaller := enginecaller.New(enginecaller.WithIdleTimeout(300 * time.Millisecond))
+	t.Cleanup(closeCaller)
+	return fake, caller, mulberrybeam.Target{ID: "engine-1", Address: fake.Address()}
+}
+
+func callOf(target mulberrybeam.Target, id mulberrybeam.RequestID) mulberrybeam.EngineCall {
+	return mulberrybeam.EngineCall{
+		Request: &mulberrybeam.Request{ID: id, Model: "summary", Version: "v1", Body: []byte(chat)},
+		Target:  target, Attempt: 1,
+	}
+}
+
+func drain(stream mulberrybeam.EngineStream) ([]mulberrybeam.Token, error) {
+	defer stream.Close()
+	var tokens []mulberrybeam.Token
+	for {
+		token, err := stream.Next()
+		if err != nil {
+			return tokens, err
+		}
+		tokens = append(tokens, token)
+	}
+}
+
+// Guards against a body that changes the caller's fields, and against a
+// caller that sets an extension field itself.
+func TestBodyKeepsTheCallersFields(t *testing.T) {
+	tests := map[string]struct{ raw, want string }{
+		"numbers and white space stay": {
+			`{"seed": 9007199254740993, "messages": [ {"a" : "<"} ]}`,
+			`{"seed":9007199254740993,"messages":[ {"a" : "<"} ],`,
+		},
+		"extension fields are replaced": {
+			`{"context":{"salt":"x"},"Context":{"salt":"y"},"STREAM":false,"model":"m","priority":9}`,
+			`{"model":"m",`,
+		},
+		"empty object": {`{}`, `{`},
+	}
+	added := `"stream":true,"priority":1,"context":{"salt":"01000000000000000000000000000000",` +
+		`"keys":["01000000000000000000000000000000"],"block-bytes":1024,"version":"v1","generated":["a "]}}`
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			body, err := enginecaller.Body(mulberrybeam.EngineCall{
+				Request: &mulberrybeam.Request{
+					Body: []byte(test.raw), Version: "v1", Keys: []mulberrybeam.BlockKey{{1}},
+				},
+				Priority: mulberrybeam.PriorityBatch, After: 1, Generated: []string{"a "},
+			})
+			is.NoErr(err)
+			is.Equal(string(body), test.want+added)
+			is.True(json.Valid(body))
+		})
+	}
+	for _, raw := range []string{``, `[]`, `{"a":`, `{"a" 1}`, `{"a":1`} {
+		_, err := enginecaller.Body(mulberrybeam.EngineCall{Request: &mulberrybeam.Request{Body: []byte(raw)}})
+		is.New(t).True(err != nil) // not a JSON object
+	}
+}
+
+// Guards against an answer that is incomplete, altered or out of order.
+func TestGenerateGivesTheWholeAnswer(t *testing.T) {
+	is := is.New(t)
+	fake, caller, target := setUp(t)
+	stream, err := caller.Generate(t.Context(), callOf(target, "r1"))
+	is.NoErr(err)
+	is.Equal(string(stream.Instance()), fake.Instance())
+	is.Equal(string(stream.WeightVersion()), "v1")
+	tokens, err := drain(stream)
+	is.Equal(err, io.EOF)
+	want, err := engine.Answer([]byte(chat), 6)
+	is.NoErr(err)
+	is.Equal(len(tokens), 7) // six tokens and the end
+	for n, text := range want {
+		is.Equal(tokens[n], mulberrybeam.Token{Request: "r1", Sequence: uint64(n + 1), Text: text})
+	}
+	is.Equal(tokens[6], mulberrybeam.Token{Request: "r1", Sequence: 7, End: true, FinishReason: "stop"})
+}
+
+// Guards against a resumed stream that repeats or skips tokens.
+func TestGenerateResumesAfterASequence(t *testing.T) {
+	is := is.New(t)
+	fake, caller, target := setUp(t)
+	want, err := engine.Answer([]byte(chat), 6)
+	is.NoErr(err)
+	call := callOf(target, "r1")
+	call.After, call.Generated, call.Attempt = 4, want[:4], 2
+	stream, err := caller.Generate(t.Context(), call)
+	is.NoErr(err)
+	tokens, err := drain(stream)
+	is.Equal(err, io.EOF)
+	is.Equal(tokens[0], mulberrybeam.Token{Request: "r1", Sequence: 5, Text: want[4]})
+	is.Equal(len(tokens), 3)
+	is.Equal(fake.Count("resumed"), 1)
+	is.Equal(fake.Count("generated-mismatches"), 0)
+}
+
+// Guards against faults of an answer that the client hides or reports with the
+// wrong code.
+func TestGenerateFaults(t *testing.T) {
+	tests := map[string]struct {
+		faults  engine.Faults
+		counter string
+		code    mulberrybeam.Code // empty for a whole stream
+		notRun  bool
+		tokens  int
+	}{
+		"broken connection": {engine.Faults{BreakNext: 1, BreakAfter: 3}, "broken", mulberrybeam.CodeStreamBroken, false, 3},
+		"no end marker":     {engine.Faults{NoEndNext: 1}, "no-end", mulberrybeam.CodeStreamBroken, false, 6},
+		"stalled":           {engine.Faults{StallNext: 1, BreakAfter: 2}, "stalled", mulberrybeam.CodeTimeout, false, 2},
+		"refused":           {engine.Faults{RefuseNext: 1}, "refused", mulberrybeam.CodeOverloaded, true, 0},
+		"failed":            {engine.Faults{FailNext: 1}, "failed", mulberrybeam.CodeTargetFailed, false, 0},
+		"duplicated":        {engine.Faults{DuplicateNext: 1}, "duplicated", "", false, 8},
+		"misdelivered":      {engine.Faults{MisdeliverNext: 1}, "misdelivered", "", false, 8},
+		"lost":              {engine.Faults{LoseNext: 1, BreakAfter: 1}, "lost", "", false, 6},
+		"crash":             {engine.Faults{CrashMark: "a<b"}, "marked-crashes", mulberrybeam.CodeStreamBroken, false, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fake, caller, target := setUp(t)
+			fake.SetFaults(func(f *engine.Faults) { *f = test.faults })
+			stream, err := caller.Generate(t.Context(), callOf(target, "r1"))
+			var tokens []mulberrybeam.Token
+			if err == nil {
+				tokens, err = drain(stream)
+			}
+			is.Equal(fake.Count(test.counter), 1) // the fault was hit
+			is.Equal(len(tokens), test.tokens)
+			if test.code == "" {
+				is.Equal(err, io.EOF)
+				return
+			}
+			checkFailure(t, err, test.code, test.notRun)
+		})
+	}
+}
+
+func checkFailure(t *testing.T, err error, code mulberrybeam.Code, notRun bool) {
+	t.Helper()
+	is := is.New(t)
+	var failure *mulberrybeam.Failure
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Code, code)
+	is.Equal(failure.NotRun, notRun)
+	is.Equal(failure.Peer, "engine-1")
+	is.True(failure.Step != "")
+}
+
+// Guards against a wrong NotRun when there is no connection, and when one
+// broke before any answer.
+func TestNotRunOnlyWithoutConnection(t *testing.T) {
+	t.Run("nobody listens", func(t *testing.T) {
+		fake, caller, target := setUp(t)
+		fake.Crash()
+		_, err := caller.Generate(t.Context(), callOf(target, "r1"))
+		checkFailure(t, err, mulberrybeam.CodeTargetFailed, true)
+	})
+	t.Run("closed after the request", func(t *testing.T) {
+		is := is.New(t)
+		socket, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer socket.Close()
+		go func() {
+			if connection, err := socket.Accept(); err == nil {
+				_, _ = connection.Read(make([]byte, 4096))
+				_ = connection.Close()
+			}
+		}()
+		_, caller, target := setUp(t)
+		target.Address = socket.Addr().String()
+		_, err = caller.Generate(t.Context(), callOf(target, "r1"))
+		checkFailure(t, err, mulberrybeam.CodeTargetFailed, false)
+	})
+	t.Run("wrong version", func(t *testing.T) {
+		_, caller, target := setUp(t)
+		call := callOf(target, "r1")
+		call.Request.Version = "v2"
+		_, err := caller.Generate(t.Context(), call)
+		checkFailure(t, err, mulberrybeam.CodeTargetRefused, true)
+	})
+}
+
+// Guards against a Close that does not free a waiting Next, and a run that
+// goes on after its caller cancelled it.
+func TestCloseAndCancel(t *testing.T) {
+	is := is.New(t)
+	fake, caller, target := setUp(t, engine.WithSettings(func(s *engine.Settings) { s.TokenTime = 100 * time.Millisecond }))
+	stream, err := caller.Generate(t.Context(), callOf(target, "r1"))
+	is.NoErr(err)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := drain(stream)
+		ended <- err
+	}()
+	is.NoErr(stream.Close())
+	checkFailure(t, <-ended, mulberrybeam.CodeCancelled, false)
+
+	stream, err = caller.Generate(t.Context(), callOf(target, "r2"))
+	is.NoErr(err)
+	is.NoErr(caller.Cancel(t.Context(), target, "r2"))
+	_, err = drain(stream)
+	checkFailure(t, err, mulberrybeam.CodeStreamBroken, false)
+	is.Equal(fake.Count("cancelled"), 1)
+	is.NoErr(caller.Cancel(t.Context(), target, "r2")) // unknown runs are no error
+
+	ctx, cancel := context.WithCancel(t.Context())
+	stream, err = caller.Generate(ctx, callOf(target, "r3"))
+	is.NoErr(err)
+	cancel()
+	_, err = drain(stream)
+	checkFailure(t, err, mulberrybeam.CodeCancelled, false)
+}
+
+// Guards against load reports, cache events and orders that lose fields.
+func TestControlCalls(t *testing.T) {
+	is := is.New(t)
+	fake, caller, target := setUp(t, engine.WithFencing(true),
+		engine.WithSettings(func(s *engine.Settings) { s.ReportLag, s.LoadTime = 40*time.Millisecond, time.Millisecond }))
+	call := callOf(target, "r1")
+	call.Request.Keys = []mulberrybeam.BlockKey{{1}, {2}}
+	stream, err := caller.Generate(t.Context(), call)
+	is.NoErr(err)
+	_, err = drain(stream)
+	is.Equal(err, io.EOF)
+	events, err := caller.CacheEvents(t.Context(), target, 0)
+	is.NoErr(err)
+	is.Equal(len(events), 1)
+	is.Equal(events[0].Stored, []mulberrybeam.BlockKey{{2}, {1}})
+	is.Equal(string(events[0].Instance), fake.Instance())
+
+	order := mulberrybeam.Order{Kind: mulberrybeam.OrderLoadWeights, Model: "summary", Version: "v2", Fencing: 5}
+	is.NoErr(caller.Order(t.Context(), target, order))
+	order.Fencing = 4
+	checkFailure(t, caller.Order(t.Context(), target, order), mulberrybeam.CodeConflict, true)
+
+	report, err := caller.Load(t.Context(), target)
+	is.NoErr(err)
+	is.Equal(report.Target, target.ID)
+	is.Equal(report.Lag, 40*time.Millisecond)
+	is.Equal(report.WeightVersions["summary"], mulberrybeam.WeightVersion("v2"))
+	fake.SetFaults(func(f *engine.Faults) { f.LoadDown = true })
+	_, err = caller.Load(t.Context(), target)
+	checkFailure(t, err, mulberrybeam.CodeTargetFailed, false)
+}
+
+// Guards against an import of data that is missing, corrupt, cut off or of
+// another generation.
+func TestExportAndImport(t *testing.T) {
+	tests := map[string]struct {
+		faults     store.Faults
+		generation uint64
+		counter    string
+	}{
+		"whole":              {store.Faults{}, 3, ""},
+		"corrupt":            {store.Faults{CorruptNext: 1}, 3, "corrupted"},
+		"cut off":            {store.Faults{TruncateNext: 1}, 3, "truncated"},
+		"another generation": {store.Faults{}, 2, "data-missing"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fake, caller, target := setUp(t)
+			kept, closeStore, err := store.New()
+			is.NoErr(err)
+			defer closeStore()
+			place := mulberrybeam.Store{ID: "store-1", Address: kept.Address()}
+			keys := []mulberrybeam.BlockKey{{1}, {2}}
+			call := callOf(target, "r1")
+			call.Request.Keys = keys
+			stream, err := caller.Generate(t.Context(), call)
+			is.NoErr(err)
+			_, err = drain(stream)
+			is.Equal(err, io.EOF)
+			manifest, err := caller.ExportContext(t.Context(), target, place, keys, 3)
+			is.NoErr(err)
+			is.Equal(manifest.Store, place.ID)
+			is.Equal(manifest.Blocks, 2)
+			is.NoErr(fake.Restart())
+			kept.SetFaults(func(f *store.Faults) { *f = test.faults })
+			manifest.Generation = test.generation
+			tokens, err := caller.ImportContext(t.Context(), target, place, manifest, append(keys, mulberrybeam.BlockKey{3}))
+			if test.counter == "" {
+				is.NoErr(err)
+				is.Equal(tokens, 2*engine.BlockTokens)
+				return
+			}
+			is.Equal(kept.Count(test.counter), 1) // the fault was hit
+			checkFailure(t, err, mulberrybeam.CodeContextUnavailable, true)
+		})
+	}
+}
--- a/connection/enginecaller/stream.go
+++ b/connection/enginecaller/stream.go
@@ -35,6 +35,7 @@
 	peer     string
 	instance mulberrybeam.InstanceID
 	version  mulberrybeam.WeightVersion
+	closed   atomic.Bool
 
 	mu     sync.Mutex
 	next   func() (sse.Event, error, bool)
@@ -134,6 +135,10 @@
 		Code: mulberrybeam.CodeStreamBroken, Step: mulberrybeam.StepAnswer,
 		Peer: s.peer, Message: message, Cause: cause,
 	}
+	if s.closed.Load() {
+		failure.Code = mulberrybeam.CodeCancelled
+		return failure
+	}
 	if s.ctx.Err() != nil {
 		failure = encoder.Broken(s.ctx, mulberrybeam.StepAnswer, s.peer, message, s.ctx.Err())
 	}
@@ -142,6 +147,7 @@
 
 // Close ends the stream and frees its connection. A waiting Next returns.
 func (s *Stream) Close() error {
+	s.closed.Store(true)
 	s.cancel()
 	err := s.body.Close()
 	s.mu.Lock()
--- /dev/null
+++ b/connection/storecaller/caller_test.go
@@ -0,0 +1,163 @@
+package storecaller_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/encoder"
+	"mulberrybeam/connection/storecaller"
+	"mulberrybeam/process/standin/store"
+)
+
+var _ mulberrybeam.StoreClient = (*storecaller.Caller)(nil)
+
+func setUp(t *testing.T, options ...store.Option) (*store.Store, *storecaller.Caller, mulberrybeam.Store) {
+	t.Helper()
+	is := is.New(t)
+	fake, closeFake, err := store.New(options...)
+	is.NoErr(err)
+	t.Cleanup(closeFake)
+	caller, closeCaller := storecaller.New()
+	t.Cleanup(closeCaller)
+	return fake, caller, mulberrybeam.Store{ID: "store-1", Address: fake.Address()}
+}
+
+func put(t *testing.T, url, checksum string, body []byte) int {
+	t.Helper()
+	is := is.New(t)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url, bytes.NewReader(body))
+	is.NoErr(err)
+	request.Header.Set("X-Checksum", checksum)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	return response.StatusCode
+}
+
+// keep writes data and returns the status, then the manifest's.
+func keep(t *testing.T, fake *store.Store, key mulberrybeam.BlockKey, blocks int, generation uint64, data []byte) (int, int) {
+	t.Helper()
+	checksum := encoder.ChecksumText(xxhash.Sum64(data))
+	base := fmt.Sprintf("http://%s/v1/contexts/%s", fake.Address(), encoder.KeyText(key))
+	written := put(t, fmt.Sprintf("%s/data?generation=%d", base, generation), checksum, data)
+	manifest, err := json.Marshal(encoder.Manifest{
+		Key: encoder.KeyText(key), Blocks: blocks, Bytes: int64(len(data)), Checksum: checksum, Generation: generation,
+	})
+	is.New(t).NoErr(err)
+	return written, put(t, base+"/manifest", "", manifest)
+}
+
+// Guards against manifests in the wrong order, of contexts that nobody asked
+// for, or with a length that does not fit the key.
+func TestManifests(t *testing.T) {
+	is := is.New(t)
+	fake, caller, place := setUp(t)
+	keys := []mulberrybeam.BlockKey{{1}, {2}, {3}}
+	for n, blocks := range []int{1, 2, 1} { // the last one is wrong
+		written, confirmed := keep(t, fake, keys[n], blocks, 7, []byte("data"))
+		is.Equal(written, http.StatusNoContent)
+		is.Equal(confirmed, http.StatusNoContent)
+	}
+	manifests, err := caller.Manifests(t.Context(), place, keys)
+	is.NoErr(err)
+	is.Equal(len(manifests), 2)
+	is.Equal(manifests[0], mulberrybeam.Manifest{
+		Key: keys[1], Store: "store-1", Blocks: 2, Bytes: 4,
+		Checksum: xxhash.Sum64String("data"), Generation: 7, Tier: mulberrybeam.TierMemory,
+	})
+	is.NoErr(caller.Delete(t.Context(), place, keys[1]))
+	is.NoErr(caller.Delete(t.Context(), place, keys[1])) // a missing context is no error
+	manifests, err = caller.Manifests(t.Context(), place, keys)
+	is.NoErr(err)
+	is.Equal(len(manifests), 1)
+}
+
+// Guards against a manifest that confirms data that is not there, and against
+// a reader that sees data before its manifest.
+func TestManifestIsWrittenLast(t *testing.T) {
+	is := is.New(t)
+	fake, caller, place := setUp(t)
+	key := mulberrybeam.BlockKey{1}
+	base := fmt.Sprintf("http://%s/v1/contexts/%s", fake.Address(), encoder.KeyText(key))
+	is.Equal(put(t, base+"/data?generation=1", "0", []byte("data")), http.StatusBadRequest)
+	is.Equal(put(t, base+"/data?generation=1", encoder.ChecksumText(xxhash.Sum64String("data")), []byte("data")), http.StatusNoContent)
+	response, err := http.Get(base + "/data?generation=1")
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusNotFound)
+	is.Equal(put(t, base+"/manifest", "", []byte(`{"key":"`+encoder.KeyText(key)+`","bytes":5,"generation":1}`)), http.StatusConflict)
+	manifests, err := caller.Manifests(t.Context(), place, []mulberrybeam.BlockKey{key})
+	is.NoErr(err)
+	is.Equal(len(manifests), 0)
+}
+
+// Guards against faults of a store that the client hides, and against a wait
+// for a slow store that is longer than the limit.
+func TestStoreFaults(t *testing.T) {
+	tests := map[string]struct {
+		fault func(*store.Store)
+		code  mulberrybeam.Code
+	}{
+		"slow":   {func(s *store.Store) { s.SetFaults(func(f *store.Faults) { f.Delay = time.Minute }) }, mulberrybeam.CodeTimeout},
+		"failed": {func(s *store.Store) { s.SetFaults(func(f *store.Faults) { f.FailNext = 1 }) }, mulberrybeam.CodeTargetFailed},
+		"dead":   {func(s *store.Store) { s.Crash() }, mulberrybeam.CodeTargetFailed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fake, caller, place := setUp(t)
+			test.fault(fake)
+			_, err := caller.Manifests(t.Context(), place, []mulberrybeam.BlockKey{{1}})
+			var failure *mulberrybeam.Failure
+			is.True(errors.As(err, &failure))
+			is.Equal(failure.Code, test.code)
+			is.Equal(failure.Peer, "store-1")
+		})
+	}
+}
+
+// Guards against a full store that accepts data, and against a restart that
+// keeps the memory tier.
+func TestTiers(t *testing.T) {
+	is := is.New(t)
+	fake, caller, place := setUp(t, store.WithCapacity(100, 100))
+	data := make([]byte, 80)
+	keys := []mulberrybeam.BlockKey{{1}, {2}, {3}}
+	for n, want := range []int{http.StatusNoContent, http.StatusNoContent, http.StatusInsufficientStorage} {
+		written, _ := keep(t, fake, keys[n], n+1, 1, data)
+		is.Equal(written, want)
+	}
+	is.Equal(fake.Count("full-refused"), 1)
+	is.NoErr(fake.Restart())
+	manifests, err := caller.Manifests(t.Context(), place, keys)
+	is.NoErr(err)
+	is.Equal(len(manifests), 1)
+	is.Equal(manifests[0].Tier, mulberrybeam.TierDisk)
+}
+
+// Guards against transfers that do not share the link's rate.
+func TestTransfersShareTheLink(t *testing.T) {
+	is := is.New(t)
+	fake, _, _ := setUp(t, store.WithLinkRate(1<<20))
+	data := make([]byte, 128<<10) // 125 ms alone
+	start := time.Now()
+	done := make(chan struct{})
+	for n := range 2 {
+		go func() {
+			keep(t, fake, mulberrybeam.BlockKey{byte(n)}, 1, 1, data)
+			done <- struct{}{}
+		}()
+	}
+	<-done
+	<-done
+	is.True(time.Since(start) >= 245*time.Millisecond)
+}
--- /dev/null
+++ b/process/standin/engine/cache.go
@@ -0,0 +1,100 @@
+package engine
+
+import (
+	"container/list"
+	"time"
+)
+
+// maxEvents bounds the cache events kept for publication. Older ones are lost.
+const maxEvents = 4096
+
+// block is one entry of the prefix cache.
+type block struct {
+	key     string
+	salt    string
+	version string
+}
+
+// cacheEvent is one change of the prefix cache.
+type cacheEvent struct {
+	sequence uint64
+	at       time.Time
+	stored   []string
+	removed  []string
+}
+
+// prefixCache is a bounded cache of context blocks that removes the least
+// recently used. The engine's lock guards it.
+type prefixCache struct {
+	limit    int
+	gap      int
+	order    *list.List
+	blocks   map[string]*list.Element
+	events   []cacheEvent
+	sequence uint64
+}
+
+func newPrefixCache(limit, gap int) *prefixCache {
+	return &prefixCache{limit: limit, gap: gap, order: list.New(), blocks: map[string]*list.Element{}}
+}
+
+// lookup returns the number of leading keys that the cache has under a salt,
+// and marks them as used. The first key is the last to be removed.
+func (c *prefixCache) lookup(salt string, keys []string) (int, []block) {
+	var hits []block
+	for _, key := range keys {
+		element, found := c.blocks[salt+"/"+key]
+		if !found {
+			break
+		}
+		hits = append(hits, element.Value.(block))
+	}
+	for i := len(hits) - 1; i >= 0; i-- {
+		c.order.MoveToFront(c.blocks[salt+"/"+keys[i]])
+	}
+	return len(hits), hits
+}
+
+// store adds blocks and publishes one event.
+func (c *prefixCache) store(now time.Time, salt, version string, keys []string) {
+	var stored, removed []string
+	for i := len(keys) - 1; i >= 0; i-- {
+		name := salt + "/" + keys[i]
+		if element, found := c.blocks[name]; found {
+			c.order.MoveToFront(element)
+			continue
+		}
+		c.blocks[name] = c.order.PushFront(block{key: keys[i], salt: salt, version: version})
+		stored = append(stored, keys[i])
+	}
+	for c.order.Len() > c.limit {
+		oldest := c.order.Remove(c.order.Back()).(block)
+		delete(c.blocks, oldest.salt+"/"+oldest.key)
+		removed = append(removed, oldest.key)
+	}
+	if len(stored)+len(removed) > 0 {
+		c.publish(now, stored, removed)
+	}
+}
+
+func (c *prefixCache) publish(now time.Time, stored, removed []string) {
+	c.sequence++
+	if c.gap > 0 && c.sequence%uint64(c.gap) == 0 {
+		return
+	}
+	c.events = append(c.events, cacheEvent{c.sequence, now, stored, removed})
+	if len(c.events) > maxEvents {
+		c.events = c.events[len(c.events)-maxEvents:]
+	}
+}
+
+// after returns the events after a sequence number that are old enough.
+func (c *prefixCache) after(sequence uint64, until time.Time) []cacheEvent {
+	var events []cacheEvent
+	for _, event := range c.events {
+		if event.sequence > sequence && !event.at.After(until) {
+			events = append(events, event)
+		}
+	}
+	return events
+}
--- /dev/null
+++ b/process/standin/engine/order.go
@@ -0,0 +1,97 @@
+package engine
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"mulberrybeam/connection/encoder"
+	"mulberrybeam/process/standin/fixture"
+)
+
+// freeLoads is how many engines load weights at once at full speed.
+const freeLoads = 2
+
+// Loader is a rate-limited weight store that several engines share.
+type Loader struct {
+	mu      sync.Mutex
+	loading int
+	peak    int
+}
+
+// Peak returns the most loads at once.
+func (l *Loader) Peak() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peak
+}
+
+// begin returns the time that a load takes, which grows when more than two
+// engines load at once.
+func (l *Loader) begin(alone time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loading++
+	l.peak = max(l.peak, l.loading)
+	if l.loading <= freeLoads {
+		return alone
+	}
+	return alone * time.Duration(l.loading) / freeLoads
+}
+
+func (l *Loader) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loading--
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	order, ok := fixture.ReadJSON[encoder.Order](w, r)
+	if !ok || !fixture.Pause(r, e.Faults().OrderDelay) {
+		return
+	}
+	if !e.fence(w, order.Fencing) {
+		return
+	}
+	switch order.Kind {
+	case "load-weights":
+		duration := e.settings.Loader.begin(e.settings.LoadTime)
+		// An order goes on when its sender is gone.
+		timer := time.NewTimer(duration)
+		<-timer.C
+		e.settings.Loader.end()
+		e.mu.Lock()
+		e.instance.versions[order.Model] = order.Version
+		e.mu.Unlock()
+		e.Add("weights-loaded")
+	case "load-adapter":
+		e.Add("adapters-loaded")
+	case "role":
+		e.mu.Lock()
+		e.instance.leaving = order.Role == "leaving"
+		e.mu.Unlock()
+		e.Add("roles-changed")
+	default:
+		fixture.Refuse(w, http.StatusBadRequest, "bad-request", "unknown order "+order.Kind, true)
+		return
+	}
+	fixture.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+// fence refuses an old fencing number when the engine checks it, and counts
+// the orders with old numbers that it runs when it does not.
+func (e *Engine) fence(w http.ResponseWriter, number uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if number >= e.fencing {
+		e.fencing = number
+		return true
+	}
+	if e.settings.ChecksFencing {
+		e.Add("stale-orders-refused")
+		fixture.Refuse(w, http.StatusConflict, "stale-fencing", "a higher fencing number was seen", true)
+		return false
+	}
+	e.Add("stale-orders-run")
+	return true
+}
--- /dev/null
+++ b/process/standin/engine/token.go
@@ -0,0 +1,62 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// chatBody are the fields of a chat completion that the fake reads.
+type chatBody struct {
+	Model     string          `json:"model"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+}
+
+// PromptHash returns the hash of the model and the messages of a chat body.
+// White space and other fields do not change it.
+func PromptHash(body []byte) (uint64, error) {
+	var chat chatBody
+	if err := json.Unmarshal(body, &chat); err != nil {
+		return 0, fmt.Errorf("chat body: %w", err)
+	}
+	return chat.hash()
+}
+
+func (c chatBody) hash() (uint64, error) {
+	var messages bytes.Buffer
+	if err := json.Compact(&messages, c.Messages); err != nil {
+		return 0, fmt.Errorf("messages: %w", err)
+	}
+	return xxhash.Sum64String(c.Model + "\x00" + messages.String()), nil
+}
+
+// TokenText returns the text of one token of the answer to a prompt.
+func TokenText(prompt, sequence uint64) string {
+	return fmt.Sprintf("t%08x ", uint32(xxhash.Sum64String(fmt.Sprint(prompt, "/", sequence))))
+}
+
+// Answer returns the tokens of the whole answer to a chat body.
+func Answer(body []byte, tokens int) ([]string, error) {
+	prompt, err := PromptHash(body)
+	if err != nil {
+		return nil, err
+	}
+	answer := make([]string, tokens)
+	for i := range answer {
+		answer[i] = TokenText(prompt, uint64(i+1))
+	}
+	return answer, nil
+}
+
+// BlockData returns the exported bytes of one block, which depend on its key
+// and salt, so that an import finds another context's data out.
+func BlockData(salt, key string, size int) []byte {
+	data := make([]byte, 0, size+8)
+	for i := 0; len(data) < size; i++ {
+		data = fmt.Appendf(data, "%016x", xxhash.Sum64String(fmt.Sprint(salt, "/", key, "/", i)))
+	}
+	return data[:size]
+}
--- /dev/null
+++ b/process/standin/engine/transfer.go
@@ -0,0 +1,130 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/encoder"
+	"mulberrybeam/process/standin/fixture"
+)
+
+// transferTimeout bounds one transfer between the engine and a store.
+const transferTimeout = 30 * time.Second
+
+// importContext loads a kept context after checking that its bytes are whole
+// and belong to the keys asked for.
+func (e *Engine) importContext(w http.ResponseWriter, r *http.Request) {
+	ask, ok := fixture.ReadJSON[encoder.Import](w, r)
+	if !ok {
+		return
+	}
+	if len(ask.Keys) == 0 || ask.Keys[len(ask.Keys)-1] != ask.Key {
+		fixture.Refuse(w, http.StatusBadRequest, "bad-request", "key is not the last of keys", true)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), transferTimeout)
+	defer cancel()
+	data, err := e.fetch(ctx, ask)
+	switch {
+	case err != nil:
+		e.Add("imports-unavailable")
+	case int64(len(data)) != ask.Bytes || encoder.ChecksumText(xxhash.Sum64(data)) != ask.Checksum:
+		e.Add("imports-corrupt")
+		err = fmt.Errorf("data of %d bytes does not match the manifest", len(data))
+	case !bytes.Equal(data, e.contextData(ask.Salt, ask.Keys)):
+		e.Add("imports-foreign")
+		err = fmt.Errorf("data belongs to another context")
+	}
+	if err != nil {
+		fixture.Refuse(w, http.StatusConflict, "context-unavailable", err.Error(), true)
+		return
+	}
+	e.mu.Lock()
+	e.instance.cache.store(time.Now(), ask.Salt, ask.Version, ask.Keys)
+	e.mu.Unlock()
+	e.Add("imports")
+	fixture.WriteJSON(w, http.StatusOK, encoder.Imported{Tokens: len(ask.Keys) * BlockTokens})
+}
+
+func (e *Engine) fetch(ctx context.Context, ask encoder.Import) ([]byte, error) {
+	call := encoder.Call{
+		Method: http.MethodGet, Peer: ask.StoreAddress, Step: mulberrybeam.StepImport,
+		URL: fmt.Sprintf("http://%s/v1/contexts/%s/data?generation=%d", ask.StoreAddress, ask.Key, ask.Generation),
+	}
+	response, err := encoder.Send(ctx, e.client, call)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, encoder.Refused(response, call)
+	}
+	return encoder.ReadAll(response.Body)
+}
+
+func (e *Engine) contextData(salt string, keys []string) []byte {
+	data := make([]byte, 0, len(keys)*e.settings.ExportBlockBytes)
+	for _, key := range keys {
+		data = append(data, BlockData(salt, key, e.settings.ExportBlockBytes)...)
+	}
+	return data
+}
+
+// exportContext writes a context that the cache holds to a store, the manifest
+// last.
+func (e *Engine) exportContext(w http.ResponseWriter, r *http.Request) {
+	ask, ok := fixture.ReadJSON[encoder.Export](w, r)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	cached, _ := e.instance.cache.lookup(ask.Salt, ask.Keys)
+	e.mu.Unlock()
+	if len(ask.Keys) == 0 || cached < len(ask.Keys) {
+		e.Add("exports-unavailable")
+		fixture.Refuse(w, http.StatusConflict, "context-unavailable", "context is not in the prefix cache", true)
+		return
+	}
+	data := e.contextData(ask.Salt, ask.Keys)
+	manifest := encoder.Manifest{
+		Key: ask.Keys[len(ask.Keys)-1], Blocks: len(ask.Keys), Bytes: int64(len(data)),
+		Checksum: encoder.ChecksumText(xxhash.Sum64(data)), Generation: ask.Generation, Tier: "memory",
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), transferTimeout)
+	defer cancel()
+	if err := e.write(ctx, ask.StoreAddress, manifest, data); err != nil {
+		e.Add("exports-failed")
+		fixture.Refuse(w, http.StatusBadGateway, "context-unavailable", err.Error(), false)
+		return
+	}
+	e.Add("exports")
+	fixture.WriteJSON(w, http.StatusOK, manifest)
+}
+
+func (e *Engine) write(ctx context.Context, address string, manifest encoder.Manifest, data []byte) error {
+	base := fmt.Sprintf("http://%s/v1/contexts/%s", address, manifest.Key)
+	put := func(url, contentType string, body []byte) error {
+		call := encoder.Call{
+			Method: http.MethodPut, URL: url, Body: body, Peer: address, Step: mulberrybeam.StepExport,
+			Header: http.Header{"Content-Type": {contentType}, "X-Checksum": {manifest.Checksum}},
+		}
+		_, err := encoder.Fetch[struct{}](ctx, e.client, call)
+		return err
+	}
+	err := put(fmt.Sprintf("%s/data?generation=%d", base, manifest.Generation), "application/octet-stream", data)
+	if err != nil {
+		return err
+	}
+	content, err := json.Marshal(manifest)
+	if err != nil {
+		return err
+	}
+	return put(base+"/manifest", "application/json", content)
+}
--- /dev/null
+++ b/process/standin/store/link.go
@@ -0,0 +1,76 @@
+package store
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"mulberrybeam/process/standin/fixture"
+)
+
+// chunkBytes is the unit in which transfers share the link.
+const chunkBytes = 16 << 10
+
+// link gives out transmission time in the order of the requests for it.
+type link struct {
+	mu   sync.Mutex
+	free time.Time
+}
+
+// reserve returns how long a chunk waits and takes at a rate.
+func (l *link) reserve(now time.Time, bytes int, rate float64) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(bytes) / rate * float64(time.Second)))
+	return l.free.Sub(now)
+}
+
+func (s *Store) rate() float64 {
+	if rate := s.Faults().LinkRate; rate > 0 {
+		return rate
+	}
+	return s.settings.LinkRate
+}
+
+// send writes data over the link. It reports whether all was sent.
+func (s *Store) send(w http.ResponseWriter, r *http.Request, data []byte) bool {
+	for len(data) > 0 {
+		chunk := data[:min(len(data), chunkBytes)]
+		if !fixture.Pause(r, s.link.reserve(time.Now(), len(chunk), s.rate())) {
+			return false
+		}
+		if _, err := w.Write(chunk); err != nil {
+			return false
+		}
+		_ = http.NewResponseController(w).Flush()
+		s.AddN("bytes-sent", len(chunk))
+		data = data[len(chunk):]
+	}
+	return true
+}
+
+// receive reads a body over the link, up to a limit.
+func (s *Store) receive(r *http.Request, limit int64) ([]byte, error) {
+	var data []byte
+	chunk := make([]byte, chunkBytes)
+	body := io.LimitReader(r.Body, limit+1)
+	for {
+		n, err := io.ReadFull(body, chunk)
+		data = append(data, chunk[:n]...)
+		s.AddN("bytes-received", n)
+		if n > 0 && !fixture.Pause(r, s.link.reserve(time.Now(), n, s.rate())) {
+			return nil, r.Context().Err()
+		}
+		switch err {
+		case nil:
+			continue
+		case io.EOF, io.ErrUnexpectedEOF:
+			return data, nil
+		}
+		return nil, err
+	}
+}
--- /dev/null
+++ b/process/standin/store/tier.go
@@ -0,0 +1,149 @@
+package store
+
+import (
+	"mulberrybeam/connection/encoder"
+)
+
+// content is the data of one generation of a context.
+type content struct {
+	generation uint64
+	data       []byte
+	checksum   string
+	blocks     int
+	onDisk     bool
+	// used orders contents by their last use.
+	used uint64
+}
+
+// entry is one context. Readers see only the committed content, so that data
+// without its manifest is never read.
+type entry struct {
+	committed *content
+	staged    *content
+}
+
+// tiers is the content of a store. The store's lock guards it.
+type tiers struct {
+	memoryLimit int64
+	diskLimit   int64
+	memory      int64
+	disk        int64
+	clock       uint64
+	entries     map[string]*entry
+}
+
+// stage adds data that no manifest confirms yet. It reports false when no
+// tier has room.
+func (t *tiers) stage(key string, c *content) bool {
+	e := t.entries[key]
+	if e == nil {
+		e = &entry{}
+		t.entries[key] = e
+	}
+	t.drop(e.staged)
+	e.staged = nil
+	for t.memory+int64(len(c.data)) > t.memoryLimit {
+		if !t.demote() {
+			return false
+		}
+	}
+	t.memory += int64(len(c.data))
+	t.touch(c)
+	e.staged = c
+	return true
+}
+
+// demote moves the least recently used content from memory to disk.
+func (t *tiers) demote() bool {
+	var oldest *content
+	for _, e := range t.entries {
+		for _, c := range []*content{e.committed, e.staged} {
+			if c != nil && !c.onDisk && (oldest == nil || c.used < oldest.used) {
+				oldest = c
+			}
+		}
+	}
+	if oldest == nil || t.disk+int64(len(oldest.data)) > t.diskLimit {
+		return false
+	}
+	oldest.onDisk = true
+	t.memory -= int64(len(oldest.data))
+	t.disk += int64(len(oldest.data))
+	return true
+}
+
+// commit makes staged data readable when it matches the manifest.
+func (t *tiers) commit(key string, manifest encoder.Manifest) bool {
+	e := t.entries[key]
+	if e == nil || manifest.Key != key {
+		return false
+	}
+	if e.committed.matches(manifest) {
+		return true
+	}
+	if !e.staged.matches(manifest) {
+		return false
+	}
+	t.drop(e.committed)
+	e.committed, e.staged = e.staged, nil
+	e.committed.blocks = manifest.Blocks
+	return true
+}
+
+func (c *content) matches(manifest encoder.Manifest) bool {
+	return c != nil && c.generation == manifest.Generation &&
+		int64(len(c.data)) == manifest.Bytes && c.checksum == manifest.Checksum
+}
+
+// manifest returns the manifest of a whole context.
+func (t *tiers) manifest(key string) (encoder.Manifest, bool) {
+	e := t.entries[key]
+	if e == nil || e.committed == nil {
+		return encoder.Manifest{}, false
+	}
+	c := e.committed
+	tier := "memory"
+	if c.onDisk {
+		tier = "disk"
+	}
+	return encoder.Manifest{
+		Key: key, Blocks: c.blocks, Bytes: int64(len(c.data)),
+		Checksum: c.checksum, Generation: c.generation, Tier: tier,
+	}, true
+}
+
+func (t *tiers) touch(c *content) {
+	t.clock++
+	c.used = t.clock
+}
+
+func (t *tiers) drop(c *content) {
+	if c == nil {
+		return
+	}
+	if c.onDisk {
+		t.disk -= int64(len(c.data))
+		return
+	}
+	t.memory -= int64(len(c.data))
+}
+
+func (t *tiers) remove(key string) {
+	if e := t.entries[key]; e != nil {
+		t.drop(e.committed)
+		t.drop(e.staged)
+		delete(t.entries, key)
+	}
+}
+
+// loseMemory drops the memory tier and all data without a manifest, as a
+// restart does.
+func (t *tiers) loseMemory() {
+	for key, e := range t.entries {
+		t.drop(e.staged)
+		e.staged = nil
+		if e.committed == nil || !e.committed.onDisk {
+			t.remove(key)
+		}
+	}
+}
