Add the object API client, its pacing decisions and the platform fake

All processes share the platform's rates, so the client keeps a budget per host, a circuit breaker and backoff with full jitter. The decisions are in connection/pacer without I/O.

--- /dev/null
+++ b/connection/objectcaller/call.go
@@ -0,0 +1,295 @@
+package objectcaller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/encoder"
+	"mulberrybeam/connection/pacer"
+)
+
+// Get reads an object.
+func (c *Caller) Get(ctx context.Context, kind mulberrybeam.ObjectKind, name string) (mulberrybeam.Object, error) {
+	body, err := exchange[encoder.ObjectBody](ctx, c, Count{mulberrybeam.OpGet, kind}, c.call(http.MethodGet, kind, name), nil)
+	return body.Plain(kind), err
+}
+
+// List reads all objects of a kind.
+func (c *Caller) List(ctx context.Context, kind mulberrybeam.ObjectKind) ([]mulberrybeam.Object, error) {
+	list, err := exchange[encoder.ObjectList](ctx, c, Count{mulberrybeam.OpList, kind}, c.call(http.MethodGet, kind, ""), nil)
+	if err != nil {
+		return nil, err
+	}
+	objects := make([]mulberrybeam.Object, len(list.Items))
+	for i, item := range list.Items {
+		objects[i] = item.Plain(kind)
+	}
+	return objects, nil
+}
+
+// Create writes an object that must not exist.
+func (c *Caller) Create(ctx context.Context, object mulberrybeam.Object) (mulberrybeam.Object, error) {
+	object.Version = ""
+	body, err := exchange[encoder.ObjectBody](ctx, c, Count{mulberrybeam.OpCreate, object.Kind},
+		c.call(http.MethodPost, object.Kind, ""), encoder.BodyOf(object, c.environment))
+	return body.Plain(object.Kind), err
+}
+
+// Update replaces an object that must still have the given version.
+func (c *Caller) Update(ctx context.Context, object mulberrybeam.Object) (mulberrybeam.Object, error) {
+	body, err := exchange[encoder.ObjectBody](ctx, c, Count{mulberrybeam.OpUpdate, object.Kind},
+		c.call(http.MethodPut, object.Kind, object.Name), encoder.BodyOf(object, c.environment))
+	return body.Plain(object.Kind), err
+}
+
+// Delete removes an object, only at the given version when there is one.
+func (c *Caller) Delete(ctx context.Context, object mulberrybeam.Object) error {
+	options := encoder.DeleteOptions{APIVersion: "v1", Kind: "DeleteOptions"}
+	if object.Version != "" {
+		options.Preconditions = &encoder.Preconditions{ResourceVersion: object.Version}
+	}
+	_, err := exchange[encoder.ObjectStatus](ctx, c, Count{mulberrybeam.OpDelete, object.Kind},
+		c.call(http.MethodDelete, object.Kind, object.Name), options)
+	return err
+}
+
+func (c *Caller) call(method string, kind mulberrybeam.ObjectKind, name string) encoder.Call {
+	address := c.base + "/apis/" + encoder.ObjectGroup + "/namespaces/" +
+		url.PathEscape(c.environment) + "/" + url.PathEscape(string(kind))
+	if name != "" {
+		address += "/" + url.PathEscape(name)
+	}
+	return encoder.Call{
+		Method: method, URL: address, Peer: peer, Step: mulberrybeam.StepPlatform,
+		Header: http.Header{
+			"User-Agent": {c.settings.Name}, "Accept": {"application/json"},
+			"Content-Type": {"application/json"},
+		},
+	}
+}
+
+// exchange sends one call within the budget and decodes the answer. The zero
+// answer comes with every error.
+func exchange[A any](ctx context.Context, c *Caller, count Count, call encoder.Call, question any) (A, error) {
+	var answer, none A
+	if question != nil {
+		body, err := json.Marshal(question)
+		if err != nil {
+			return none, c.refuse(count, mulberrybeam.CodeInternal, "object cannot be encoded", 0)
+		}
+		call.Body = body
+	}
+	verdict, err := c.admit(ctx, count)
+	if err != nil {
+		return none, err
+	}
+	defer c.release(count)
+	callCtx, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+	defer cancel()
+	response, err := encoder.Send(callCtx, c.client, call)
+	if err != nil {
+		c.done(count, verdict, outcomeOf(ctx), 0)
+		return none, down(err)
+	}
+	defer response.Body.Close()
+	body, err := encoder.ReadAll(response.Body)
+	if err == nil && response.StatusCode < http.StatusMultipleChoices {
+		err = json.Unmarshal(body, &answer)
+	}
+	if err != nil {
+		c.done(count, verdict, outcomeOf(ctx), 0)
+		return none, down(encoder.Broken(callCtx, call.Step, peer, "answer broken off", err))
+	}
+	outcome, wait, err := judge(response, body)
+	c.done(count, verdict, outcome, wait)
+	if err != nil {
+		return none, err
+	}
+	return answer, nil
+}
+
+// outcomeOf tells a failure of the platform from the end of the caller's own
+// context. A deadline of the caller counts as a failure, since the platform
+// did not answer until then.
+func outcomeOf(ctx context.Context) pacer.Outcome {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return pacer.Cancelled
+	}
+	return pacer.Failed
+}
+
+// down gives a failure to reach the platform the code of the ObjectClient
+// interface. A write may have taken effect unless NotRun is set.
+func down(err error) error {
+	var failure *mulberrybeam.Failure
+	if errors.As(err, &failure) {
+		failure.Code = mulberrybeam.CodePlatformDown
+		failure.Step = mulberrybeam.StepPlatform
+	}
+	return err
+}
+
+// statusCodes maps the reasons and status codes of the object API. The reason
+// counts first, since 409 has two.
+var (
+	reasonCodes = map[string]mulberrybeam.Code{
+		encoder.ReasonExists:   mulberrybeam.CodeExists,
+		encoder.ReasonConflict: mulberrybeam.CodeConflict,
+		encoder.ReasonNotFound: mulberrybeam.CodeNotFound,
+		encoder.ReasonExpired:  mulberrybeam.CodeExpiredVersion,
+		"Gone":                 mulberrybeam.CodeExpiredVersion,
+	}
+	statusCodes = map[int]mulberrybeam.Code{
+		http.StatusConflict:              mulberrybeam.CodeConflict,
+		http.StatusNotFound:              mulberrybeam.CodeNotFound,
+		http.StatusGone:                  mulberrybeam.CodeExpiredVersion,
+		http.StatusTooManyRequests:       mulberrybeam.CodePlatformBudget,
+		http.StatusRequestEntityTooLarge: mulberrybeam.CodeBodyTooLarge,
+		http.StatusUnauthorized:          mulberrybeam.CodeUnauthorized,
+		http.StatusForbidden:             mulberrybeam.CodeUnauthorized,
+	}
+)
+
+// judge turns a response into an outcome and an error.
+func judge(response *http.Response, body []byte) (pacer.Outcome, time.Duration, error) {
+	code := response.StatusCode
+	if code < http.StatusMultipleChoices {
+		return pacer.Succeeded, 0, nil
+	}
+	var status encoder.ObjectStatus
+	_ = json.Unmarshal(body, &status)
+	failure := failureOf(code, status)
+	switch {
+	case code == http.StatusTooManyRequests:
+		seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
+		failure.RetryAfter = time.Duration(max(seconds, 0)) * time.Second
+		return pacer.Limited, failure.RetryAfter, failure
+	case code >= http.StatusInternalServerError:
+		return pacer.Failed, 0, failure
+	}
+	return pacer.Succeeded, 0, failure
+}
+
+// failureOf returns the failure of a status. Nothing changed after a 4xx
+// status; after a 5xx status a write may have taken effect.
+func failureOf(code int, status encoder.ObjectStatus) *mulberrybeam.Failure {
+	failure := &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeBadRequest, Step: mulberrybeam.StepPlatform, Peer: peer,
+		Message: "status " + strconv.Itoa(code) + " " + status.Reason + ": " + status.Message,
+		NotRun:  code < http.StatusInternalServerError,
+	}
+	if code >= http.StatusInternalServerError {
+		failure.Code = mulberrybeam.CodePlatformDown
+		return failure
+	}
+	if known, found := statusCodes[code]; found {
+		failure.Code = known
+	}
+	if known, found := reasonCodes[status.Reason]; found {
+		failure.Code = known
+	}
+	return failure
+}
+
+// Watch calls changed for each change until the watch ends. It counts as one
+// read of the budget and stays pending in the counts.
+func (c *Caller) Watch(
+	ctx context.Context, kind mulberrybeam.ObjectKind, name, version string, changed func(mulberrybeam.ObjectChanged),
+) error {
+	count := Count{mulberrybeam.OpWatch, kind}
+	verdict, err := c.admit(ctx, count)
+	if err != nil {
+		return err
+	}
+	defer c.release(count)
+	query := url.Values{"watch": {"1"}}
+	if version != "" {
+		query.Set("resourceVersion", version)
+	}
+	if name != "" {
+		query.Set("fieldSelector", "metadata.name="+name)
+	}
+	call := c.call(http.MethodGet, kind, "")
+	call.URL += "?" + query.Encode()
+	response, err := c.openWatch(ctx, count, verdict, call)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return readWatch(ctx, kind, json.NewDecoder(response.Body), changed)
+}
+
+// openWatch sends the call. Only the response headers are bound by the call
+// timeout.
+func (c *Caller) openWatch(ctx context.Context, count Count, verdict pacer.Verdict, call encoder.Call) (*http.Response, error) {
+	callCtx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(c.settings.CallTimeout, cancel)
+	response, err := encoder.Send(callCtx, c.client, call)
+	if inTime := timer.Stop(); err == nil && !inTime {
+		_ = response.Body.Close()
+		err = encoder.Broken(callCtx, call.Step, peer, "watch did not open in time", callCtx.Err())
+	}
+	if err != nil {
+		cancel()
+		c.done(count, verdict, outcomeOf(ctx), 0)
+		return nil, down(err)
+	}
+	response.Body = &cancelBody{response.Body, cancel}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		defer response.Body.Close()
+		body, _ := encoder.ReadAll(response.Body)
+		outcome, wait, err := judge(response, body)
+		c.done(count, verdict, outcome, wait)
+		return nil, err
+	}
+	c.done(count, verdict, pacer.Succeeded, 0)
+	return response, nil
+}
+
+// cancelBody frees the context of a watch with its body.
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body and cancels the context.
+func (b *cancelBody) Close() error {
+	b.cancel()
+	return b.ReadCloser.Close()
+}
+
+func readWatch(
+	ctx context.Context, kind mulberrybeam.ObjectKind, decoder *json.Decoder, changed func(mulberrybeam.ObjectChanged),
+) error {
+	for {
+		var event struct {
+			Type   string          `json:"type"`
+			Object json.RawMessage `json:"object"`
+		}
+		if err := decoder.Decode(&event); err != nil {
+			return down(encoder.Broken(ctx, mulberrybeam.StepPlatform, peer, "watch ended", err))
+		}
+		if event.Type == encoder.WatchError {
+			var status encoder.ObjectStatus
+			_ = json.Unmarshal(event.Object, &status)
+			return failureOf(status.Code, status)
+		}
+		var body encoder.ObjectBody
+		if err := json.Unmarshal(event.Object, &body); err != nil {
+			return down(encoder.Broken(ctx, mulberrybeam.StepPlatform, peer, "watch event is invalid", err))
+		}
+		switch event.Type {
+		case encoder.WatchAdded, encoder.WatchModified, encoder.WatchDeleted:
+			changed(mulberrybeam.ObjectChanged{
+				Object: body.Plain(kind), Deleted: event.Type == encoder.WatchDeleted,
+			})
+		}
+	}
+}
--- /dev/null
+++ b/connection/objectcaller/caller.go
@@ -0,0 +1,234 @@
+// Package objectcaller is the only client of the platform's object API. It
+// keeps all calls of the process within the budget that package pacer decides
+// on. A Caller lives as long as its pool of connections.
+package objectcaller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/encoder"
+	"mulberrybeam/connection/pacer"
+)
+
+// peer names the platform in failures.
+const peer = "platform"
+
+// Settings are the bounds of a Caller.
+type Settings struct {
+	// Name is the caller's name towards the platform.
+	Name string
+	// DialTimeout bounds making a connection, CallTimeout a call other
+	// than a watch.
+	DialTimeout time.Duration
+	CallTimeout time.Duration
+	// MaxWait bounds the wait for the budget.
+	MaxWait time.Duration
+	Pacer   pacer.Settings
+	Random  *rand.Rand
+}
+
+// Count names a row of the accounts.
+type Count struct {
+	Op   mulberrybeam.ObjectOp
+	Kind mulberrybeam.ObjectKind
+}
+
+// Tally counts the calls of one verb and kind. Refused calls were not sent.
+type Tally struct {
+	Sent      int
+	Succeeded int
+	Failed    int
+	Limited   int
+	Refused   int
+	// Pending are the calls in flight, open watches included.
+	Pending int
+}
+
+// Caller implements mulberrybeam.ObjectClient.
+type Caller struct {
+	settings Settings
+	client   *http.Client
+	base     string
+	// environment is the namespace of the objects.
+	environment string
+	start       time.Time
+
+	mu     sync.Mutex
+	pacer  *pacer.Pacer
+	counts map[Count]Tally
+}
+
+// Option changes the settings of a Caller.
+type Option func(*Settings)
+
+// WithName sets the caller's name towards the platform.
+func WithName(name string) Option {
+	return func(s *Settings) { s.Name = name }
+}
+
+// WithCallTimeout sets the bound of a call other than a watch.
+func WithCallTimeout(timeout time.Duration) Option {
+	return func(s *Settings) { s.CallTimeout = timeout }
+}
+
+// WithMaxWait sets the bound of the wait for the budget.
+func WithMaxWait(wait time.Duration) Option {
+	return func(s *Settings) { s.MaxWait = wait }
+}
+
+// WithPacer changes the settings of the budget, breaker and backoff.
+func WithPacer(change func(*pacer.Settings)) Option {
+	return func(s *Settings) { change(&s.Pacer) }
+}
+
+// WithRandom sets the source of the backoff's jitter.
+func WithRandom(random *rand.Rand) Option {
+	return func(s *Settings) { s.Random = random }
+}
+
+// New returns a Caller for the object API at a base URL such as
+// "http://ip:port", and the function that closes its idle connections.
+func New(base string, environment mulberrybeam.EnvironmentName, options ...Option) (*Caller, func()) {
+	settings := Settings{
+		Name: "mulberrybeam", DialTimeout: time.Second, CallTimeout: 2 * time.Second,
+		MaxWait: 2 * time.Second, Pacer: pacer.Defaults(),
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	for _, option := range options {
+		option(&settings)
+	}
+	client, closeClient := encoder.NewClient(settings.DialTimeout)
+	return &Caller{
+		settings: settings, client: client, base: base, environment: string(environment),
+		start: time.Now(), pacer: pacer.New(0, settings.Random, settings.Pacer), counts: map[Count]Tally{},
+	}, closeClient
+}
+
+// SetBudget changes the platform's rates in calls per second for all hosts
+// together, and the number of live hosts that share them.
+func (c *Caller) SetBudget(readRate, writeRate float64, hosts int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pacer.SetRates(c.now(), readRate, writeRate, hosts)
+}
+
+// Counts returns the calls by verb and kind.
+func (c *Caller) Counts() map[Count]Tally {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := make(map[Count]Tally, len(c.counts))
+	for count, tally := range c.counts {
+		counts[count] = tally
+	}
+	return counts
+}
+
+// Open reports whether the circuit breaker is open.
+func (c *Caller) Open() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pacer.IsOpen()
+}
+
+func (c *Caller) now() time.Duration { return time.Since(c.start) }
+
+// classOf returns the priority of a call.
+func classOf(count Count) pacer.Class {
+	switch {
+	case count.Kind == mulberrybeam.ObjectSlot || count.Kind == mulberrybeam.ObjectIntent:
+		return pacer.ClassUrgent
+	case count.Op == mulberrybeam.OpGet || count.Op == mulberrybeam.OpList:
+		return pacer.ClassPoll
+	}
+	return pacer.ClassNormal
+}
+
+func isWrite(op mulberrybeam.ObjectOp) bool {
+	return op == mulberrybeam.OpCreate || op == mulberrybeam.OpUpdate || op == mulberrybeam.OpDelete
+}
+
+// admit waits until a call may be sent. Its errors say that nothing was sent.
+func (c *Caller) admit(ctx context.Context, count Count) (pacer.Verdict, error) {
+	ask := pacer.Ask{Write: isWrite(count.Op), Class: classOf(count)}
+	limit := c.now() + c.settings.MaxWait
+	if deadline, found := ctx.Deadline(); found {
+		limit = min(limit, deadline.Sub(c.start))
+	}
+	for {
+		c.mu.Lock()
+		now := c.now()
+		verdict := c.pacer.Ask(now, ask)
+		if verdict.Answer == pacer.Send {
+			c.account(count, func(t *Tally) { t.Sent++; t.Pending++ })
+		}
+		c.mu.Unlock()
+		switch {
+		case verdict.Answer == pacer.Send:
+			return verdict, nil
+		case verdict.Answer == pacer.Open:
+			return verdict, c.refuse(count, mulberrybeam.CodePlatformDown, "circuit breaker is open", verdict.Wait)
+		case now+verdict.Wait > limit:
+			return verdict, c.refuse(count, mulberrybeam.CodePlatformBudget, "call budget is used up", verdict.Wait)
+		}
+		if !pause(ctx, verdict.Wait) {
+			return verdict, c.refuse(count, mulberrybeam.CodePlatformBudget, "call ended before it was sent", 0)
+		}
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (c *Caller) refuse(count Count, code mulberrybeam.Code, message string, wait time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.account(count, func(t *Tally) { t.Refused++ })
+	return &mulberrybeam.Failure{
+		Code: code, Step: mulberrybeam.StepPlatform, Peer: peer, Message: message,
+		NotRun: true, RetryAfter: wait,
+	}
+}
+
+// account is called with the lock held.
+func (c *Caller) account(count Count, change func(*Tally)) {
+	tally := c.counts[count]
+	change(&tally)
+	c.counts[count] = tally
+}
+
+// done gives the outcome of a call to the pacer. A watch is given its outcome
+// when it opens, and stays pending until it ends.
+func (c *Caller) done(count Count, verdict pacer.Verdict, outcome pacer.Outcome, retryAfter time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pacer.Done(c.now(), c.settings.Random, verdict, outcome, retryAfter)
+	c.account(count, func(t *Tally) {
+		switch outcome {
+		case pacer.Succeeded:
+			t.Succeeded++
+		case pacer.Limited:
+			t.Limited++
+		case pacer.Failed:
+			t.Failed++
+		}
+	})
+}
+
+func (c *Caller) release(count Count) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.account(count, func(t *Tally) { t.Pending-- })
+}
--- /dev/null
+++ b/connection/pacer/pacer_test.go
@@ -0,0 +1,160 @@
+package pacer_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam/connection/pacer"
+)
+
+var random = rand.New(rand.NewPCG(1, 2))
+
+func setUp(change func(*pacer.Settings)) *pacer.Pacer {
+	settings := pacer.Defaults()
+	settings.ReadRate, settings.WriteRate, settings.Hosts = 20, 20, 1
+	if change != nil {
+		change(&settings)
+	}
+	return pacer.New(0, random, settings)
+}
+
+// Guards against polls that use up the budget of lease renewals.
+func TestUrgentCallsGoFirst(t *testing.T) {
+	is := is.New(t)
+	p := setUp(nil)
+	now := 10 * time.Second // the bucket is full: 10 calls
+	sent := map[pacer.Class]int{}
+	for _, class := range []pacer.Class{pacer.ClassPoll, pacer.ClassNormal, pacer.ClassUrgent} {
+		for p.Ask(now, pacer.Ask{Class: class}).Answer == pacer.Send {
+			sent[class]++
+		}
+	}
+	is.Equal(sent, map[pacer.Class]int{pacer.ClassPoll: 5, pacer.ClassNormal: 2, pacer.ClassUrgent: 3})
+	verdict := p.Ask(now, pacer.Ask{Class: pacer.ClassUrgent})
+	is.Equal(verdict.Answer, pacer.Wait)
+	is.Equal(p.Ask(now+verdict.Wait, pacer.Ask{Class: pacer.ClassUrgent}).Answer, pacer.Send)
+	is.Equal(p.Ask(now, pacer.Ask{Write: true}).Answer, pacer.Send) // writes have their own bucket
+}
+
+// Guards against a breaker that lets more than one probe through, or that a
+// late answer closes.
+func TestBreakerProbesOnce(t *testing.T) {
+	is := is.New(t)
+	p := setUp(nil)
+	now := 10 * time.Second
+	late := p.Ask(now, pacer.Ask{})
+	for !p.IsOpen() {
+		verdict := p.Ask(now, pacer.Ask{})
+		if verdict.Answer == pacer.Wait {
+			now += verdict.Wait
+			continue
+		}
+		p.Done(now, random, verdict, pacer.Failed, 0)
+	}
+	is.Equal(p.Failures, 3)
+	is.Equal(p.Ask(now, pacer.Ask{}).Answer, pacer.Open)
+	p.Done(now, random, late, pacer.Succeeded, 0)
+	is.True(p.IsOpen())
+	now = p.Until
+	probe := p.Ask(now, pacer.Ask{})
+	is.True(probe.Probe)
+	is.Equal(p.Ask(now, pacer.Ask{}).Answer, pacer.Open)
+	p.Done(now, random, probe, pacer.Cancelled, 0)
+	probe = p.Ask(now, pacer.Ask{})
+	is.True(probe.Probe) // a cancelled probe frees its place
+	p.Done(now, random, probe, pacer.Succeeded, 0)
+	is.True(!p.IsOpen())
+}
+
+// Guards against calls within the time that a 429 asks for.
+func TestLimitedCallsWait(t *testing.T) {
+	is := is.New(t)
+	p := setUp(nil)
+	verdict := p.Ask(time.Second, pacer.Ask{})
+	p.Done(time.Second, random, verdict, pacer.Limited, 3*time.Second)
+	verdict = p.Ask(time.Second, pacer.Ask{})
+	is.Equal(verdict.Answer, pacer.Wait)
+	is.True(verdict.Wait >= 3*time.Second)
+	is.True(!p.IsOpen())
+}
+
+// host is one simulated caller that always wants to read and to write.
+type host struct {
+	pacer  *pacer.Pacer
+	random *rand.Rand
+	wake   [2]time.Duration
+}
+
+// simulate runs hosts against a platform that is down from 20 s to 320 s, and
+// returns the most reads and writes within one second, and the hosts whose
+// breaker is still open at the end.
+func simulate(hosts int, end time.Duration) ([2]int, int) {
+	const step = 10 * time.Millisecond
+	fleet := make([]host, hosts)
+	for i := range fleet {
+		settings := pacer.Defaults()
+		settings.Hosts = hosts
+		source := rand.New(rand.NewPCG(7, uint64(i)))
+		fleet[i] = host{pacer: pacer.New(0, source, settings), random: source}
+	}
+	var peak, window [2]int
+	recent := make([][2]int, int(time.Second/step))
+	for now := time.Duration(0); now < end; now += step {
+		down := now >= 20*time.Second && now < 320*time.Second
+		var arrived [2]int
+		for i := range fleet {
+			for kind, sent := range fleet[i].act(now, down) {
+				arrived[kind] += sent
+			}
+		}
+		slot := int(now/step) % len(recent)
+		for kind := range window {
+			window[kind] += arrived[kind] - recent[slot][kind]
+			peak[kind] = max(peak[kind], window[kind])
+		}
+		recent[slot] = arrived
+	}
+	open := 0
+	for i := range fleet {
+		if fleet[i].pacer.IsOpen() {
+			open++
+		}
+	}
+	return peak, open
+}
+
+// act sends what the pacer allows at one time, by kind of call.
+func (h *host) act(now time.Duration, down bool) [2]int {
+	var sent [2]int
+	for kind := range sent {
+		for now >= h.wake[kind] {
+			verdict := h.pacer.Ask(now, pacer.Ask{Write: kind == 1, Class: pacer.ClassUrgent})
+			if verdict.Answer != pacer.Send {
+				h.wake[kind] = now + max(verdict.Wait, time.Millisecond)
+				break
+			}
+			sent[kind]++
+			outcome := pacer.Succeeded
+			if down {
+				outcome = pacer.Failed
+			}
+			h.pacer.Done(now, h.random, verdict, outcome, 0)
+		}
+	}
+	return sent
+}
+
+// Guards against 380 hosts that together exceed the platform's rates when they
+// start at once or return from an outage, and against hosts that do not return.
+func TestFleetReturnsFromAnOutageBelowTheRate(t *testing.T) {
+	is := is.New(t)
+	const hosts = 380
+	peak, open := simulate(hosts, 340*time.Second)
+	t.Logf("peak of %d hosts: %d reads/s, %d writes/s", hosts, peak[0], peak[1])
+	is.True(peak[0] <= 2000)
+	is.True(peak[1] <= 300)
+	is.Equal(open, 0) // 20 s after the outage, twice the longest backoff
+}
--- /dev/null
+++ b/process/standin/platform/platform.go
@@ -0,0 +1,284 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"mulberrybeam/connection/encoder"
+	"mulberrybeam/process/standin/fixture"
+)
+
+// maxBodyBytes leaves room for base64 and metadata around the largest object.
+const maxBodyBytes = 2 * encoder.MaxObjectBytes
+
+// Platform is a fake of the object API.
+type Platform struct {
+	fixture.Control[Faults]
+	fixture.Counters
+	settings Settings
+	listener *fixture.Listener
+
+	mu      sync.Mutex
+	content content
+	// changed is closed and replaced at each change and by BreakWatches.
+	changed chan struct{}
+	// round rises when all watches are to end.
+	round  int
+	reads  meter
+	writes meter
+}
+
+// New starts a platform and returns its clean-up function.
+func New(options ...Option) (*Platform, func(), error) {
+	settings := Settings{History: 1000}
+	for _, option := range options {
+		option(&settings)
+	}
+	p := &Platform{
+		settings: settings, changed: make(chan struct{}),
+		content: content{limit: settings.History, objects: map[place]map[string]encoder.ObjectBody{}},
+		reads:   meter{rate: settings.ReadRate, tokens: settings.ReadRate},
+		writes:  meter{rate: settings.WriteRate, tokens: settings.WriteRate},
+	}
+	listener, closeListener, err := fixture.Listen(settings.Address, p.handler())
+	if err != nil {
+		return nil, nil, err
+	}
+	p.listener = listener
+	return p, closeListener, nil
+}
+
+// Address returns "ip:port".
+func (p *Platform) Address() string { return p.listener.Address() }
+
+// Crash closes the platform and all its connections at once. Objects stay.
+func (p *Platform) Crash() {
+	p.Add("crashes")
+	p.listener.Drop()
+}
+
+// Restart brings a crashed platform back.
+func (p *Platform) Restart() error {
+	p.listener.Drop()
+	return p.listener.Reopen()
+}
+
+// Calls returns the calls of a verb (get, list, watch, create, update or
+// delete) on a kind that arrived.
+func (p *Platform) Calls(verb, kind string) int { return p.Count(verb + " " + kind) }
+
+// Peak returns the most reads and writes that arrived within one second.
+func (p *Platform) Peak() (int, int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads.peak, p.writes.peak
+}
+
+// Compact forgets the history, so that watches from older versions expire.
+func (p *Platform) Compact() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.content.forget(len(p.content.history))
+}
+
+// BreakWatches ends all watches.
+func (p *Platform) BreakWatches() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.round++
+	p.notify()
+}
+
+// notify is called with the lock held.
+func (p *Platform) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Platform) handler() http.Handler {
+	const base = "/apis/mulberrybeam.io/v1/namespaces/{namespace}/{kind}"
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+base, p.write("create", p.create))
+	mux.HandleFunc("PUT "+base+"/{name}", p.write("update", p.update))
+	mux.HandleFunc("DELETE "+base+"/{name}", p.write("delete", p.remove))
+	mux.HandleFunc("GET "+base+"/{name}", p.get)
+	mux.HandleFunc("GET "+base, p.listOrWatch)
+	fixture.Mount(mux, &p.Control, &p.Counters)
+	return mux
+}
+
+func placeOf(r *http.Request) place {
+	return place{namespace: r.PathValue("namespace"), kind: r.PathValue("kind")}
+}
+
+// arrive counts a call, shows the faults that come before it runs and reports
+// whether it runs.
+func (p *Platform) arrive(w http.ResponseWriter, r *http.Request, verb string, of *meter) bool {
+	faults := p.Faults()
+	if slices.Contains(faults.CutRequests, r.UserAgent()) {
+		p.Add("cut-requests")
+		hang(r)
+	}
+	p.Add(verb + " " + r.PathValue("kind"))
+	p.mu.Lock()
+	allowed := of.take(time.Now())
+	p.mu.Unlock()
+	if faults.Hang {
+		p.Add("hung")
+		hang(r)
+	}
+	if !fixture.Pause(r, faults.Delay) {
+		p.Add("abandoned")
+		fixture.Break()
+	}
+	switch {
+	case faults.Down:
+		p.Add("down")
+		p.fail(w, refuse(http.StatusServiceUnavailable, encoder.ReasonDown, "down on request"))
+	case !allowed || p.Take(func(f *Faults) *int { return &f.LimitNext }):
+		p.Add("limited")
+		w.Header().Set("Retry-After", "1")
+		p.fail(w, refuse(http.StatusTooManyRequests, encoder.ReasonLimited, "rate limit exceeded"))
+	default:
+		return true
+	}
+	return false
+}
+
+// hang keeps a call without an answer until its caller gives up.
+func hang(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // the server sees the end of the connection only after the body
+	<-r.Context().Done()
+	fixture.Break()
+}
+
+// leave shows the faults that come after a call took effect.
+func (p *Platform) leave(r *http.Request, write bool) {
+	if slices.Contains(p.Faults().CutAnswers, r.UserAgent()) {
+		p.Add("cut-answers")
+		hang(r)
+	}
+	if write && p.Take(func(f *Faults) *int { return &f.LoseAnswersNext }) {
+		p.Add("lost-answers")
+		fixture.Break()
+	}
+}
+
+func (p *Platform) fail(w http.ResponseWriter, status *encoder.ObjectStatus) {
+	fixture.WriteJSON(w, status.Code, status)
+}
+
+type writer func(at place, name string, body []byte) (int, any, *encoder.ObjectStatus)
+
+func (p *Platform) write(verb string, run writer) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !p.arrive(w, r, verb, &p.writes) {
+			return
+		}
+		body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+		if err != nil {
+			fixture.Break()
+		}
+		p.mu.Lock()
+		code, answer, status := run(placeOf(r), r.PathValue("name"), body)
+		if status == nil {
+			p.notify()
+		}
+		p.mu.Unlock()
+		p.leave(r, true)
+		if status != nil {
+			p.Add(status.Reason)
+			p.fail(w, status)
+			return
+		}
+		fixture.WriteJSON(w, code, answer)
+	}
+}
+
+func decode(body []byte) (encoder.ObjectBody, *encoder.ObjectStatus) {
+	var object encoder.ObjectBody
+	if err := json.Unmarshal(body, &object); err != nil {
+		if len(body) == maxBodyBytes {
+			return object, refuse(http.StatusRequestEntityTooLarge, encoder.ReasonTooLarge, "body is too large")
+		}
+		return object, refuse(http.StatusBadRequest, encoder.ReasonInvalid, err.Error())
+	}
+	if len(object.Data) > encoder.MaxObjectBytes {
+		return object, refuse(http.StatusRequestEntityTooLarge, encoder.ReasonTooLarge, "data exceeds 1 MB")
+	}
+	return object, nil
+}
+
+func (p *Platform) create(at place, _ string, body []byte) (int, any, *encoder.ObjectStatus) {
+	object, status := decode(body)
+	if status == nil {
+		object, status = p.content.create(at, object)
+	}
+	return http.StatusCreated, object, status
+}
+
+func (p *Platform) update(at place, name string, body []byte) (int, any, *encoder.ObjectStatus) {
+	object, status := decode(body)
+	if status == nil && object.Metadata.Name != name {
+		status = refuse(http.StatusBadRequest, encoder.ReasonInvalid, "name differs from the path")
+	}
+	if status == nil {
+		object, status = p.content.update(at, object)
+	}
+	return http.StatusOK, object, status
+}
+
+func (p *Platform) remove(at place, name string, body []byte) (int, any, *encoder.ObjectStatus) {
+	var options encoder.DeleteOptions
+	if len(body) > 0 {
+		if err := json.Unmarshal(body, &options); err != nil {
+			return 0, nil, refuse(http.StatusBadRequest, encoder.ReasonInvalid, err.Error())
+		}
+	}
+	version := ""
+	if options.Preconditions != nil {
+		version = options.Preconditions.ResourceVersion
+	}
+	status := p.content.remove(at, name, version)
+	return http.StatusOK, encoder.ObjectStatus{APIVersion: "v1", Kind: "Status", Status: encoder.StatusSucceeded}, status
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	if !p.arrive(w, r, "get", &p.reads) {
+		return
+	}
+	p.mu.Lock()
+	object, status := p.content.get(placeOf(r), r.PathValue("name"))
+	p.mu.Unlock()
+	p.leave(r, false)
+	if status != nil {
+		p.fail(w, status)
+		return
+	}
+	fixture.WriteJSON(w, http.StatusOK, object)
+}
+
+func (p *Platform) listOrWatch(w http.ResponseWriter, r *http.Request) {
+	if watch := r.URL.Query().Get("watch"); watch == "1" || watch == "true" {
+		if p.arrive(w, r, "watch", &p.reads) {
+			p.watch(w, r)
+		}
+		return
+	}
+	if !p.arrive(w, r, "list", &p.reads) {
+		return
+	}
+	p.mu.Lock()
+	list := encoder.ObjectList{
+		APIVersion: encoder.ObjectGroup, Kind: "List", Items: p.content.list(placeOf(r)),
+		Metadata: encoder.ObjectMetadata{ResourceVersion: strconv.FormatUint(p.content.version, 10)},
+	}
+	p.mu.Unlock()
+	p.leave(r, false)
+	fixture.WriteJSON(w, http.StatusOK, list)
+}
