--- /dev/null
+++ b/process/standin/engine/engine_test.go
@@ -0,0 +1,276 @@
+package engine_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/enginecaller"
+	"mulberrybeam/process/standin/engine"
+	"mulberrybeam/process/standin/store"
+)
+
+const chat = `{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":%d}`
+
+type bench struct {
+	fake   *engine.Engine
+	caller *enginecaller.Caller
+	target mulberrybeam.Target
+}
+
+func setUp(t *testing.T, options ...engine.Option) bench {
+	t.Helper()
+	is := is.New(t)
+	options = append([]engine.Option{
+		engine.WithVersion("m", "v1"),
+		engine.WithSettings(func(s *engine.Settings) { s.TokenTime, s.BatchTime = time.Millisecond, 0 }),
+	}, options...)
+	fake, closeFake, err := engine.New(options...)
+	is.NoErr(err)
+	t.Cleanup(closeFake)
+	caller, closeCaller := enginecaller.New()
+	t.Cleanup(closeCaller)
+	return bench{fake, caller, mulberrybeam.Target{ID: "e", Address: fake.Address()}}
+}
+
+// ask starts a completion. Keys are numbered from 1.
+func (b bench) ask(t *testing.T, id string, tokens, keys int, priority mulberrybeam.Priority) (mulberrybeam.EngineStream, error) {
+	t.Helper()
+	request := &mulberrybeam.Request{
+		ID: mulberrybeam.RequestID(id), Model: "m", Version: "v1", Body: fmt.Appendf(nil, chat, tokens),
+	}
+	for n := range keys {
+		request.Keys = append(request.Keys, mulberrybeam.BlockKey{byte(n + 1)})
+	}
+	return b.caller.Generate(t.Context(), mulberrybeam.EngineCall{Request: request, Target: b.target, Attempt: 1, Priority: priority})
+}
+
+// run drains a completion and returns the times of its first token and its
+// end since the call.
+func (b bench) run(t *testing.T, id string, tokens, keys int, priority mulberrybeam.Priority) (time.Duration, time.Duration, error) {
+	t.Helper()
+	start := time.Now()
+	stream, err := b.ask(t, id, tokens, keys, priority)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer stream.Close()
+	var first time.Duration
+	for {
+		token, err := stream.Next()
+		if err == io.EOF {
+			return first, time.Since(start), nil
+		}
+		if err != nil {
+			return first, 0, err
+		}
+		if token.Sequence == 1 {
+			first = time.Since(start)
+		}
+	}
+}
+
+// Guards against a cold engine that bears more than its limit, or that never
+// turns warm.
+func TestColdEngineCrashesAboveItsLimit(t *testing.T) {
+	is := is.New(t)
+	b := setUp(t, engine.WithCold(2, 1, 0), engine.WithSettings(func(s *engine.Settings) { s.RestartAfter = 20 * time.Millisecond }))
+	instance := b.fake.Instance()
+	for n := range 2 {
+		_, err := b.ask(t, fmt.Sprint(n), 10000, 0, 0)
+		is.NoErr(err)
+	}
+	_, err := b.ask(t, "third", 10, 0, 0)
+	is.True(err != nil)
+	is.Equal(b.fake.Count("cold-crashes"), 1)
+	for b.fake.Count("restarts") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond) // the listener opens after the count
+	is.True(b.fake.Instance() != instance)
+	is.True(b.fake.Cold())
+	_, _, err = b.run(t, "warms", 2, 0, 0)
+	is.NoErr(err)
+	is.True(!b.fake.Cold())
+	for n := range 4 {
+		stream, err := b.ask(t, fmt.Sprint("warm", n), 1000, 0, 0)
+		is.NoErr(err)
+		defer stream.Close()
+	}
+	is.Equal(b.fake.Count("crashes"), 1)
+	b.fake.TurnCold()
+	is.True(b.fake.Cold())
+}
+
+// Guards against an engine whose token time ignores the size of its batch.
+func TestTokenTimeGrowsWithTheBatch(t *testing.T) {
+	is := is.New(t)
+	b := setUp(t, engine.WithSettings(func(s *engine.Settings) { s.BatchTime = 5 * time.Millisecond }))
+	_, alone, err := b.run(t, "alone", 20, 0, 0)
+	is.NoErr(err)
+	var group sync.WaitGroup
+	var batched time.Duration
+	for n := range 8 {
+		group.Go(func() {
+			_, took, err := b.run(t, fmt.Sprint(n), 20, 0, 0)
+			if err == nil && n == 0 {
+				batched = took
+			}
+		})
+	}
+	group.Wait()
+	is.True(alone >= 20*time.Millisecond)    // 20 steps of 1 ms
+	is.True(batched >= 500*time.Millisecond) // most steps take 36 ms
+	is.Equal(b.fake.Count("max-running"), 8)
+}
+
+// Guards against an engine that ignores priorities or its queue's bound.
+func TestPrioritiesAndQueue(t *testing.T) {
+	is := is.New(t)
+	b := setUp(t, engine.WithSettings(func(s *engine.Settings) { s.MaxRunning, s.MaxWaiting = 1, 2 }))
+	_, err := b.ask(t, "running", 10000, 0, 0) // until it is cancelled
+	is.NoErr(err)
+	for b.fake.Count("max-running") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	var group sync.WaitGroup
+	var batch, interactive time.Duration
+	group.Go(func() { batch, _, _ = b.run(t, "batch", 30, 0, mulberrybeam.PriorityBatch) })
+	for b.fake.Count("started") < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	group.Go(func() { interactive, _, _ = b.run(t, "interactive", 30, 0, mulberrybeam.PriorityInteractive) })
+	for b.fake.Count("started") < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = b.ask(t, "refused", 1, 0, 0)
+	is.True(err != nil)
+	is.Equal(b.fake.Count("overloaded"), 1)
+	is.NoErr(b.caller.Cancel(t.Context(), b.target, "running"))
+	group.Wait()
+	is.True(interactive < batch)
+}
+
+// Guards against a cache that does not shorten the prompt, grows without
+// bound, or publishes all its events.
+func TestPrefixCacheAndItsEvents(t *testing.T) {
+	is := is.New(t)
+	b := setUp(t, engine.WithSettings(func(s *engine.Settings) {
+		s.CacheBlocks, s.PrefillRate, s.EventGap, s.EventLag = 4, 10000, 2, 300*time.Millisecond
+	}))
+	first, _, err := b.run(t, "a", 1, 4, 0)
+	is.NoErr(err)
+	is.True(first >= 100*time.Millisecond) // 1,024 tokens at 10,000/s
+	is.Equal(b.fake.Count("cached-tokens"), 0)
+	events, err := b.caller.CacheEvents(t.Context(), b.target, 0)
+	is.NoErr(err)
+	is.Equal(len(events), 0) // late
+	_, _, err = b.run(t, "b", 1, 4, 0)
+	is.NoErr(err)
+	is.Equal(b.fake.Count("cached-tokens"), 4*engine.BlockTokens)
+	for n := 5; n <= 6; n++ {
+		_, _, err = b.run(t, fmt.Sprint(n), 1, n, 0)
+		is.NoErr(err)
+	}
+	time.Sleep(350 * time.Millisecond)
+	events, err = b.caller.CacheEvents(t.Context(), b.target, 0)
+	is.NoErr(err)
+	is.Equal(len(events), 2)
+	is.Equal(events[1].Sequence, uint64(3)) // the second event is a gap
+	is.True(len(events[1].Removed) > 0)
+	events, err = b.caller.CacheEvents(t.Context(), b.target, 3)
+	is.NoErr(err)
+	is.Equal(len(events), 0)
+}
+
+// Guards against load reports without a lag.
+func TestLoadReportsLag(t *testing.T) {
+	is := is.New(t)
+	b := setUp(t, engine.WithSettings(func(s *engine.Settings) { s.ReportLag = 500 * time.Millisecond }))
+	stream, err := b.ask(t, "r", 10000, 0, 0)
+	is.NoErr(err)
+	defer stream.Close()
+	report, err := b.caller.Load(t.Context(), b.target)
+	is.NoErr(err)
+	is.Equal(report.Running+report.Waiting, 0)
+	time.Sleep(600 * time.Millisecond)
+	later, err := b.caller.Load(t.Context(), b.target)
+	is.NoErr(err)
+	is.Equal(later.Running+later.Waiting, 1)
+	is.Equal(later.Sequence, report.Sequence+1)
+}
+
+// Guards against loads that do not slow each other down, and against a fake
+// that checks fencing numbers when it should ignore them.
+func TestOrders(t *testing.T) {
+	is := is.New(t)
+	loader := &engine.Loader{}
+	slow := engine.WithSettings(func(s *engine.Settings) { s.LoadTime = 100 * time.Millisecond })
+	var group sync.WaitGroup
+	start := time.Now()
+	order := mulberrybeam.Order{Kind: mulberrybeam.OrderLoadWeights, Model: "m", Version: "v2", Fencing: 2}
+	for range 4 {
+		b := setUp(t, slow, engine.WithLoader(loader))
+		group.Go(func() { _ = b.caller.Order(t.Context(), b.target, order) })
+	}
+	group.Wait()
+	is.True(time.Since(start) >= 200*time.Millisecond) // four at once take twice as long
+	is.Equal(loader.Peak(), 4)
+
+	b := setUp(t, slow)
+	is.NoErr(b.caller.Order(t.Context(), b.target, order))
+	order.Fencing = 1
+	is.NoErr(b.caller.Order(t.Context(), b.target, order))
+	is.Equal(b.fake.Count("stale-orders-run"), 1)
+	_, err := b.ask(t, "old", 1, 0, 0) // asks for v1
+	is.True(err != nil)
+	is.Equal(b.fake.Count("wrong-version"), 1)
+}
+
+// Guards against an import of another context's data.
+func TestImportChecksWhoseDataItIs(t *testing.T) {
+	is := is.New(t)
+	b := setUp(t)
+	kept, closeStore, err := store.New()
+	is.NoErr(err)
+	defer closeStore()
+	place := mulberrybeam.Store{ID: "s", Address: kept.Address()}
+	_, _, err = b.run(t, "r", 1, 2, 0)
+	is.NoErr(err)
+	keys := []mulberrybeam.BlockKey{{1}, {2}}
+	_, err = b.caller.ExportContext(t.Context(), b.target, place, []mulberrybeam.BlockKey{{1}, {9}}, 1)
+	is.True(err != nil) // not in the cache
+	manifest, err := b.caller.ExportContext(t.Context(), b.target, place, keys, 1)
+	is.NoErr(err)
+	_, err = b.caller.ImportContext(t.Context(), b.target, place, manifest, []mulberrybeam.BlockKey{{7}, {2}})
+	is.True(err != nil)
+	is.Equal(b.fake.Count("imports-foreign"), 1)
+}
+
+// Guards against controls that a separate process cannot reach.
+func TestControlsOverHTTP(t *testing.T) {
+	is := is.New(t)
+	b := setUp(t)
+	base := "http://" + b.fake.Address() + "/standin/"
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPatch, base+"faults", strings.NewReader(`{"RefuseNext":1}`))
+	is.NoErr(err)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	_, err = b.ask(t, "r", 1, 0, 0)
+	is.True(err != nil)
+	response, err = http.Get(base + "counters")
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(string(bytes.TrimSpace(body)), `{"refused":1}`)
+}
