Add mulberryload: fakes as processes and an open-loop load

Experiments need the fakes as processes and a load whose latency counts from the intended arrival. A whole answer stream is now read to its end, since its connection could not be reused before (TestWholeAnswersReuseTheConnection).

--- /dev/null
+++ b/cmd/mulberryload/process/runner/runner.go
@@ -0,0 +1,130 @@
+// Package runner sends a planned load at its fixed times, whether or not
+// earlier requests have ended, so that a slow system does not lower the load
+// or hide its latency.
+package runner
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"mulberrybeam/cmd/mulberryload/process/planner"
+	"mulberrybeam/cmd/mulberryload/process/scorer"
+	"mulberrybeam/cmd/mulberryload/request/sender"
+	"mulberrybeam/connection/encoder"
+	"mulberrybeam/process/standin/engine"
+)
+
+// Settings describe what the load is sent to.
+type Settings struct {
+	// Entries are the addresses of entry processes, used in turn.
+	Entries []string
+	Plan    planner.Plan
+	Model   string
+	// MaxTokens is the length of an answer.
+	MaxTokens int
+	Service   string
+	// RepeatableCall and NonRepeatableCall are calls of the service.
+	RepeatableCall    string
+	NonRepeatableCall string
+	// Timeout bounds one request.
+	Timeout time.Duration
+}
+
+// Runner sends one load.
+type Runner struct {
+	settings Settings
+	client   *http.Client
+	scorer   *scorer.Scorer
+}
+
+// New returns a Runner and the function that closes its connections.
+func New(settings Settings) (*Runner, func()) {
+	client, closeClient := encoder.NewClient(time.Second)
+	return &Runner{settings: settings, client: client, scorer: scorer.New()}, closeClient
+}
+
+// Run sends the load and returns the results when all requests have ended. The
+// end of the context stops further arrivals.
+func (r *Runner) Run(ctx context.Context) scorer.Results {
+	arrivals := planner.Arrivals(r.settings.Plan)
+	start := time.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var group sync.WaitGroup
+	defer group.Wait()
+	for n, arrival := range arrivals {
+		timer.Reset(time.Until(start.Add(arrival.At)))
+		select {
+		case <-ctx.Done():
+			group.Wait()
+			return r.scorer.Results()
+		case <-timer.C:
+		}
+		group.Go(func() {
+			entry := r.settings.Entries[n%len(r.settings.Entries)]
+			r.send(ctx, entry, arrival, start.Add(arrival.At))
+		})
+	}
+	group.Wait()
+	return r.scorer.Results()
+}
+
+func (r *Runner) send(ctx context.Context, entry string, arrival planner.Arrival, intended time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, intended.Add(r.settings.Timeout))
+	defer cancel()
+	if arrival.Kind == planner.Prompt {
+		r.scorer.Add(r.prompt(ctx, entry, arrival, intended))
+		return
+	}
+	call := r.call(entry, arrival, intended)
+	r.scorer.Add(sender.SendCall(ctx, r.client, call))
+	if arrival.Resend {
+		call.Intended = time.Now()
+		r.scorer.Add(sender.SendCall(ctx, r.client, call))
+	}
+}
+
+func (r *Runner) prompt(ctx context.Context, entry string, arrival planner.Arrival, intended time.Time) scorer.Outcome {
+	tokens := r.settings.MaxTokens
+	body, err := planner.Body(r.settings.Plan, r.settings.Model, tokens, arrival.Conversation, arrival.Turn, engine.Answer)
+	if err != nil {
+		return scorer.Outcome{Prompt: true, Code: "invalid-plan"}
+	}
+	expected, err := engine.Answer(body, tokens)
+	if err != nil {
+		return scorer.Outcome{Prompt: true, Code: "invalid-plan"}
+	}
+	return sender.SendPrompt(ctx, r.client, sender.Prompt{
+		Entry: entry, Key: r.settings.Plan.Workspaces[arrival.Workspace].Key, Body: body,
+		Expected: expected, Returning: arrival.Turn > 1, Intended: intended,
+	})
+}
+
+func (r *Runner) call(entry string, arrival planner.Arrival, intended time.Time) sender.Call {
+	call := sender.Call{
+		Entry: entry, Key: r.settings.Plan.Workspaces[arrival.Workspace].Key,
+		Service: r.settings.Service, Name: r.settings.RepeatableCall,
+		Body: fmt.Appendf(nil, `{"item": "%016x"}`, arrival.Random), Intended: intended,
+	}
+	if arrival.Kind == planner.NonRepeatable {
+		call.Name = r.settings.NonRepeatableCall
+		call.IdempotencyKey = keyOf(intended, arrival.Random)
+	}
+	return call
+}
+
+// keyOf returns a UUID version 7 (RFC 9562) with a given time and random part.
+func keyOf(at time.Time, random uint64) string {
+	var key uuid.UUID
+	binary.BigEndian.PutUint64(key[:8], uint64(at.UnixMilli())<<16|random>>48)
+	binary.BigEndian.PutUint64(key[8:], random)
+	key[6] = key[6]&0x0f | 0x70
+	key[8] = key[8]&0x3f | 0x80
+	return key.String()
+}
--- /dev/null
+++ b/cmd/mulberryload/serve/serve.go
@@ -0,0 +1,172 @@
+// Package serve is the command that runs one fake.
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"mulberrybeam/process/standin/engine"
+	"mulberrybeam/process/standin/platform"
+	"mulberrybeam/process/standin/service"
+	"mulberrybeam/process/standin/store"
+)
+
+// Common are the flags of every fake.
+type Common struct {
+	Address string `help:"Address to listen on, ip:port." default:"127.0.0.1:0"`
+	Faults  string `help:"Faults as JSON, as for PATCH /standin/faults." placeholder:"JSON"`
+}
+
+// Engine are the flags of an engine.
+type Engine struct {
+	Common       `embed:""`
+	Model        map[string]string `help:"Weight version by model." placeholder:"MODEL=VERSION"`
+	PrefillRate  float64           `help:"Prompt tokens per second." default:"20000"`
+	TokenTime    time.Duration     `help:"Time of a step with one request." default:"5ms"`
+	BatchTime    time.Duration     `help:"Added to a step by each further request." default:"200us"`
+	MaxRunning   int               `help:"Requests in the batch." default:"16"`
+	MaxWaiting   int               `help:"Requests in the queue." default:"64"`
+	CacheBlocks  int               `help:"Blocks in the prefix cache." default:"4096"`
+	Cold         bool              `help:"Start cold."`
+	ColdLimit    int               `help:"Requests in flight that a cold engine bears." default:"2"`
+	WarmRequests int               `help:"Answers until the engine is warm." default:"4"`
+	WarmTime     time.Duration     `help:"Least time until the engine is warm."`
+	RestartAfter time.Duration     `help:"Time from a crash to a restart, 0 for none." default:"1s"`
+	ReportLag    time.Duration     `help:"Age of the figures in load reports." default:"300ms"`
+	EventLag     time.Duration     `help:"Lag of cache events." default:"200ms"`
+	EventGap     int               `help:"Leave out each n-th cache event, 0 for none."`
+	CheckFencing bool              `help:"Refuse orders with an old fencing number."`
+	LoadTime     time.Duration     `help:"Time to load weights." default:"400ms"`
+}
+
+// Store are the flags of a context store.
+type Store struct {
+	Common      `embed:""`
+	MemoryBytes int64   `help:"Capacity of the memory tier in bytes." default:"67108864"`
+	DiskBytes   int64   `help:"Capacity of the disk tier in bytes." default:"268435456"`
+	LinkRate    float64 `help:"Bytes per second of the link." default:"104857600"`
+}
+
+// Service are the flags of a plain service.
+type Service struct {
+	Common       `embed:""`
+	CallTime     time.Duration `help:"Time of one run." default:"1ms"`
+	MaxRunning   int           `help:"Calls in progress at once." default:"64"`
+	RestartAfter time.Duration `help:"Time from a crash to a restart, 0 for none." default:"1s"`
+}
+
+// Platform are the flags of the object API.
+type Platform struct {
+	Common    `embed:""`
+	ReadRate  float64 `help:"Reads per second of all callers, 0 for no limit." default:"2000"`
+	WriteRate float64 `help:"Writes per second of all callers, 0 for no limit." default:"300"`
+	History   int     `help:"Changes that a watch can start behind." default:"1000"`
+}
+
+// StartFunc runs a fake, given its flags, until the context ends.
+type StartFunc func(ctx context.Context, flags any, stdout io.Writer) error
+
+// Command is the serve command.
+type Command struct {
+	Engine   Engine   `cmd:"" help:"Model engine."`
+	Store    Store    `cmd:"" help:"Context store."`
+	Service  Service  `cmd:"" help:"Plain service."`
+	Platform Platform `cmd:"" help:"Object API."`
+
+	start StartFunc
+}
+
+// New returns the command with the function that runs a fake.
+func New(start StartFunc) Command { return Command{start: start} }
+
+// AfterApply makes the function that runs a fake known to the subcommands.
+func (c *Command) AfterApply(chosen *kong.Context) error {
+	chosen.Bind(c.start)
+	return nil
+}
+
+// Run runs an engine.
+func (e *Engine) Run(ctx context.Context, start StartFunc, stdout io.Writer) error {
+	return start(ctx, *e, stdout)
+}
+
+// Run runs a store.
+func (s *Store) Run(ctx context.Context, start StartFunc, stdout io.Writer) error {
+	return start(ctx, *s, stdout)
+}
+
+// Run runs a service.
+func (s *Service) Run(ctx context.Context, start StartFunc, stdout io.Writer) error {
+	return start(ctx, *s, stdout)
+}
+
+// Run runs a platform.
+func (p *Platform) Run(ctx context.Context, start StartFunc, stdout io.Writer) error {
+	return start(ctx, *p, stdout)
+}
+
+// Start runs a fake, prints its address and returns when the context ends.
+func Start(ctx context.Context, flags any, stdout io.Writer) error {
+	switch f := flags.(type) {
+	case Engine:
+		fake, closeFake, err := engine.New(engine.WithSettings(f.apply))
+		return wait(ctx, stdout, f.Faults, fake, closeFake, err)
+	case Store:
+		fake, closeFake, err := store.New(store.WithAddress(f.Address),
+			store.WithCapacity(f.MemoryBytes, f.DiskBytes), store.WithLinkRate(f.LinkRate))
+		return wait(ctx, stdout, f.Faults, fake, closeFake, err)
+	case Service:
+		fake, closeFake, err := service.New(service.WithAddress(f.Address), service.WithCallTime(f.CallTime),
+			service.WithMaxRunning(f.MaxRunning), service.WithRestartAfter(f.RestartAfter))
+		return wait(ctx, stdout, f.Faults, fake, closeFake, err)
+	case Platform:
+		fake, closeFake, err := platform.New(platform.WithAddress(f.Address),
+			platform.WithRates(f.ReadRate, f.WriteRate), platform.WithHistory(f.History))
+		return wait(ctx, stdout, f.Faults, fake, closeFake, err)
+	}
+	return fmt.Errorf("no fake for flags of type %T", flags)
+}
+
+func (e Engine) apply(s *engine.Settings) {
+	s.Address = e.Address
+	s.Versions = e.Model
+	s.PrefillRate, s.TokenTime, s.BatchTime = e.PrefillRate, e.TokenTime, e.BatchTime
+	s.MaxRunning, s.MaxWaiting, s.CacheBlocks = e.MaxRunning, e.MaxWaiting, e.CacheBlocks
+	s.StartCold, s.ColdLimit, s.WarmRequests, s.WarmTime = e.Cold, e.ColdLimit, e.WarmRequests, e.WarmTime
+	s.RestartAfter, s.ReportLag, s.EventLag, s.EventGap = e.RestartAfter, e.ReportLag, e.EventLag, e.EventGap
+	s.ChecksFencing, s.LoadTime = e.CheckFencing, e.LoadTime
+}
+
+// fake is what the fakes have in common.
+type fake[F any] interface {
+	Address() string
+	SetFaults(func(*F))
+}
+
+func wait[F any](ctx context.Context, stdout io.Writer, faults string, running fake[F], closeFake func(), err error) error {
+	if err != nil {
+		return err
+	}
+	defer closeFake()
+	if faults != "" {
+		running.SetFaults(func(f *F) { err = json.Unmarshal([]byte(faults), f) })
+		if err != nil {
+			return fmt.Errorf("flag --faults: %w", err)
+		}
+	}
+	if _, err := fmt.Fprintln(stdout, running.Address()); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+var (
+	_ fake[engine.Faults]   = (*engine.Engine)(nil)
+	_ fake[platform.Faults] = (*platform.Platform)(nil)
+)
--- a/connection/enginecaller/caller_test.go
+++ b/connection/enginecaller/caller_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http/httptrace"
 	"testing"
 	"time"
 
@@ -112,6 +113,28 @@
 	is.Equal(tokens[6], mulberrybeam.Token{Request: "r1", Sequence: 7, End: true, FinishReason: "stop"})
 }
 
+// Guards against a connection that is lost with each whole answer.
+func TestWholeAnswersReuseTheConnection(t *testing.T) {
+	is := is.New(t)
+	_, caller, target := setUp(t)
+	var made int
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if !info.Reused {
+			made++
+		}
+	}}
+	for range 5 {
+		stream, err := caller.Generate(httptrace.WithClientTrace(t.Context(), trace), callOf(target, "r1"))
+		is.NoErr(err)
+		for token := (mulberrybeam.Token{}); !token.End; {
+			token, err = stream.Next()
+			is.NoErr(err)
+		}
+		is.NoErr(stream.Close())
+	}
+	is.Equal(made, 1)
+}
+
 // Guards against a resumed stream that repeats or skips tokens.
 func TestGenerateResumesAfterASequence(t *testing.T) {
 	is := is.New(t)
@@ -312,6 +335,10 @@
 			is.Equal(manifest.Store, place.ID)
 			is.Equal(manifest.Blocks, 2)
 			is.NoErr(fake.Restart())
+			// The pool of the first caller may still have a connection
+			// to the ended instance.
+			caller, closeCaller := enginecaller.New()
+			defer closeCaller()
 			kept.SetFaults(func(f *store.Faults) { *f = test.faults })
 			manifest.Generation = test.generation
 			tokens, err := caller.ImportContext(t.Context(), target, place, manifest, append(keys, mulberrybeam.BlockKey{3}))
--- a/connection/enginecaller/stream.go
+++ b/connection/enginecaller/stream.go
@@ -23,6 +23,9 @@
 	endMarker = "[DONE]"
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
+	// drainTimeout bounds the wait for the end of the response after the
+	// end marker. Without reading it the connection could not be reused.
+	drainTimeout = 50 * time.Millisecond
 )
 
 // Stream implements mulberrybeam.EngineStream. Close may be called while Next
@@ -31,11 +34,13 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	idle     *idleTimer
-	body     io.Closer
+	body     io.ReadCloser
 	peer     string
 	instance mulberrybeam.InstanceID
 	version  mulberrybeam.WeightVersion
 	closed   atomic.Bool
+	// whole says that the end marker was read, so that no Next waits.
+	whole atomic.Bool
 
 	mu     sync.Mutex
 	next   func() (sse.Event, error, bool)
@@ -96,6 +101,7 @@
 			return mulberrybeam.Token{}, false, s.broken("end marker without a finish reason", nil)
 		}
 		s.ended = io.EOF
+		s.whole.Store(true)
 		return *s.finish, true, nil
 	}
 	var chunk encoder.Chunk
@@ -147,7 +153,11 @@
 
 // Close ends the stream and frees its connection. A waiting Next returns.
 func (s *Stream) Close() error {
-	s.closed.Store(true)
+	if !s.closed.Swap(true) && s.whole.Load() {
+		timer := time.AfterFunc(drainTimeout, s.cancel)
+		_, _ = io.CopyN(io.Discard, s.body, maxEventBytes)
+		timer.Stop()
+	}
 	s.cancel()
 	err := s.body.Close()
 	s.mu.Lock()
