Add the codec of messages between entry processes

msgpack's own decoder refuses an array-encoded struct with a changed number of fields and allocates by the sender's counts, so the package walks values itself. Zero fields at the end of a struct are left out.

--- /dev/null
+++ b/connection/peerencoder/value.go
@@ -0,0 +1,265 @@
+package peerencoder
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// The library's own decoder refuses an array-encoded struct whose number of
+// fields differs, and allocates up to a million elements on the word of the
+// sender. The functions below walk the values themselves for that reason and
+// use the library for the format.
+
+func encodeValue(encoder *msgpack.Encoder, value reflect.Value) error {
+	switch value.Kind() {
+	case reflect.String:
+		return encoder.EncodeString(value.String())
+	case reflect.Bool:
+		return encoder.EncodeBool(value.Bool())
+	case reflect.Int, reflect.Int64:
+		return encoder.EncodeInt(value.Int())
+	case reflect.Uint32, reflect.Uint64:
+		return encoder.EncodeUint(value.Uint())
+	case reflect.Float64:
+		return encoder.EncodeFloat64(value.Float())
+	case reflect.Pointer:
+		if value.IsNil() {
+			return encoder.EncodeNil()
+		}
+		return encodeValue(encoder, value.Elem())
+	case reflect.Struct:
+		return encodeStruct(encoder, value)
+	case reflect.Slice, reflect.Array:
+		return encodeList(encoder, value)
+	case reflect.Map:
+		return encodeMap(encoder, value)
+	default:
+		return fmt.Errorf("type %s has no encoding", value.Type())
+	}
+}
+
+// encodeStruct leaves out the zero fields at the end, which is what a decoder
+// assumes of missing fields.
+func encodeStruct(encoder *msgpack.Encoder, value reflect.Value) error {
+	count := value.NumField()
+	for count > 0 && value.Field(count-1).IsZero() {
+		count--
+	}
+	if err := encoder.EncodeArrayLen(count); err != nil {
+		return err
+	}
+	for i := range count {
+		if err := encodeValue(encoder, value.Field(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func encodeList(encoder *msgpack.Encoder, value reflect.Value) error {
+	if value.Kind() == reflect.Slice && value.IsNil() {
+		return encoder.EncodeNil()
+	}
+	if value.Type().Elem().Kind() == reflect.Uint8 {
+		data := make([]byte, value.Len())
+		reflect.Copy(reflect.ValueOf(data), value)
+		return encoder.EncodeBytes(data)
+	}
+	if err := encoder.EncodeArrayLen(value.Len()); err != nil {
+		return err
+	}
+	for i := range value.Len() {
+		if err := encodeValue(encoder, value.Index(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// encodeMap writes the entries in the order of their keys, so that equal
+// messages have equal bytes.
+func encodeMap(encoder *msgpack.Encoder, value reflect.Value) error {
+	if value.IsNil() {
+		return encoder.EncodeNil()
+	}
+	if value.Type().Key().Kind() != reflect.String {
+		return fmt.Errorf("type %s has no encoding", value.Type())
+	}
+	if err := encoder.EncodeMapLen(value.Len()); err != nil {
+		return err
+	}
+	keys := value.MapKeys()
+	slices.SortFunc(keys, func(a, b reflect.Value) int { return bytes.Compare([]byte(a.String()), []byte(b.String())) })
+	for _, key := range keys {
+		if err := encodeValue(encoder, key); err != nil {
+			return err
+		}
+		if err := encodeValue(encoder, value.MapIndex(key)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// source is the encoded message. Its remaining length bounds every
+// allocation, since each element has one byte at least.
+type source struct {
+	*msgpack.Decoder
+	reader *bytes.Reader
+}
+
+func decodeValue(from source, value reflect.Value) error {
+	switch value.Kind() {
+	case reflect.String:
+		text, err := from.DecodeString()
+		value.SetString(text)
+		return err
+	case reflect.Bool:
+		truth, err := from.DecodeBool()
+		value.SetBool(truth)
+		return err
+	case reflect.Int, reflect.Int64:
+		number, err := from.DecodeInt64()
+		value.SetInt(number)
+		return err
+	case reflect.Uint32, reflect.Uint64:
+		return decodeUint(from, value)
+	case reflect.Float64:
+		number, err := from.DecodeFloat64()
+		value.SetFloat(number)
+		return err
+	case reflect.Pointer:
+		return decodePointer(from, value)
+	case reflect.Struct:
+		return decodeStruct(from, value)
+	case reflect.Slice, reflect.Array:
+		return decodeList(from, value)
+	case reflect.Map:
+		return decodeMap(from, value)
+	default:
+		return fmt.Errorf("type %s has no encoding", value.Type())
+	}
+}
+
+func decodeUint(from source, value reflect.Value) error {
+	number, err := from.DecodeUint64()
+	if err != nil {
+		return err
+	}
+	if value.OverflowUint(number) {
+		return fmt.Errorf("number %d overflows %s", number, value.Type())
+	}
+	value.SetUint(number)
+	return nil
+}
+
+func decodePointer(from source, value reflect.Value) error {
+	code, err := from.PeekCode()
+	if err != nil {
+		return err
+	}
+	if code == msgpcode.Nil {
+		return from.DecodeNil()
+	}
+	value.Set(reflect.New(value.Type().Elem()))
+	return decodeValue(from, value.Elem())
+}
+
+func decodeStruct(from source, value reflect.Value) error {
+	count, err := from.length(from.DecodeArrayLen())
+	if err != nil {
+		return err
+	}
+	for i := range min(count, value.NumField()) {
+		if err := decodeValue(from, value.Field(i)); err != nil {
+			return fmt.Errorf("%s: %w", value.Type().Field(i).Name, err)
+		}
+	}
+	for range count - value.NumField() {
+		if err := skip(from, 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func decodeList(from source, value reflect.Value) error {
+	if value.Type().Elem().Kind() == reflect.Uint8 {
+		return decodeBytes(from, value)
+	}
+	count, err := from.DecodeArrayLen()
+	if err == nil && count < 0 {
+		return nil
+	}
+	if count, err = from.length(count, err); err != nil {
+		return err
+	}
+	element := reflect.New(value.Type().Elem()).Elem()
+	value.Set(reflect.MakeSlice(value.Type(), 0, min(count, maxPreallocated)))
+	for range count {
+		element.SetZero()
+		if err := decodeValue(from, element); err != nil {
+			return err
+		}
+		value.Set(reflect.Append(value, element))
+	}
+	return nil
+}
+
+func decodeBytes(from source, value reflect.Value) error {
+	data, err := from.DecodeBytes()
+	if err != nil {
+		return err
+	}
+	if value.Kind() == reflect.Slice {
+		value.SetBytes(data)
+		return nil
+	}
+	if len(data) != value.Len() {
+		return fmt.Errorf("%d bytes where %s needs %d", len(data), value.Type(), value.Len())
+	}
+	reflect.Copy(value, reflect.ValueOf(data))
+	return nil
+}
+
+func decodeMap(from source, value reflect.Value) error {
+	count, err := from.DecodeMapLen()
+	if err == nil && count < 0 {
+		return nil
+	}
+	if count, err = from.length(count, err); err != nil {
+		return err
+	}
+	value.Set(reflect.MakeMap(value.Type()))
+	for range count {
+		key := reflect.New(value.Type().Key()).Elem()
+		entry := reflect.New(value.Type().Elem()).Elem()
+		if err := decodeValue(from, key); err != nil {
+			return err
+		}
+		if err := decodeValue(from, entry); err != nil {
+			return err
+		}
+		value.SetMapIndex(key, entry)
+	}
+	return nil
+}
+
+// maxPreallocated bounds the elements allocated before any was read.
+const maxPreallocated = 64
+
+// length checks a count of elements against the bytes that are left.
+func (s source) length(count int, err error) (int, error) {
+	if err != nil {
+		return 0, err
+	}
+	if count < 0 || count > s.reader.Len() {
+		return 0, fmt.Errorf("%d elements in the last %d bytes", count, s.reader.Len())
+	}
+	return count, nil
+}
