Add the deterministic harness for control machines

Runs the machines of many processes in virtual time over a faked network and object API. Messages pass through the real encoder, so sizes are real and processes share no memory.

--- /dev/null
+++ b/process/controller/controllertest/fleet_test.go
@@ -0,0 +1,168 @@
+package controllertest_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/controller/controllertest"
+)
+
+// pinger calls a peer each tick, answers calls, and counts its own object up.
+type pinger struct {
+	start    controllertest.Start
+	peer     string
+	replies  int
+	failures int
+	changes  int
+	watching bool
+	version  string
+	events   []string
+}
+
+func (p *pinger) Step(turn mulberrybeam.Turn, event mulberrybeam.Event) []mulberrybeam.Action {
+	p.events = append(p.events, fmt.Sprintf("%v %T", turn.Now, event))
+	switch event := event.(type) {
+	case mulberrybeam.Tick:
+		actions := []mulberrybeam.Action{
+			mulberrybeam.Call{Address: p.peer, Message: mulberrybeam.Extend{From: p.start.ID}, Ticket: 1, Timeout: time.Second},
+			mulberrybeam.CallObject{
+				Op: mulberrybeam.OpUpdate, Ticket: 2,
+				Object: mulberrybeam.Object{Kind: mulberrybeam.ObjectSlot, Name: "s", Version: p.version, Data: []byte{1}},
+			},
+			mulberrybeam.Publish{},
+		}
+		if !p.watching {
+			p.watching = true
+			actions = append(actions, mulberrybeam.WatchObject{Kind: mulberrybeam.ObjectSlot, Name: "s"})
+		}
+		return actions
+	case mulberrybeam.MessageReceived:
+		return []mulberrybeam.Action{mulberrybeam.Reply{Ticket: event.Ticket, Message: mulberrybeam.ExtendReply{Granted: true}}}
+	case mulberrybeam.ReplyReceived:
+		p.count(event.Err)
+	case mulberrybeam.ObjectReplied:
+		if event.Err == nil {
+			p.version = event.Object.Version
+		}
+	case mulberrybeam.ObjectChanged:
+		p.changes++
+		p.version = event.Object.Version
+	case mulberrybeam.WatchEnded:
+		p.watching = false
+	}
+	return nil
+}
+
+func (p *pinger) count(err error) {
+	if err != nil {
+		p.failures++
+		return
+	}
+	p.replies++
+}
+
+func (p *pinger) Fill(snapshot *mulberrybeam.Snapshot) { snapshot.Ready = true }
+
+func newPair(seed uint64) (*controllertest.Fleet, map[string]*pinger) {
+	hosts := controllertest.Hosts(2, 1)
+	pingers := map[string]*pinger{}
+	fleet := controllertest.New(
+		controllertest.WithSeed(seed),
+		controllertest.WithBuild(func(start controllertest.Start) []mulberrybeam.Machine {
+			peer := hosts[0].Address
+			if start.Name == hosts[0].Name {
+				peer = hosts[1].Address
+			}
+			pingers[start.Name] = &pinger{start: start, peer: peer}
+			return []mulberrybeam.Machine{pingers[start.Name]}
+		}))
+	fleet.Platform.Put(mulberrybeam.ObjectSlot, "s", nil)
+	fleet.Start(hosts...)
+	return fleet, pingers
+}
+
+// Guards against a harness whose faults have no effect or last for ever: each
+// fault must be counted and must keep the machines from their work.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		fault   controllertest.Fault
+		inject  func(*controllertest.Fleet)
+		recover func(*controllertest.Fleet)
+	}{
+		{controllertest.FaultLoss, func(f *controllertest.Fleet) { f.Network.Loss = 1 }, func(f *controllertest.Fleet) { f.Network.Loss = 0 }},
+		{controllertest.FaultCut, func(f *controllertest.Fleet) { f.Network.Cut("z1h1", "z2h1") }, func(f *controllertest.Fleet) { f.Network.Heal() }},
+		{controllertest.FaultCut, func(f *controllertest.Fleet) { f.Network.CutZones("z1", "z2") }, func(f *controllertest.Fleet) { f.Network.Heal() }},
+		{controllertest.FaultDead, func(f *controllertest.Fleet) { f.Kill("z2h1") }, func(f *controllertest.Fleet) { f.Restart("z2h1") }},
+		{controllertest.FaultPaused, func(f *controllertest.Fleet) { f.Pause("z2h1") }, func(f *controllertest.Fleet) { f.Resume("z2h1") }},
+	}
+	for _, test := range cases {
+		t.Run(string(test.fault), func(t *testing.T) {
+			is := is.New(t)
+			fleet, pingers := newPair(3)
+			fleet.Run(2 * time.Second)
+			is.Equal(pingers["z1h1"].failures, 0)
+			test.inject(fleet)
+			fleet.Run(5 * time.Second)
+			is.True(fleet.Hits(test.fault) > 0)
+			is.True(pingers["z1h1"].failures > 0)
+			test.recover(fleet)
+			fleet.Run(2 * time.Second)
+			failures, replies := pingers["z1h1"].failures, pingers["z1h1"].replies
+			fleet.Run(time.Second)
+			is.Equal(pingers["z1h1"].failures, failures)
+			is.True(pingers["z1h1"].replies > replies)
+		})
+	}
+}
+
+// Guards against platform faults without effect, and against a lost answer
+// that also loses the write.
+func TestPlatformFaults(t *testing.T) {
+	cases := []struct {
+		fault  controllertest.Fault
+		inject func(*controllertest.Platform)
+		writes bool
+	}{
+		{controllertest.FaultPlatformDown, func(p *controllertest.Platform) { p.SetDown(true) }, false},
+		{controllertest.FaultPlatformSlow, func(p *controllertest.Platform) { p.Slow = time.Second }, true},
+		{controllertest.FaultAnswerLost, func(p *controllertest.Platform) { p.LoseAnswers = 1 }, true},
+		{controllertest.FaultPlatformCut, func(p *controllertest.Platform) { p.Cut("z1", true); p.Cut("z2", true) }, false},
+	}
+	for _, test := range cases {
+		t.Run(string(test.fault), func(t *testing.T) {
+			is := is.New(t)
+			fleet, _ := newPair(4)
+			fleet.Run(time.Second)
+			test.inject(fleet.Platform)
+			fleet.Run(100 * time.Millisecond)
+			before, _ := fleet.Platform.Get(mulberrybeam.ObjectSlot, "s")
+			fleet.Run(5 * time.Second)
+			after, _ := fleet.Platform.Get(mulberrybeam.ObjectSlot, "s")
+			is.True(fleet.Hits(test.fault) > 0)
+			is.Equal(before.Version != after.Version, test.writes)
+		})
+	}
+}
+
+// Guards against a run that its seed does not determine, which could not be
+// replayed, and against drift that does not reach the process's clock.
+func TestDeterminismAndDrift(t *testing.T) {
+	is := is.New(t)
+	run := func() []string {
+		fleet, pingers := newPair(5)
+		fleet.SetDrift("z2h1", 0.05, time.Minute)
+		fleet.Network.Loss = 0.2
+		fleet.Run(10 * time.Second)
+		is.Equal(fleet.Process("z2h1").Now(), 10500*time.Millisecond)
+		is.Equal(fleet.Process("z2h1").Wall().Sub(fleet.Process("z1h1").Wall()), time.Minute+500*time.Millisecond)
+		is.True(fleet.Process("z1h1").Snapshot.Ready)
+		is.True(pingers["z1h1"].changes > 0)
+		is.True(fleet.Hits(controllertest.FaultLoss) > 0)
+		return pingers["z1h1"].events
+	}
+	is.Equal(run(), run())
+}
--- /dev/null
+++ b/process/controller/controllertest/process.go
@@ -0,0 +1,199 @@
+package controllertest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"mulberrybeam"
+)
+
+const (
+	// tickInterval is the period of Tick in a process's own time.
+	tickInterval = 100 * time.Millisecond
+	// maxRaised bounds the events of one step, so that machines that raise
+	// events in a circle fail instead of hanging the test.
+	maxRaised = 100_000
+)
+
+// epoch is the wall time at the start of a fleet.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type hostClock struct {
+	ratio float64
+	skew  time.Duration
+}
+
+// Traffic counts what a process sent and received. Bytes are of the encoded
+// messages and include MessageOverhead for each.
+type Traffic struct {
+	Sent, Received           int
+	SentBytes, ReceivedBytes int
+	ObjectCalls              map[mulberrybeam.ObjectOp]int
+	Steps                    int
+}
+
+// Process is one run of an entry process.
+type Process struct {
+	Start
+	Machines []mulberrybeam.Machine
+	// Snapshot is the last one published.
+	Snapshot mulberrybeam.Snapshot
+	Traffic  Traffic
+
+	fleet     *Fleet
+	rand      *rand.Rand
+	running   bool
+	paused    bool
+	inbox     []mulberrybeam.Event
+	localBase time.Duration
+	basedAt   time.Duration
+}
+
+func (f *Fleet) newProcess(host Host) *Process {
+	id := mulberrybeam.ProcessID(fmt.Sprintf("%s/%08x", host.Name, f.starts[host.Name]))
+	process := &Process{
+		Start:   Start{Host: host, ID: id},
+		Traffic: Traffic{ObjectCalls: map[mulberrybeam.ObjectOp]int{}},
+		fleet:   f,
+		rand:    f.randOf(id),
+		running: true,
+		basedAt: f.now,
+	}
+	process.Machines = f.build(process.Start)
+	f.After(f.between(0, tickInterval), process.tick)
+	return process
+}
+
+// Running says whether the process was neither killed nor replaced.
+func (p *Process) Running() bool { return p.running }
+
+// Paused says whether the process is paused.
+func (p *Process) Paused() bool { return p.paused }
+
+// Now is the process's monotonic time since its start.
+func (p *Process) Now() time.Duration {
+	passed := p.fleet.now - p.basedAt
+	return p.localBase + passed + time.Duration(float64(passed)*p.fleet.clocks[p.Name].ratio)
+}
+
+// Wall is the process's wall clock.
+func (p *Process) Wall() time.Time {
+	clock := p.fleet.clocks[p.Name]
+	drifted := time.Duration(float64(p.fleet.now) * clock.ratio)
+	return epoch.Add(p.fleet.now + drifted + clock.skew)
+}
+
+func (p *Process) rebase() {
+	p.localBase = p.Now()
+	p.basedAt = p.fleet.now
+}
+
+// inFleetTime converts a duration of the process's clock.
+func (p *Process) inFleetTime(local time.Duration) time.Duration {
+	return time.Duration(float64(local) / (1 + p.fleet.clocks[p.Name].ratio))
+}
+
+func (p *Process) tick() {
+	if !p.running {
+		return
+	}
+	// A paused process has at most one tick waiting, like a time.Ticker.
+	if !p.paused || !p.tickWaits() {
+		p.deliver(mulberrybeam.Tick{})
+	}
+	p.fleet.After(p.inFleetTime(tickInterval), p.tick)
+}
+
+func (p *Process) tickWaits() bool {
+	for _, event := range p.inbox {
+		if _, isTick := event.(mulberrybeam.Tick); isTick {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Process) stop() {
+	p.running = false
+	p.inbox = nil
+}
+
+func (p *Process) resume() {
+	p.paused = false
+	waiting := p.inbox
+	p.inbox = nil
+	for _, event := range waiting {
+		p.deliver(event)
+	}
+}
+
+func (p *Process) deliver(event mulberrybeam.Event) {
+	if !p.running {
+		return
+	}
+	if p.paused {
+		p.fleet.hit(FaultPaused)
+		p.inbox = append(p.inbox, event)
+		return
+	}
+	p.step(event)
+}
+
+func (p *Process) step(event mulberrybeam.Event) {
+	p.Traffic.Steps++
+	turn := mulberrybeam.Turn{Now: p.Now(), Wall: p.Wall(), Rand: p.rand}
+	queue := []mulberrybeam.Event{event}
+	publish := false
+	for i := 0; i < len(queue); i++ {
+		if i == maxRaised {
+			panic(fmt.Sprintf("process %s raised %d events in one step, the last is %T", p.ID, i, queue[i]))
+		}
+		for _, machine := range p.Machines {
+			for _, action := range machine.Step(turn, queue[i]) {
+				switch action := action.(type) {
+				case mulberrybeam.Raise:
+					queue = append(queue, action.Event)
+				case mulberrybeam.Publish:
+					publish = true
+				default:
+					p.execute(action)
+				}
+			}
+		}
+	}
+	if publish {
+		p.publish()
+	}
+	for _, hook := range p.fleet.hooks {
+		hook(p, event)
+	}
+}
+
+func (p *Process) publish() {
+	snapshot := mulberrybeam.Snapshot{At: p.Now(), Self: p.ID, Zone: p.Zone}
+	for _, machine := range p.Machines {
+		machine.Fill(&snapshot)
+	}
+	p.Snapshot = snapshot
+}
+
+func (p *Process) execute(action mulberrybeam.Action) {
+	switch action := action.(type) {
+	case mulberrybeam.Call:
+		p.fleet.call(p, action)
+	case mulberrybeam.Reply:
+		p.fleet.reply(p, action)
+	case mulberrybeam.CallObject:
+		p.fleet.Platform.call(p, action)
+	case mulberrybeam.WatchObject:
+		p.fleet.Platform.watch(p, action)
+	case mulberrybeam.Observe:
+		observed := p.fleet.observe(p, action)
+		p.fleet.After(p.fleet.between(zoneDelayLow, zoneDelayHigh), func() { p.deliver(observed) })
+	case mulberrybeam.Note:
+		p.fleet.notes(p, action.Entry)
+	default:
+		panic(fmt.Sprintf("process %s returned an unknown action %T", p.ID, action))
+	}
+}
