Add membership, facts and configuration revisions

The gossiper exchanges heartbeats and facts within a zone and between the relays of zones. The configurer takes revisions from watches, polls and peers and never a lower one. Their tests run 3 zones of 3 processes on the harness.

--- /dev/null
+++ b/process/configurer/configurer_test.go
@@ -0,0 +1,245 @@
+package configurer_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/directoryencoder"
+	"mulberrybeam/process/configurer"
+	"mulberrybeam/process/controller/controllertest"
+	"mulberrybeam/process/gossiper"
+)
+
+// inForceWithin is the stated bound for a revision to be in force everywhere.
+const inForceWithin = 10 * time.Second
+
+const environmentName = "production"
+
+func document(revision int) []byte { return fmt.Appendf(nil, "%s %d", environmentName, revision) }
+
+func parse(data []byte) (*mulberrybeam.Environment, error) {
+	environment := &mulberrybeam.Environment{}
+	if _, err := fmt.Sscanf(string(data), "%s %d", &environment.Name, &environment.Revision); err != nil {
+		return nil, fmt.Errorf("document is invalid: %w", err)
+	}
+	return environment, nil
+}
+
+// system is a fleet with a check that no process's revision ever falls.
+type system struct {
+	*controllertest.Fleet
+	latest  map[mulberrybeam.ProcessID]mulberrybeam.Revision
+	reverts []string
+	notes   []string
+}
+
+func newSystem(seed uint64, options ...configurer.Option) *system {
+	s := &system{latest: map[mulberrybeam.ProcessID]mulberrybeam.Revision{}}
+	s.Fleet = controllertest.New(
+		controllertest.WithSeed(seed),
+		controllertest.WithHook(s.check),
+		controllertest.WithNotes(func(_ *controllertest.Process, entry mulberrybeam.Entry) {
+			if entry.Kind == mulberrybeam.EntryConfiguration {
+				s.notes = append(s.notes, entry.Text)
+			}
+		}),
+		controllertest.WithBuild(func(start controllertest.Start) []mulberrybeam.Machine {
+			self := gossiper.Self{ID: start.ID, Zone: start.Zone, Address: start.Address}
+			return []mulberrybeam.Machine{
+				gossiper.New(self, gossiper.WithDirectory(directoryencoder.Encode, directoryencoder.Decode)),
+				configurer.New(self, environmentName, parse, options...),
+			}
+		}))
+	s.put(document(1))
+	s.Start(controllertest.Hosts(3, 3)...)
+	return s
+}
+
+func (s *system) put(data []byte) {
+	s.Platform.Put(mulberrybeam.ObjectEnvironment, environmentName, data)
+}
+
+func (s *system) check(process *controllertest.Process, _ mulberrybeam.Event) {
+	now := revisionOf(process)
+	if now < s.latest[process.ID] {
+		s.reverts = append(s.reverts, fmt.Sprintf("%s went from %d to %d", process.ID, s.latest[process.ID], now))
+	}
+	s.latest[process.ID] = now
+}
+
+func revisionOf(process *controllertest.Process) mulberrybeam.Revision {
+	if process.Snapshot.Tables == nil {
+		return 0
+	}
+	return process.Snapshot.Tables.Environment.Revision
+}
+
+// everywhere says whether all processes that run have the revision and are
+// ready.
+func (s *system) everywhere(revision mulberrybeam.Revision) bool {
+	return !slices.ContainsFunc(s.Processes(), func(process *controllertest.Process) bool {
+		return process.Running() && !process.Paused() && (revisionOf(process) != revision || !process.Snapshot.Ready)
+	})
+}
+
+func (s *system) setPlatformLater(down bool) {
+	s.After(500*time.Millisecond, func() { s.Platform.SetDown(down) })
+}
+
+func cutOneWay(s *system, from, to mulberrybeam.ZoneName) {
+	for _, a := range s.Processes() {
+		for _, b := range s.Processes() {
+			if a.Zone == from && b.Zone == to {
+				s.Network.Cut(a.Name, b.Name)
+			}
+		}
+	}
+}
+
+func isolate(s *system, zone mulberrybeam.ZoneName) {
+	for _, other := range []mulberrybeam.ZoneName{"z1", "z2", "z3"} {
+		if other != zone {
+			s.Network.CutZones(zone, other)
+		}
+	}
+}
+
+type faultCase struct {
+	name   string
+	faults []controllertest.Fault
+	// inject runs before revision 2 is written. heal runs after that
+	// revision is in force at all processes that do not wait for heal.
+	inject func(*system)
+	heal   func(*system)
+}
+
+var faultCases = []faultCase{
+	{"platform goes down after the write", []controllertest.Fault{controllertest.FaultPlatformDown}, func(s *system) { s.setPlatformLater(true) }, nil},
+	{"platform slow", []controllertest.Fault{controllertest.FaultPlatformSlow}, func(s *system) { s.Platform.Slow = 3 * time.Second }, nil},
+	{"answers lost", []controllertest.Fault{controllertest.FaultAnswerLost}, func(s *system) { s.Platform.LoseAnswers = 1; s.Restart("z1h1"); s.Restart("z2h2") }, nil},
+	{"zone cut from platform", []controllertest.Fault{controllertest.FaultPlatformCut}, func(s *system) { s.Platform.Cut("z3", true) }, nil},
+	{"zone cut from zones", []controllertest.Fault{controllertest.FaultCut}, func(s *system) { isolate(s, "z3") }, nil},
+	{"one-way cut", []controllertest.Fault{controllertest.FaultCut, controllertest.FaultPlatformCut}, func(s *system) {
+		cutOneWay(s, "z1", "z3")
+		s.Platform.Cut("z3", true)
+	}, nil},
+	{"process paused", []controllertest.Fault{controllertest.FaultPaused}, func(s *system) { s.Pause("z2h1") }, func(s *system) { s.Resume("z2h1") }},
+	{"restart while the platform is down", []controllertest.Fault{controllertest.FaultPlatformDown}, func(s *system) { s.setPlatformLater(true) }, func(s *system) {
+		s.Restart("z1h1")
+		s.Restart("z3h2")
+	}},
+	{"message loss and zone cut from platform", []controllertest.Fault{controllertest.FaultLoss, controllertest.FaultPlatformCut}, func(s *system) {
+		s.Network.Loss = 0.1
+		s.Platform.Cut("z1", true)
+	}, nil},
+	{"process paused and platform slow", []controllertest.Fault{controllertest.FaultPaused, controllertest.FaultPlatformSlow}, func(s *system) {
+		s.Pause("z3h3")
+		s.Platform.Slow = 2 * time.Second
+	}, func(s *system) { s.Resume("z3h3") }},
+	{"relays of a zone killed and zone cut from platform", []controllertest.Fault{controllertest.FaultDead, controllertest.FaultPlatformCut}, func(s *system) {
+		for _, id := range gossiper.RelaysOf("z2", s.Process("z2h1").Snapshot.Members) {
+			s.Kill(string(id)[:len("z2h1")])
+		}
+		s.Platform.Cut("z2", true)
+	}, nil},
+}
+
+// Guards against a fault, or two at once, that keeps a revision from a process
+// that can reach one that has it, or that takes a process back.
+func TestRevisionReachesAll(t *testing.T) {
+	for _, test := range faultCases {
+		for seed := uint64(1); seed <= 5; seed++ {
+			t.Run(fmt.Sprintf("%s/%d", test.name, seed), func(t *testing.T) {
+				is := is.New(t)
+				s := newSystem(seed)
+				is.True(s.RunUntil(inForceWithin, func() bool { return s.everywhere(1) }))
+				s.Run(20 * time.Second)
+				test.inject(s)
+				s.Run(100 * time.Millisecond)
+				s.put(document(2))
+				is.True(s.RunUntil(inForceWithin, func() bool { return s.everywhere(2) }))
+				s.Run(5 * time.Second)
+				if test.heal != nil {
+					test.heal(s)
+					is.True(s.RunUntil(inForceWithin, func() bool { return s.everywhere(2) }))
+				}
+				for _, fault := range test.faults {
+					is.True(s.Hits(fault) > 0)
+				}
+				s.Run(time.Minute)
+				is.True(s.everywhere(2))
+				is.Equal(s.reverts, nil)
+			})
+		}
+	}
+}
+
+// Guards against a revision that nobody saw before an outage and that is not
+// picked up when the outage ends.
+func TestWriteDuringOutage(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(7)
+	s.Run(20 * time.Second)
+	s.Platform.SetDown(true)
+	s.Run(time.Hour)
+	is.True(s.Hits(controllertest.FaultPlatformDown) > 0)
+	s.put(document(2))
+	s.Run(time.Minute)
+	is.True(s.everywhere(1))
+	s.Platform.SetDown(false)
+	is.True(s.RunUntil(inForceWithin, func() bool { return s.everywhere(2) }))
+	is.Equal(s.reverts, nil)
+}
+
+// Guards against a process that reports ready without a configuration.
+func TestNotReadyWithoutConfiguration(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(8)
+	s.Platform.SetDown(true)
+	s.Run(30 * time.Second)
+	is.True(s.Hits(controllertest.FaultPlatformDown) > 0)
+	for _, process := range s.Processes() {
+		is.True(!process.Snapshot.Ready)
+	}
+	s.Platform.SetDown(false)
+	is.True(s.RunUntil(inForceWithin, func() bool { return s.everywhere(1) }))
+}
+
+// Guards against an invalid document that displaces the revision in force, and
+// against one that hides a later valid document.
+func TestInvalidDocument(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(9)
+	s.Run(20 * time.Second)
+	s.notes = nil
+	s.put([]byte("not a document"))
+	s.Run(3 * time.Minute)
+	is.True(s.everywhere(1))
+	// Each process notes the refusal once, not at every poll.
+	is.True(len(s.notes) > 0 && len(s.notes) <= len(s.Processes()))
+	s.put(document(2))
+	is.True(s.RunUntil(inForceWithin, func() bool { return s.everywhere(2) }))
+}
+
+// Guards against a check that cannot fail: an old document written over a new
+// one must not be taken, and a machine that takes it must be reported.
+func TestCheckDetectsRevert(t *testing.T) {
+	replay := func(options ...configurer.Option) []string {
+		s := newSystem(10, options...)
+		s.Run(20 * time.Second)
+		s.put(document(2))
+		s.Run(inForceWithin)
+		s.put(document(1))
+		s.Run(2 * time.Minute)
+		return s.reverts
+	}
+	is := is.New(t)
+	is.Equal(replay(), nil)
+	broken := func(inForce, offered mulberrybeam.Revision) bool { return offered != inForce }
+	is.True(len(replay(configurer.WithRule(broken))) > 0)
+}
--- a/process/controller/controllertest/platform.go
+++ b/process/controller/controllertest/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"fmt"
 	"slices"
 	"strings"
@@ -81,9 +82,11 @@
 
 func (p *Platform) call(caller *Process, call mulberrybeam.CallObject) {
 	caller.Traffic.ObjectCalls[call.Op]++
+	caller.Traffic.ObjectBytes += encodedSize(call.Object)
 	sentAt := caller.Now()
 	answer := func(delay time.Duration, replied mulberrybeam.ObjectReplied) {
 		replied.Ticket, replied.SentAt = call.Ticket, sentAt
+		caller.Traffic.ObjectBytes += encodedSize(append(replied.Items, replied.Object)...)
 		p.fleet.After(delay, func() { caller.deliver(replied) })
 	}
 	if err := p.unreachable(caller); err != nil {
@@ -189,6 +192,7 @@
 	}
 	p.fleet.After(platformDelayHigh+p.Slow, func() {
 		if !open.ended {
+			open.process.Traffic.ObjectBytes += encodedSize(changed.Object)
 			open.process.deliver(changed)
 		}
 	})
@@ -230,3 +234,11 @@
 	object.Data = bytes.Clone(object.Data)
 	return object
 }
+
+func encodedSize(objects ...mulberrybeam.Object) int {
+	size := 0
+	for _, object := range objects {
+		size += base64.StdEncoding.EncodedLen(len(object.Data))
+	}
+	return size
+}
--- a/process/controller/controllertest/process.go
+++ b/process/controller/controllertest/process.go
@@ -25,10 +25,12 @@
 }
 
 // Traffic counts what a process sent and received. Bytes are of the encoded
-// messages and include MessageOverhead for each.
+// messages and include MessageOverhead for each. ObjectBytes are those of the
+// objects' content in the base64 form of the object API, both ways.
 type Traffic struct {
 	Sent, Received           int
 	SentBytes, ReceivedBytes int
+	ObjectBytes              int
 	ObjectCalls              map[mulberrybeam.ObjectOp]int
 	Steps                    int
 }
--- /dev/null
+++ b/process/gossiper/exchange.go
@@ -0,0 +1,248 @@
+package gossiper
+
+import "mulberrybeam"
+
+// exchangeRound raises the own heartbeat and exchanges with random members,
+// with the other zones if this process is a relay, and now and then with a
+// process that is lost.
+func (g *Gossiper) exchangeRound() {
+	g.self.Heartbeat++
+	g.round++
+	g.nextRound = g.turn.Now + ExchangeInterval
+	g.lastRound = g.turn.Now
+	g.urgent = false
+	full := g.round%fullEvery == 0
+	peers := g.pick(peersPerRound)
+	for _, peer := range peers {
+		g.send(peer, g.offer(full))
+	}
+	if len(peers) == 0 || g.round%lostEvery == 0 {
+		if lost, found := g.pickLost(); found {
+			g.send(lost, g.offer(true))
+		}
+	}
+	g.remoteRound(full)
+}
+
+// pushRound sends news without waiting for the next round. It leaves out the
+// members, to which the other side then does not answer either.
+func (g *Gossiper) pushRound() {
+	g.urgent = false
+	g.lastRound = g.turn.Now
+	for _, peer := range g.pick(peersPerRound) {
+		g.send(peer, mulberrybeam.Exchange{
+			From: g.self.ID, Zone: g.self.Zone, Revision: g.self.Revision,
+			Facts: g.facts.fresh(g.turn.Now, g.exchangeBytes),
+		})
+	}
+	if g.isRelay() {
+		g.pushRemote()
+	}
+}
+
+func (g *Gossiper) offer(full bool) mulberrybeam.Exchange {
+	message := mulberrybeam.Exchange{
+		From: g.self.ID, Zone: g.self.Zone, Revision: g.self.Revision,
+		Members: g.memberRows(full),
+		Relays:  g.relayRows(full),
+		Facts:   g.facts.fresh(g.turn.Now, g.exchangeBytes),
+	}
+	if full {
+		message.Digest = g.facts.digest(g.turn.Now)
+	}
+	return message
+}
+
+func (g *Gossiper) send(peer mulberrybeam.Member, message mulberrybeam.Exchange) {
+	ticket := mulberrybeam.Ticket(g.turn.Rand.Uint64())
+	timeout := zoneTimeout
+	if peer.Zone != g.self.Zone {
+		timeout = remoteTimeout
+	}
+	g.pending[ticket] = exchange{to: peer.ID, zone: peer.Zone, facts: message.Facts}
+	g.emit(mulberrybeam.Call{To: peer.ID, Address: peer.Address, Message: message, Ticket: ticket, Timeout: timeout})
+}
+
+// pick returns random members that are not known to be dead or gone.
+func (g *Gossiper) pick(count int) []mulberrybeam.Member {
+	var candidates []mulberrybeam.Member
+	for _, member := range g.members.all() {
+		if member.State != mulberrybeam.MemberDead && member.State != mulberrybeam.MemberLeft {
+			candidates = append(candidates, member.Member)
+		}
+	}
+	for i := range min(count, len(candidates)) {
+		j := i + g.turn.Rand.IntN(len(candidates)-i)
+		candidates[i], candidates[j] = candidates[j], candidates[i]
+	}
+	return candidates[:min(count, len(candidates))]
+}
+
+// pickLost returns a random dead member or a seed that is not a live member.
+func (g *Gossiper) pickLost() (mulberrybeam.Member, bool) {
+	var lost []mulberrybeam.Member
+	taken := map[string]bool{g.self.Address: true}
+	for _, member := range g.members.all() {
+		if member.State != mulberrybeam.MemberDead && member.State != mulberrybeam.MemberLeft {
+			taken[member.Address] = true
+		}
+	}
+	for _, candidate := range append(rows(g.members), g.seeds[g.self.Zone]...) {
+		if !taken[candidate.Address] {
+			taken[candidate.Address] = true
+			candidate.Zone = g.self.Zone
+			lost = append(lost, candidate)
+		}
+	}
+	if len(lost) == 0 {
+		return mulberrybeam.Member{}, false
+	}
+	return lost[g.turn.Rand.IntN(len(lost))], true
+}
+
+// memberRows returns the members with a recent sign of life. Rows have only
+// what changes, unless full is set or the member is new: id, heartbeat, state
+// when not alive, and revision.
+func (g *Gossiper) memberRows(full bool) []mulberrybeam.Member {
+	list := []mulberrybeam.Member{row(g.self, true)}
+	for _, member := range g.members.all() {
+		if !g.spreads(member) {
+			continue
+		}
+		list = append(list, row(member.Member, full || member.sends > 0))
+		member.sends = max(0, member.sends-1)
+	}
+	return list
+}
+
+// spreads says whether a member had a sign of life that others may lack.
+func (g *Gossiper) spreads(member *known) bool {
+	return g.turn.Now-member.risenAt <= SuspectAfter && !member.superseded
+}
+
+func row(member mulberrybeam.Member, whole bool) mulberrybeam.Member {
+	short := mulberrybeam.Member{ID: member.ID, Heartbeat: member.Heartbeat, Revision: member.Revision}
+	if member.State != mulberrybeam.MemberAlive {
+		short.State = member.State
+	}
+	if whole {
+		short.Address = member.Address
+	}
+	return short
+}
+
+// relayRows returns the relays of other zones, or without full only those that
+// are new.
+func (g *Gossiper) relayRows(full bool) []mulberrybeam.Member {
+	var list []mulberrybeam.Member
+	for _, relay := range g.relays.all() {
+		if full || relay.sends > 0 {
+			list = append(list, relay.Member)
+			relay.sends = max(0, relay.sends-1)
+		}
+	}
+	return list
+}
+
+// answer takes in an Exchange and replies with what its sender lacks.
+func (g *Gossiper) answer(ticket mulberrybeam.Ticket, message mulberrybeam.Exchange) {
+	if message.Zone != g.self.Zone {
+		g.answerRemote(ticket, message)
+		return
+	}
+	g.mergeAll(message.Members, message.Relays)
+	g.sawRevision(message.From, message.Revision)
+	g.acceptAll(message.Facts, g.self.Zone)
+	reply := mulberrybeam.ExchangeReply{Revision: g.self.Revision}
+	if len(message.Members) > 0 {
+		reply.Members = g.newerRows(message.Members)
+		reply.Relays = g.relayRows(false)
+	}
+	reply.Facts = g.facts.freshExcept(g.turn.Now, g.exchangeBytes, message.Facts)
+	if len(message.Digest) > 0 {
+		facts, wanted := g.facts.compare(g.turn.Now, message.Digest, g.exchangeBytes)
+		reply.Facts, reply.Wanted = append(reply.Facts, facts...), wanted
+	}
+	g.emit(mulberrybeam.Reply{Ticket: ticket, Message: reply})
+}
+
+// newerRows returns the members that the other side lacks or knows by a lower
+// heartbeat.
+func (g *Gossiper) newerRows(theirs []mulberrybeam.Member) []mulberrybeam.Member {
+	heartbeats := make(map[mulberrybeam.ProcessID]uint64, len(theirs))
+	for _, their := range theirs {
+		heartbeats[their.ID] = their.Heartbeat
+	}
+	list := []mulberrybeam.Member{row(g.self, heartbeats[g.self.ID] == 0)}
+	for _, member := range g.members.all() {
+		heartbeat, listed := heartbeats[member.ID]
+		if g.spreads(member) && heartbeat < member.Heartbeat {
+			list = append(list, row(member.Member, !listed))
+		}
+	}
+	return list
+}
+
+// conclude takes in the reply to an Exchange.
+func (g *Gossiper) conclude(event mulberrybeam.ReplyReceived) {
+	sent, own := g.pending[event.Ticket]
+	if !own {
+		return
+	}
+	delete(g.pending, event.Ticket)
+	reply, matches := event.Message.(mulberrybeam.ExchangeReply)
+	if event.Err != nil || !matches {
+		g.failed(sent)
+		return
+	}
+	g.mergeAll(reply.Members, reply.Relays)
+	g.sawRevision(sent.to, reply.Revision)
+	g.acceptAll(reply.Facts, sent.zone)
+	if sent.zone != g.self.Zone {
+		g.delivered(sent)
+	}
+	if peer, found := g.addressOf(sent.to); found && len(reply.Wanted) > 0 {
+		g.send(peer, mulberrybeam.Exchange{
+			From: g.self.ID, Zone: g.self.Zone, Revision: g.self.Revision,
+			Facts: g.facts.wanted(g.turn.Now, reply.Wanted, g.exchangeBytes),
+		})
+	}
+}
+
+func (g *Gossiper) failed(sent exchange) {
+	if relay := g.relays.byID[sent.to]; relay != nil {
+		relay.avoidUntil = g.turn.Now + avoidFor
+	}
+}
+
+// mergeAll takes in rows about members, and tells of revisions above the own
+// one at members whose row was news.
+func (g *Gossiper) mergeAll(members, relays []mulberrybeam.Member) {
+	for _, row := range members {
+		if g.merge(row) {
+			g.sawRevision(row.ID, row.Revision)
+		}
+	}
+	for _, row := range relays {
+		g.merge(row)
+	}
+}
+
+// sawRevision tells of a revision above the own one.
+func (g *Gossiper) sawRevision(id mulberrybeam.ProcessID, revision mulberrybeam.Revision) {
+	if revision <= g.self.Revision {
+		return
+	}
+	if peer, found := g.addressOf(id); found {
+		g.emit(mulberrybeam.Raise{Event: mulberrybeam.RevisionSeen{From: id, Address: peer.Address, Revision: revision}})
+	}
+}
+
+func (g *Gossiper) addressOf(id mulberrybeam.ProcessID) (mulberrybeam.Member, bool) {
+	for _, roster := range []roster{g.members, g.relays} {
+		if member := roster.byID[id]; member != nil {
+			return member.Member, true
+		}
+	}
+	return mulberrybeam.Member{}, false
+}
--- /dev/null
+++ b/process/gossiper/remote.go
@@ -0,0 +1,138 @@
+package gossiper
+
+import (
+	"slices"
+	"time"
+
+	"mulberrybeam"
+)
+
+// avoidFor is how long a relay that did not answer is passed over.
+const avoidFor = 5 * time.Second
+
+// remoteRound exchanges with one relay of each other zone, if this process is
+// a relay. The two relays of a zone take turns, so that each pair of zones
+// exchanges once a second from each side.
+func (g *Gossiper) remoteRound(full bool) {
+	turn, relays := g.relayTurn()
+	if turn < 0 {
+		g.facts.stopRemote()
+		return
+	}
+	for i, zone := range g.otherZones() {
+		g.facts.startRemote(zone)
+		if relays > 1 && (g.round+i+turn)%relays != 0 {
+			continue
+		}
+		if peer, found := g.pickRemote(zone); found {
+			// Turns alternate between two rounds, so that a zone would
+			// get either all full comparisons of a relay or none.
+			g.sendRemote(peer, full || (g.round+1)%fullEvery == 0)
+		}
+	}
+}
+
+// pushRemote sends news to one relay of each other zone.
+func (g *Gossiper) pushRemote() {
+	for _, zone := range g.otherZones() {
+		if peer, found := g.pickRemote(zone); found {
+			g.sendRemote(peer, false)
+		}
+	}
+}
+
+func (g *Gossiper) sendRemote(peer mulberrybeam.Member, full bool) {
+	message := mulberrybeam.Exchange{
+		From: g.self.ID, Zone: g.self.Zone, Revision: g.self.Revision,
+		Relays: g.ownRelayRows(),
+		Facts:  g.facts.remote(g.turn.Now, peer.Zone, g.exchangeBytes),
+	}
+	if full {
+		message.Digest = g.facts.digest(g.turn.Now)
+	}
+	g.send(peer, message)
+}
+
+func (g *Gossiper) answerRemote(ticket mulberrybeam.Ticket, message mulberrybeam.Exchange) {
+	g.mergeAll(nil, message.Relays)
+	g.sawRevision(message.From, message.Revision)
+	g.acceptAll(message.Facts, message.Zone)
+	reply := mulberrybeam.ExchangeReply{
+		Revision: g.self.Revision,
+		Relays:   g.ownRelayRows(),
+		Facts:    g.facts.remote(g.turn.Now, message.Zone, g.exchangeBytes),
+	}
+	g.facts.deliveredRemote(message.Zone, reply.Facts)
+	if len(message.Digest) > 0 {
+		facts, wanted := g.facts.compare(g.turn.Now, message.Digest, g.exchangeBytes)
+		reply.Facts, reply.Wanted = append(reply.Facts, facts...), wanted
+	}
+	g.emit(mulberrybeam.Reply{Ticket: ticket, Message: reply})
+}
+
+func (g *Gossiper) delivered(sent exchange) { g.facts.deliveredRemote(sent.zone, sent.facts) }
+
+// relayTurn returns the position of this process among its zone's relays, or
+// -1, and their number.
+func (g *Gossiper) relayTurn() (turn, relays int) {
+	ids := RelaysOf(g.self.Zone, g.announced.members)
+	return slices.Index(ids, g.self.ID), len(ids)
+}
+
+func (g *Gossiper) isRelay() bool {
+	turn, _ := g.relayTurn()
+	return turn >= 0
+}
+
+// ownRelayRows returns the whole records of this zone's relays, and of this
+// process.
+func (g *Gossiper) ownRelayRows() []mulberrybeam.Member {
+	var list []mulberrybeam.Member
+	for _, id := range RelaysOf(g.self.Zone, g.announced.members) {
+		if member := g.members.byID[id]; member != nil {
+			list = append(list, member.Member)
+		} else if id == g.self.ID {
+			list = append(list, g.self)
+		}
+	}
+	return list
+}
+
+func (g *Gossiper) otherZones() []mulberrybeam.ZoneName {
+	zones := []mulberrybeam.ZoneName{}
+	for zone := range g.seeds {
+		zones = append(zones, zone)
+	}
+	for _, relay := range g.relays.byID {
+		zones = append(zones, relay.Zone)
+	}
+	slices.Sort(zones)
+	return slices.DeleteFunc(slices.Compact(zones), func(zone mulberrybeam.ZoneName) bool { return zone == g.self.Zone })
+}
+
+// pickRemote returns a relay of another zone, or any process named in its
+// directory when no relay is known or all failed to answer.
+func (g *Gossiper) pickRemote(zone mulberrybeam.ZoneName) (mulberrybeam.Member, bool) {
+	var candidates []mulberrybeam.Member
+	for _, relay := range g.relays.all() {
+		if relay.Zone == zone && relay.avoidUntil <= g.turn.Now {
+			candidates = append(candidates, relay.Member)
+		}
+	}
+	if len(candidates) == 0 {
+		candidates = g.seeds[zone]
+	}
+	if len(candidates) == 0 {
+		for _, relay := range g.relays.all() {
+			if relay.Zone == zone {
+				candidates = append(candidates, relay.Member)
+			}
+		}
+	}
+	if len(candidates) == 0 {
+		return mulberrybeam.Member{}, false
+	}
+	picked := candidates[g.turn.Rand.IntN(len(candidates))]
+	picked.Zone = zone
+	return picked, true
+}
