Add the drpc client and server between entry processes

The fault table covers a dead, slow and silent peer, garbage, an oversized answer and a connection cut in mid-answer.

--- /dev/null
+++ b/connection/peercaller/method.go
@@ -0,0 +1,124 @@
+package peercaller
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmetadata"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/peerencoder"
+)
+
+// fromKey is the call metadata that carries the sender's process id.
+const fromKey = "from"
+
+// methods are the calls between entry processes.
+var methods = []method{
+	unary[mulberrybeam.Exchange, mulberrybeam.ExchangeReply]("exchange"),
+	unary[mulberrybeam.FetchEnvironment, mulberrybeam.FetchEnvironmentReply]("fetch-environment"),
+	unary[mulberrybeam.Fence, mulberrybeam.FenceReply]("fence"),
+	unary[mulberrybeam.Extend, mulberrybeam.ExtendReply]("extend"),
+	unary[mulberrybeam.AskPermit, mulberrybeam.AskPermitReply]("ask-permit"),
+	unary[mulberrybeam.ReleasePermit, mulberrybeam.ReleasePermitReply]("release-permit"),
+}
+
+// method is one call: how a client sends it and how a server registers it.
+type method struct {
+	request  reflect.Type
+	invoke   func(ctx context.Context, conn drpc.Conn, limit int, message mulberrybeam.Message) (mulberrybeam.Message, error)
+	register func(mux drpc.Mux, limit int, handler Handler) error
+}
+
+func unary[In, Out mulberrybeam.Message](name string) method {
+	return method{
+		request: reflect.TypeFor[In](),
+		invoke: func(ctx context.Context, conn drpc.Conn, limit int, message mulberrybeam.Message) (mulberrybeam.Message, error) {
+			in, out := message.(In), new(Out)
+			if err := conn.Invoke(ctx, name, codec[In, Out]{limit}, &in, out); err != nil {
+				return nil, err
+			}
+			return *out, nil
+		},
+		register: func(mux drpc.Mux, limit int, handler Handler) error {
+			return mux.Register(endpoint[In, Out]{handler}, description[In, Out]{name, limit})
+		},
+	}
+}
+
+// endpoint is the serving side of one call.
+type endpoint[In, Out mulberrybeam.Message] struct{ handler Handler }
+
+// Handle answers one call.
+func (e endpoint[In, Out]) Handle(ctx context.Context, in *In) (*Out, error) {
+	metadata, _ := drpcmetadata.Get(ctx)
+	answer, err := e.handler(ctx, mulberrybeam.ProcessID(metadata[fromKey]), *in)
+	if err != nil {
+		return nil, err
+	}
+	out, matches := answer.(Out)
+	if !matches {
+		return nil, fmt.Errorf("answer to %T is a %T", *in, answer)
+	}
+	return &out, nil
+}
+
+// description tells drpc of one call.
+type description[In, Out mulberrybeam.Message] struct {
+	name  string
+	limit int
+}
+
+// NumMethods returns 1.
+func (description[In, Out]) NumMethods() int { return 1 }
+
+// Method returns the call.
+func (d description[In, Out]) Method(int) (string, drpc.Encoding, drpc.Receiver, interface{}, bool) {
+	receiver := func(srv interface{}, ctx context.Context, in, _ interface{}) (drpc.Message, error) {
+		return srv.(endpoint[In, Out]).Handle(ctx, in.(*In))
+	}
+	return d.name, codec[In, Out]{d.limit}, receiver, endpoint[In, Out].Handle, true
+}
+
+// codec connects drpc to peerencoder. Messages are pointers to In or Out.
+// The reader of a connection bounds what it buffers, but counts whole frames,
+// so that the exact limit is checked here.
+type codec[In, Out mulberrybeam.Message] struct{ limit int }
+
+// Marshal encodes a message.
+func (codec[In, Out]) Marshal(message drpc.Message) ([]byte, error) {
+	switch message := message.(type) {
+	case *In:
+		return peerencoder.Encode(*message)
+	case *Out:
+		return peerencoder.Encode(*message)
+	default:
+		return nil, fmt.Errorf("message type %T does not belong to the call", message)
+	}
+}
+
+// Unmarshal decodes into a message, whose type the data must have.
+func (c codec[In, Out]) Unmarshal(data []byte, message drpc.Message) error {
+	if len(data) > c.limit {
+		return fmt.Errorf("message has %d bytes, the limit is %d", len(data), c.limit)
+	}
+	decoded, err := peerencoder.Decode(data)
+	if err != nil {
+		return err
+	}
+	switch message := message.(type) {
+	case *In:
+		if in, matches := decoded.(In); matches {
+			*message = in
+			return nil
+		}
+	case *Out:
+		if out, matches := decoded.(Out); matches {
+			*message = out
+			return nil
+		}
+	}
+	return fmt.Errorf("received a %T where %T was expected", decoded, message)
+}
--- /dev/null
+++ b/connection/peercaller/peercaller_test.go
@@ -0,0 +1,228 @@
+package peercaller_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/peercaller"
+)
+
+const loopback = "127.0.0.1:0"
+
+// handled answers fetches with a document and counts what it got.
+type handled struct {
+	calls    atomic.Int64
+	document []byte
+	from     atomic.Value
+}
+
+func (h *handled) handle(_ context.Context, from mulberrybeam.ProcessID, message mulberrybeam.Message) (mulberrybeam.Message, error) {
+	h.calls.Add(1)
+	h.from.Store(from)
+	switch message := message.(type) {
+	case mulberrybeam.FetchEnvironment:
+		return mulberrybeam.FetchEnvironmentReply{Revision: message.Above + 1, Document: h.document}, nil
+	case mulberrybeam.Fence:
+		return mulberrybeam.ExtendReply{}, nil
+	default:
+		return nil, errors.New("not served")
+	}
+}
+
+func serve(t *testing.T, handler peercaller.Handler, options ...peercaller.Option) string {
+	t.Helper()
+	address, stop, err := peercaller.Serve(loopback, handler, options...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = stop() })
+	return address
+}
+
+func newCaller(t *testing.T, options ...peercaller.Option) *peercaller.Caller {
+	t.Helper()
+	caller, closePool := peercaller.New("a/1", options...)
+	t.Cleanup(func() { _ = closePool() })
+	return caller
+}
+
+// Guards against a call that loses its sender, its fields or, with many at
+// once, its own answer.
+func TestCalls(t *testing.T) {
+	is := is.New(t)
+	handled := &handled{document: []byte("{}")}
+	address := serve(t, handled.handle)
+	caller := newCaller(t)
+	var wait sync.WaitGroup
+	var wrong atomic.Int64
+	for i := range 50 {
+		wait.Go(func() {
+			above := mulberrybeam.Revision(i)
+			answer, err := caller.Call(t.Context(), address, mulberrybeam.FetchEnvironment{From: "a/1", Above: above})
+			reply, matches := answer.(mulberrybeam.FetchEnvironmentReply)
+			if err != nil || !matches || reply.Revision != above+1 {
+				wrong.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	is.Equal(wrong.Load(), int64(0))
+	is.Equal(handled.calls.Load(), int64(50))
+	is.Equal(handled.from.Load(), mulberrybeam.ProcessID("a/1"))
+}
+
+// raw accepts connections and gives each to a function.
+func raw(t *testing.T, hits *atomic.Int64, converse func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			hits.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				converse(conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// cutAfter passes a connection on to a real server and cuts the answer after
+// some bytes.
+func cutAfter(t *testing.T, hits *atomic.Int64, bytes int64, server string) string {
+	return raw(t, hits, func(conn net.Conn) {
+		target, err := net.Dial("tcp", server)
+		if err != nil {
+			return
+		}
+		defer func() { _ = target.Close() }()
+		go func() { _, _ = io.Copy(target, conn) }()
+		_, _ = io.CopyN(conn, target, bytes)
+	})
+}
+
+// Guards against a fault of a peer that makes a call hang, crash or succeed,
+// or that is reported as certainly not sent when it may have been.
+func TestFaults(t *testing.T) {
+	large := &handled{document: make([]byte, 100_000)}
+	dead := func(t *testing.T, hits *atomic.Int64) string {
+		listener, err := net.Listen("tcp", loopback)
+		if err != nil {
+			t.Fatal(err)
+		}
+		hits.Add(1)
+		_ = listener.Close()
+		return listener.Addr().String()
+	}
+	slow := func(t *testing.T, hits *atomic.Int64) string {
+		return serve(t, func(ctx context.Context, _ mulberrybeam.ProcessID, _ mulberrybeam.Message) (mulberrybeam.Message, error) {
+			hits.Add(1)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+	}
+	counted := func(t *testing.T, hits *atomic.Int64) string {
+		return serve(t, func(ctx context.Context, from mulberrybeam.ProcessID, message mulberrybeam.Message) (mulberrybeam.Message, error) {
+			hits.Add(1)
+			return large.handle(ctx, from, message)
+		})
+	}
+	cases := []struct {
+		name    string
+		start   func(*testing.T, *atomic.Int64) string
+		message mulberrybeam.Message
+		notRun  bool
+	}{
+		{"dead", dead, mulberrybeam.FetchEnvironment{}, true},
+		{"slow", slow, mulberrybeam.FetchEnvironment{}, false},
+		{"garbage", func(t *testing.T, hits *atomic.Int64) string {
+			return raw(t, hits, func(conn net.Conn) { _, _ = conn.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n")) })
+		}, mulberrybeam.FetchEnvironment{}, false},
+		{"silent", func(t *testing.T, hits *atomic.Int64) string {
+			return raw(t, hits, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+		}, mulberrybeam.FetchEnvironment{}, false},
+		{"oversized answer", counted, mulberrybeam.FetchEnvironment{}, false},
+		{"cut in mid-answer", func(t *testing.T, hits *atomic.Int64) string {
+			return cutAfter(t, hits, 2_000, serve(t, large.handle))
+		}, mulberrybeam.FetchEnvironment{}, false},
+		{"refused", counted, mulberrybeam.Extend{}, false},
+		{"answer of another type", counted, mulberrybeam.Fence{}, false},
+		{"no request", func(_ *testing.T, hits *atomic.Int64) string { hits.Add(1); return loopback }, mulberrybeam.FenceReply{}, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var hits atomic.Int64
+			address := test.start(t, &hits)
+			caller := newCaller(t, peercaller.WithTimeout(500*time.Millisecond), peercaller.WithMaxSize(50_000))
+			_, err := caller.Call(t.Context(), address, test.message)
+			var failure *mulberrybeam.Failure
+			is.True(errors.As(err, &failure))
+			is.Equal(failure.Code, mulberrybeam.CodePeerUnreachable)
+			is.Equal(failure.Peer, address)
+			is.Equal(failure.NotRun, test.notRun)
+			is.True(hits.Load() > 0)
+		})
+	}
+}
+
+// Guards against a server that an invalid or oversized request stops, and
+// against one that hands such a request to its handler.
+func TestServerSurvives(t *testing.T) {
+	is := is.New(t)
+	handled := &handled{}
+	refused := make(chan error, 10)
+	address := serve(t, handled.handle, peercaller.WithMaxSize(1_000), peercaller.WithRefused(func(err error) { refused <- err }))
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: peer\r\n\r\n"))
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+	is.True(<-refused != nil)
+	caller := newCaller(t)
+	// A fact without content has one byte.
+	for _, size := range []int{1_100, 100_000} {
+		_, err = caller.Call(t.Context(), address, mulberrybeam.Exchange{Facts: make([]mulberrybeam.Fact, size)})
+		is.True(err != nil)
+	}
+	is.Equal(handled.calls.Load(), int64(0))
+	_, err = caller.Call(t.Context(), address, mulberrybeam.FetchEnvironment{})
+	is.NoErr(err)
+}
+
+// Guards against a pooled connection that keeps failing after its peer was
+// restarted, and against a stop that leaves connections open.
+func TestPeerRestarts(t *testing.T) {
+	is := is.New(t)
+	handled := &handled{}
+	address, stop, err := peercaller.Serve(loopback, handled.handle)
+	is.NoErr(err)
+	caller := newCaller(t)
+	_, err = caller.Call(t.Context(), address, mulberrybeam.FetchEnvironment{})
+	is.NoErr(err)
+	is.NoErr(stop())
+	_, err = caller.Call(t.Context(), address, mulberrybeam.FetchEnvironment{})
+	is.True(err != nil)
+	_, stop, err = peercaller.Serve(address, handled.handle)
+	is.NoErr(err)
+	defer func() { _ = stop() }()
+	_, err = caller.Call(t.Context(), address, mulberrybeam.FetchEnvironment{})
+	is.NoErr(err)
+}
--- a/process/configurer/configurer_test.go
+++ b/process/configurer/configurer_test.go
@@ -155,6 +155,7 @@
 	for _, test := range faultCases {
 		for seed := uint64(1); seed <= 5; seed++ {
 			t.Run(fmt.Sprintf("%s/%d", test.name, seed), func(t *testing.T) {
+				t.Parallel()
 				is := is.New(t)
 				s := newSystem(seed)
 				is.True(s.RunUntil(inForceWithin, func() bool { return s.everywhere(1) }))
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -119,6 +119,7 @@
 // Guards against a death that is noticed late, in the zone or by the object
 // API, and against a process that is taken for dead.
 func TestDeath(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	fleet, _ := newFleet(11)
 	fleet.Start(controllertest.Hosts(3, 3)...)
@@ -148,6 +149,7 @@
 // Guards against members that are suspected because of lost messages, clock
 // drift or a pause of the process that judges them.
 func TestNoFlapping(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	fleet, probes := newFleet(12)
 	fleet.SetDrift("z1h1", 0.05, time.Hour)
@@ -172,6 +174,7 @@
 // Guards against parts of a zone that stay apart after a partition in which
 // each took the other for dead, and against zones that stay apart.
 func TestPartitionHeals(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	fleet, _ := newFleet(13)
 	fleet.Start(controllertest.Hosts(3, 3)...)
@@ -194,6 +197,7 @@
 // Guards against a process that leaves and is waited for until its suspicion,
 // and against a restarted process that its predecessor's record hides.
 func TestLeavingAndReincarnation(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	fleet, _ := newFleet(14)
 	fleet.Start(controllertest.Hosts(3, 3)...)
@@ -244,6 +248,7 @@
 // Guards against facts that processes which were away never get: full
 // comparisons must repair them after the transmit budget is used up.
 func TestFullComparison(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	fleet, probes := newFleet(16)
 	fleet.Start(controllertest.Hosts(3, 3)...)
@@ -263,6 +268,7 @@
 // Guards against facts that outlive their time to live because processes pass
 // them to each other again and again, and against a lower stamp that wins.
 func TestTimeToLiveAndStamps(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	fleet, probes := newFleet(17)
 	fleet.Start(controllertest.Hosts(3, 3)...)
@@ -300,6 +306,7 @@
 // Guards against load reports that crowd out urgent facts or exceed the cap
 // in bytes of an exchange.
 func TestExchangeBytes(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	fleet, probes := newFleet(18, gossiper.WithExchangeBytes(300))
 	fleet.Start(controllertest.Hosts(1, 3)...)
@@ -323,6 +330,7 @@
 // Guards against shares that add up to more than a workspace's limit, and
 // against a process that gets none.
 func TestShares(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	fleet, _ := newFleet(19)
 	fleet.Start(controllertest.Hosts(3, 3)...)
