--- /dev/null
+++ b/process/leaser/elector_test.go
@@ -0,0 +1,35 @@
+package leaser_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+)
+
+// Guards against an elector that breaks its promise.
+func TestFencedEpochIsNeverExtended(t *testing.T) {
+	is := is.New(t)
+	d := newDesk("p/1")
+	slot := mulberrybeam.Slot{Zone: "a"}
+	ask := func(message mulberrybeam.Message) mulberrybeam.Message {
+		return d.step(mulberrybeam.MessageReceived{Message: message})[0].(mulberrybeam.Reply).Message
+	}
+	is.Equal(ask(mulberrybeam.Extend{Slot: slot, Epoch: 3}), mulberrybeam.ExtendReply{Granted: true})
+	d.now += 4 * time.Second
+	is.Equal(ask(mulberrybeam.Fence{Slot: slot, Epoch: 3}), mulberrybeam.FenceReply{Fenced: true, Remaining: 6 * time.Second})
+	is.Equal(ask(mulberrybeam.Extend{Slot: slot, Epoch: 3}), mulberrybeam.ExtendReply{})
+	is.Equal(ask(mulberrybeam.Extend{Slot: slot, Epoch: 4}), mulberrybeam.ExtendReply{Granted: true})
+}
+
+// Guards against a fence answered by a restarted process in the name of an
+// earlier one at its address, whose grants it does not know.
+func TestYoungElectorReportsALeaseLengthRemaining(t *testing.T) {
+	is := is.New(t)
+	d := newDesk("p/2")
+	d.now = 3 * time.Second
+	reply := d.step(mulberrybeam.MessageReceived{Message: mulberrybeam.Fence{Epoch: 3}})[0].(mulberrybeam.Reply)
+	is.Equal(reply.Message, mulberrybeam.FenceReply{Fenced: true, Remaining: 8 * time.Second})
+}
--- /dev/null
+++ b/process/leaser/leaser_test.go
@@ -0,0 +1,196 @@
+package leaser_test
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/leaser"
+)
+
+// desk drives one machine by hand.
+type desk struct {
+	machine *leaser.Leaser
+	now     time.Duration
+	rand    *rand.Rand
+	actions []mulberrybeam.Action
+}
+
+func newDesk(id mulberrybeam.ProcessID, peers ...mulberrybeam.ProcessID) *desk {
+	d := &desk{rand: rand.New(rand.NewPCG(1, 2)), now: time.Minute}
+	d.machine = leaser.New(mulberrybeam.Member{ID: id, Zone: "a", Address: string(id)}, leaser.WithEncoding(encode, decode))
+	d.step(mulberrybeam.ConfigurationChanged{Tables: &mulberrybeam.Tables{
+		Zones: map[mulberrybeam.ZoneName]mulberrybeam.Zone{"a": {Name: "a", Slots: 1}},
+	}})
+	var members []mulberrybeam.Member
+	for _, peer := range append(peers, id) {
+		members = append(members, mulberrybeam.Member{ID: peer, Zone: "a", Address: string(peer), State: mulberrybeam.MemberAlive})
+	}
+	d.step(mulberrybeam.MembersChanged{Members: members})
+	return d
+}
+
+func (d *desk) step(event mulberrybeam.Event) []mulberrybeam.Action {
+	actions := d.machine.Step(mulberrybeam.Turn{Now: d.now, Rand: d.rand}, event)
+	d.actions = append(d.actions, actions...)
+	return actions
+}
+
+// until ticks for up to a minute until the machine emits an action that
+// matches, and returns it.
+func until[A mulberrybeam.Action](d *desk, match func(A) bool) (found A, ok bool) {
+	for end := d.now + time.Minute; d.now < end; d.now += 100 * time.Millisecond {
+		for _, action := range d.step(mulberrybeam.Tick{}) {
+			if a, is := action.(A); is && match(a) {
+				return a, true
+			}
+		}
+	}
+	return found, false
+}
+
+func op(kind mulberrybeam.ObjectOp) func(mulberrybeam.CallObject) bool {
+	return func(call mulberrybeam.CallObject) bool { return call.Op == kind }
+}
+
+func (d *desk) answer(call mulberrybeam.CallObject, version string, err error) []mulberrybeam.Action {
+	object := call.Object
+	object.Version = version
+	return d.step(mulberrybeam.ObjectReplied{Ticket: call.Ticket, Object: object, Err: err})
+}
+
+func rights(actions []mulberrybeam.Action) (found []mulberrybeam.SlotRight) {
+	for _, action := range actions {
+		if raise, ok := action.(mulberrybeam.Raise); ok {
+			if changed, ok := raise.Event.(mulberrybeam.RightChanged); ok {
+				found = append(found, changed.Right)
+			}
+		}
+	}
+	return found
+}
+
+func encode(lease mulberrybeam.SlotLease) []byte {
+	data, _ := json.Marshal(lease)
+	return data
+}
+
+func decode(data []byte) (lease mulberrybeam.SlotLease, err error) {
+	return lease, json.Unmarshal(data, &lease)
+}
+
+func failure(code mulberrybeam.Code) error { return &mulberrybeam.Failure{Code: code} }
+
+// acquire lets the machine find no object until it creates it, and returns
+// the create.
+func (d *desk) acquire(is *is.I) mulberrybeam.CallObject {
+	for range 100 {
+		get, ok := until(d, op(mulberrybeam.OpGet))
+		is.True(ok)
+		for _, action := range d.answer(get, "", failure(mulberrybeam.CodeNotFound)) {
+			create, ok := action.(mulberrybeam.CallObject)
+			is.True(ok && create.Op == mulberrybeam.OpCreate)
+			return create
+		}
+	}
+	is.Fail()
+	return mulberrybeam.CallObject{}
+}
+
+// Guards against a right that outlasts what others wait for, because it is
+// counted from the answer instead of the send.
+func TestRightCountsFromBeforeTheSend(t *testing.T) {
+	is := is.New(t)
+	d := newDesk("p/1")
+	create := d.acquire(is)
+	sent := d.now
+	d.now += 2 * time.Second
+	got := rights(d.answer(create, "1", nil))
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Until, sent+9*time.Second)
+	is.Equal(got[0].Epoch, mulberrybeam.Epoch(1))
+}
+
+// Guards against losing a right, or claiming one from the time of the read,
+// when the answer to a write was lost.
+func TestLostAnswerIsReadBackByNonce(t *testing.T) {
+	is := is.New(t)
+	d := newDesk("p/1")
+	create := d.acquire(is)
+	sent := d.now
+	is.Equal(len(rights(d.answer(create, "", failure(mulberrybeam.CodePlatformDown)))), 0)
+	get, ok := until(d, op(mulberrybeam.OpGet))
+	is.True(ok)
+	get.Object.Data = create.Object.Data
+	got := rights(d.answer(get, "1", nil))
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Until, sent+9*time.Second)
+}
+
+// Guards against an extension by an elector that a process which takes over
+// from the unconfirmed record would not ask.
+func TestOnlyElectorsOfAllPossibleRecordsExtend(t *testing.T) {
+	is := is.New(t)
+	d := newDesk("p/1", "q/1", "r/1")
+	d.answer(d.acquire(is), "1", nil)
+	// r leaves; the renewal without r and with s has no known outcome.
+	d.step(mulberrybeam.MembersChanged{Members: []mulberrybeam.Member{
+		{ID: "p/1", Zone: "a", State: mulberrybeam.MemberAlive},
+		{ID: "q/1", Zone: "a", Address: "q", State: mulberrybeam.MemberAlive},
+		{ID: "r/1", Zone: "a", Address: "r", State: mulberrybeam.MemberLeaving},
+		{ID: "s/1", Zone: "a", Address: "s", State: mulberrybeam.MemberAlive},
+	}})
+	update, ok := until(d, op(mulberrybeam.OpUpdate))
+	is.True(ok)
+	d.answer(update, "", failure(mulberrybeam.CodePlatformDown))
+	asked := map[mulberrybeam.ProcessID]bool{}
+	_, _ = until(d, func(call mulberrybeam.Call) bool {
+		asked[call.To] = true
+		return false
+	})
+	is.Equal(asked, map[mulberrybeam.ProcessID]bool{"q/1": true})
+}
+
+// Guards against a take-over while an elector may still extend the old
+// holder's right.
+func TestTakeOverNeedsEveryPromise(t *testing.T) {
+	is := is.New(t)
+	d := newDesk("p/1", "q/1", "r/1")
+	old := encode(mulberrybeam.SlotLease{Holder: "q/1", Epoch: 4, Electors: []mulberrybeam.ProcessID{"p/1", "r/1"}})
+	serve := func(stop time.Duration) (fence mulberrybeam.Call, took bool) {
+		for ; d.now < stop; d.now += 100 * time.Millisecond {
+			for _, action := range d.step(mulberrybeam.Tick{}) {
+				call, ok := action.(mulberrybeam.CallObject)
+				if !ok {
+					continue
+				}
+				call.Object.Data = old
+				for _, action := range d.answer(call, "7", nil) {
+					switch action := action.(type) {
+					case mulberrybeam.Call:
+						fence = action
+					case mulberrybeam.CallObject:
+						lease, _ := decode(action.Object.Data)
+						is.Equal(lease.Epoch, mulberrybeam.Epoch(5))
+						return fence, true
+					}
+				}
+			}
+		}
+		return fence, false
+	}
+	fence, took := serve(d.now + 10*time.Second)
+	is.True(!took && fence.To == "") // fenced before the lease is over
+	fence, took = serve(d.now + 30*time.Second)
+	is.True(!took)
+	is.Equal(fence.To, mulberrybeam.ProcessID("r/1"))
+	d.step(mulberrybeam.ReplyReceived{Ticket: fence.Ticket, Message: mulberrybeam.FenceReply{Fenced: true, Remaining: 5 * time.Second}})
+	_, took = serve(d.now + 5*time.Second)
+	is.True(!took)
+	_, took = serve(d.now + 10*time.Second)
+	is.True(took)
+}
--- /dev/null
+++ b/process/leaser/object.go
@@ -0,0 +1,186 @@
+package leaser
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"mulberrybeam"
+)
+
+// send starts an object call. Only one is open per slot.
+func (l *Leaser) send(turn mulberrybeam.Turn, s *slot, op mulberrybeam.ObjectOp, data []byte) mulberrybeam.Action {
+	ticket := l.newTicket(turn)
+	s.call = call{ticket: ticket, sentAt: turn.Now, open: true}
+	l.objectCalls[ticket] = objectCall{slot: s, op: op, sentAt: turn.Now}
+	object := mulberrybeam.Object{Kind: mulberrybeam.ObjectSlot, Name: s.name(), Data: data}
+	if op == mulberrybeam.OpUpdate {
+		object.Version = s.version
+	}
+	return mulberrybeam.CallObject{Op: op, Object: object, Ticket: ticket}
+}
+
+// write sends a lease on the present version. Its validity counts from this
+// turn, which is before the send.
+func (l *Leaser) write(turn mulberrybeam.Turn, s *slot, lease mulberrybeam.SlotLease) mulberrybeam.Action {
+	op := mulberrybeam.OpUpdate
+	if s.version == "" {
+		op = mulberrybeam.OpCreate
+	}
+	lease.Slot = s.id
+	lease.Nonce = fmt.Sprintf("%016x", turn.Rand.Uint64())
+	action := l.send(turn, s, op, l.encode(lease))
+	s.writes = append(s.writes, write{lease: lease, sentAt: turn.Now, ticket: s.call.ticket})
+	return action
+}
+
+// lost gives up on a call without an answer.
+func (l *Leaser) lost(now time.Duration, s *slot) {
+	if s.call.open && now-s.call.sentAt >= l.timing.Answer {
+		s.call.open = false
+		s.verify = true
+		s.stale = true
+		s.next = now
+	}
+}
+
+func (l *Leaser) objectReplied(turn mulberrybeam.Turn, event mulberrybeam.ObjectReplied) []mulberrybeam.Action {
+	c, ok := l.objectCalls[event.Ticket]
+	if !ok {
+		return nil
+	}
+	delete(l.objectCalls, event.Ticket)
+	late := !c.slot.call.open || c.slot.call.ticket != event.Ticket
+	if !late {
+		c.slot.call.open = false
+	}
+	if c.op != mulberrybeam.OpGet {
+		return l.wrote(turn, c.slot, event)
+	}
+	if late {
+		// A newer version may be known by now.
+		return nil
+	}
+	return l.readSlot(turn, c.slot, event)
+}
+
+func (l *Leaser) wrote(turn mulberrybeam.Turn, s *slot, event mulberrybeam.ObjectReplied) []mulberrybeam.Action {
+	if event.Err != nil {
+		// A conflict does not tell that the write failed, since the
+		// client may have sent it twice. The nonce tells.
+		s.verify = true
+		s.next = turn.Now
+		if !hasCode(event.Err, mulberrybeam.CodeConflict) && !hasCode(event.Err, mulberrybeam.CodeExists) {
+			s.stale = true
+			s.next = turn.Now + l.jitter(turn, l.timing.Retry)
+		}
+		return nil
+	}
+	for _, w := range s.writes {
+		if w.ticket == event.Ticket {
+			return l.confirm(turn, s, w, event.Object.Version)
+		}
+	}
+	return nil
+}
+
+func (l *Leaser) readSlot(turn mulberrybeam.Turn, s *slot, event mulberrybeam.ObjectReplied) []mulberrybeam.Action {
+	var lease mulberrybeam.SlotLease
+	err := event.Err
+	absent := hasCode(err, mulberrybeam.CodeNotFound)
+	if err == nil {
+		lease, err = l.decode(event.Object.Data)
+	}
+	if err != nil && !absent {
+		s.stale = true
+		s.next = turn.Now + l.jitter(turn, l.timing.Retry)
+		return nil
+	}
+	s.verify = false
+	for _, w := range s.writes {
+		if !absent && w.lease.Nonce == lease.Nonce {
+			return l.confirm(turn, s, w, event.Object.Version)
+		}
+	}
+	if s.stale {
+		s.seenSince, s.stale = turn.Now, false
+	}
+	var actions []mulberrybeam.Action
+	if s.mine() && lease.Holder != l.self.ID {
+		actions = s.end(turn.Now, fmt.Sprintf("taken over by %q at epoch %d", lease.Holder, lease.Epoch))
+		s.releaseAt = 0
+	}
+	s.observe(turn.Now, event.Object.Version, lease)
+	if s.mine() {
+		s.next = turn.Now
+		return actions
+	}
+	return append(actions, l.pursue(turn, s)...)
+}
+
+// confirm takes a write of this process that is known to be in force.
+func (l *Leaser) confirm(turn mulberrybeam.Turn, s *slot, w write, version string) []mulberrybeam.Action {
+	s.writes = nil
+	s.observe(turn.Now, version, w.lease)
+	s.verify, s.stale = false, false
+	s.contest = contest{}
+	if w.lease.Holder == "" {
+		s.releaseAt = 0
+		s.next = turn.Now + l.timing.Poll
+		return []mulberrybeam.Action{s.note("released"), l.state(s)}
+	}
+	s.confirmed = w.sentAt
+	s.next = w.sentAt + l.timing.Renewal
+	until := w.sentAt + l.timing.shorter(l.timing.Lease)
+	if s.epoch == w.lease.Epoch {
+		return l.prolong(turn, s, until)
+	}
+	s.epoch, s.until, s.active = w.lease.Epoch, 0, false
+	s.fresh = s.epoch > 1
+	s.fenced = false
+	if s.balanced {
+		// Nobody else took the slot that was released for them.
+		s.balanced = false
+		l.evenAfter = turn.Now + balanceBackoff
+	}
+	return l.prolong(turn, s, until)
+}
+
+// prolong moves the end of the right and tells the other machines.
+func (l *Leaser) prolong(turn mulberrybeam.Turn, s *slot, until time.Duration) []mulberrybeam.Action {
+	s.until = max(s.until, until)
+	if s.until <= turn.Now || s.releaseAt > 0 || l.draining || s.retired {
+		return nil
+	}
+	var actions []mulberrybeam.Action
+	began := !s.active
+	if began {
+		s.active, s.since = true, turn.Now
+		s.restateAt = turn.Now + l.timing.Restate
+	}
+	actions = append(actions, mulberrybeam.Raise{Event: mulberrybeam.RightChanged{Right: s.right()}})
+	if began {
+		actions = append(actions, l.state(s), s.note(fmt.Sprintf("right to epoch %d began", s.epoch)))
+	}
+	return append(actions, mulberrybeam.Publish{})
+}
+
+// state raises the fact that names the holder.
+func (l *Leaser) state(s *slot) mulberrybeam.Action {
+	fact := mulberrybeam.SlotFact{
+		Zone: s.id.Zone, Slot: s.id.Number, Epoch: s.lease.Epoch,
+		Holder: s.lease.Holder, Address: s.lease.Address,
+	}
+	return mulberrybeam.Raise{Event: mulberrybeam.FactChanged{Local: true, Fact: mulberrybeam.Fact{
+		Kind: mulberrybeam.FactSlot, Key: s.name(), TTL: l.timing.FactTTL, Slot: &fact,
+	}}}
+}
+
+func (l *Leaser) jitter(turn mulberrybeam.Turn, length time.Duration) time.Duration {
+	return length/2 + time.Duration(turn.Rand.Int64N(int64(length)))
+}
+
+func hasCode(err error, code mulberrybeam.Code) bool {
+	var failure *mulberrybeam.Failure
+	return errors.As(err, &failure) && failure.Code == code
+}
