--- /dev/null
+++ b/process/observer/observer.go
@@ -0,0 +1,284 @@
+// Package observer is the control state machine that polls targets for their
+// load. Each target is polled by one live member of its zone, and by the
+// holder of its slot while it is not warm. Reports are distributed as facts.
+package observer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/version/ranker"
+)
+
+// Timing has the durations of polling.
+type Timing struct {
+	// Poll is the time between two polls of a target.
+	Poll time.Duration
+	// Backup is the age of the last report from which the second member in
+	// rank polls too. Members suspect a dead one only after 5 s, later
+	// than the target would count as silent.
+	Backup time.Duration
+	// Silence is the age of the last report from which a target is
+	// doubtful.
+	Silence time.Duration
+	// Restate is the time between two facts of an unchanged report. Each
+	// fact goes to all hosts, which bounds the rate.
+	Restate time.Duration
+	// FactTTL is the time to live of load facts.
+	FactTTL time.Duration
+	// Answer is when a poll without an answer counts as lost.
+	Answer time.Duration
+}
+
+// DefaultTiming returns the durations of the design page.
+func DefaultTiming() Timing {
+	return Timing{
+		Poll:    500 * time.Millisecond,
+		Backup:  1500 * time.Millisecond,
+		Silence: 3 * time.Second,
+		Restate: time.Second,
+		FactTTL: 10 * time.Second,
+		Answer:  3 * time.Second,
+	}
+}
+
+// Option changes an Observer at construction.
+type Option func(*Observer)
+
+// WithTiming replaces the durations of DefaultTiming.
+func WithTiming(timing Timing) Option { return func(o *Observer) { o.timing = timing } }
+
+// Observer decides which targets this process polls. Only the control
+// goroutine may use it.
+type Observer struct {
+	self    mulberrybeam.Member
+	timing  Timing
+	tables  *mulberrybeam.Tables
+	alive   []mulberrybeam.ProcessID
+	targets map[mulberrybeam.TargetID]*target
+	// order makes the steps of a run depend on its seed only.
+	order  []*target
+	rights map[mulberrybeam.Slot]mulberrybeam.SlotRight
+}
+
+var _ mulberrybeam.Machine = (*Observer)(nil)
+
+// target is what the process knows of one target.
+type target struct {
+	declared mulberrybeam.Target
+	slot     mulberrybeam.Slot
+	// rank is the place of this process among the target's pollers.
+	rank int
+	next time.Duration
+	// sent are the times of polls without an answer.
+	sent  []time.Duration
+	after uint64
+	// reportedAt is when the last report came, from whomever.
+	reportedAt time.Duration
+	silent     bool
+	warm       bool
+	stated     mulberrybeam.LoadReport
+	statedAt   time.Duration
+	// reported and drained say why the target is leaving.
+	reported, drained bool
+}
+
+// pollers is the number of members that may poll a target.
+const pollers = 2
+
+// New returns the machine of one process.
+func New(self mulberrybeam.Member, options ...Option) *Observer {
+	o := &Observer{
+		self:    self,
+		timing:  DefaultTiming(),
+		alive:   []mulberrybeam.ProcessID{self.ID},
+		targets: map[mulberrybeam.TargetID]*target{},
+		rights:  map[mulberrybeam.Slot]mulberrybeam.SlotRight{},
+	}
+	for _, option := range options {
+		option(o)
+	}
+	return o
+}
+
+// Fill writes nothing: the permitter fills in the reports.
+func (*Observer) Fill(*mulberrybeam.Snapshot) {}
+
+// Step takes one event.
+func (o *Observer) Step(turn mulberrybeam.Turn, event mulberrybeam.Event) []mulberrybeam.Action {
+	switch event := event.(type) {
+	case mulberrybeam.Tick:
+		return o.tick(turn)
+	case mulberrybeam.ConfigurationChanged:
+		o.configure(event.Tables)
+	case mulberrybeam.MembersChanged:
+		o.learnMembers(event.Members)
+	case mulberrybeam.RightChanged:
+		o.rights[event.Right.Slot] = event.Right
+	case mulberrybeam.TargetObserved:
+		return o.observed(turn, event)
+	case mulberrybeam.FactChanged:
+		return o.learnFact(turn, event)
+	}
+	return nil
+}
+
+func (o *Observer) configure(tables *mulberrybeam.Tables) {
+	o.tables = tables
+	old := o.targets
+	o.targets = make(map[mulberrybeam.TargetID]*target, len(tables.Targets))
+	o.order = o.order[:0]
+	for _, id := range slices.Sorted(maps.Keys(tables.Targets)) {
+		t := old[id]
+		if t == nil {
+			t = &target{}
+		}
+		t.declared, t.slot = tables.Targets[id], tables.SlotOf[id]
+		o.targets[id] = t
+		o.order = append(o.order, t)
+	}
+	o.assign()
+}
+
+func (o *Observer) learnMembers(members []mulberrybeam.Member) {
+	o.alive = []mulberrybeam.ProcessID{o.self.ID}
+	for _, member := range members {
+		if member.Zone == o.self.Zone && member.ID != o.self.ID && member.State == mulberrybeam.MemberAlive {
+			o.alive = append(o.alive, member.ID)
+		}
+	}
+	o.assign()
+}
+
+// assign derives which targets this process polls.
+func (o *Observer) assign() {
+	for _, t := range o.order {
+		t.rank = pollers
+		if t.declared.Zone != o.self.Zone {
+			continue
+		}
+		top := ranker.Top(string(t.declared.ID), o.alive, pollers)
+		if place := slices.Index(top, o.self.ID); place >= 0 {
+			t.rank = place
+		}
+	}
+}
+
+func (o *Observer) tick(turn mulberrybeam.Turn) []mulberrybeam.Action {
+	var actions []mulberrybeam.Action
+	for _, t := range o.order {
+		age := turn.Now - t.reportedAt
+		if t.reportedAt > 0 && !t.silent && age >= o.timing.Silence {
+			t.silent = true
+			actions = append(actions, sign(SignSilent, t))
+		}
+		if t.declared.Zone != o.self.Zone || turn.Now < t.next || !o.polls(turn, t, age) {
+			continue
+		}
+		if len(t.sent) > 0 && turn.Now-t.sent[len(t.sent)-1] < o.timing.Answer {
+			continue
+		}
+		t.next = turn.Now + o.timing.Poll*4/5 + time.Duration(turn.Rand.Int64N(int64(o.timing.Poll)*2/5))
+		t.sent = append(t.sent, turn.Now)
+		actions = append(actions, mulberrybeam.Observe{Target: t.declared, After: t.after})
+	}
+	return actions
+}
+
+func (o *Observer) polls(turn mulberrybeam.Turn, t *target, age time.Duration) bool {
+	if t.rank == 0 || t.rank < pollers && age >= o.timing.Backup {
+		return true
+	}
+	// The owner of a target needs reports whose time it knows, until the
+	// target is warm.
+	right, held := o.rights[t.slot]
+	return held && turn.Now < right.Until && (!t.warm || age >= o.timing.Backup)
+}
+
+func (o *Observer) observed(turn mulberrybeam.Turn, event mulberrybeam.TargetObserved) []mulberrybeam.Action {
+	t := o.targets[event.Target]
+	if t == nil || len(t.sent) == 0 {
+		return nil
+	}
+	// Answers carry no ticket. The earliest poll without an answer bounds
+	// the time of measurement whichever poll this one belongs to.
+	sent := t.sent[0]
+	t.sent = t.sent[1:]
+	if event.Err != nil {
+		return nil
+	}
+	for _, cached := range event.Events {
+		t.after = max(t.after, cached.Sequence)
+	}
+	event.Report.Target = event.Target
+	actions := []mulberrybeam.Action{mulberrybeam.Raise{Event: Measured{
+		TargetObserved: event,
+		Since:          sent - event.Report.Lag - event.Report.Lag/lagDriftShare,
+	}}}
+	actions = append(actions, o.state(turn, t, event.Report)...)
+	return append(actions, o.take(turn, t, event.Report)...)
+}
+
+// lagDriftShare is the part of a lag by which a target's clock may be off.
+const lagDriftShare = 20
+
+// state distributes a report that differs from the last one, or is a second
+// newer.
+func (o *Observer) state(turn mulberrybeam.Turn, t *target, report mulberrybeam.LoadReport) []mulberrybeam.Action {
+	if t.statedAt > 0 && turn.Now-t.statedAt < o.timing.Restate && same(t.stated, report) {
+		return nil
+	}
+	t.stated, t.statedAt = report, turn.Now
+	return []mulberrybeam.Action{mulberrybeam.Raise{Event: mulberrybeam.FactChanged{Local: true, Fact: mulberrybeam.Fact{
+		Kind: mulberrybeam.FactLoad, Key: string(report.Target), TTL: o.timing.FactTTL, Load: &report,
+	}}}}
+}
+
+func same(a, b mulberrybeam.LoadReport) bool {
+	return a.Instance == b.Instance && a.Running == b.Running && a.Waiting == b.Waiting &&
+		a.Leaving == b.Leaving && maps.Equal(a.WeightVersions, b.WeightVersions)
+}
+
+func (o *Observer) learnFact(turn mulberrybeam.Turn, event mulberrybeam.FactChanged) []mulberrybeam.Action {
+	fact := event.Fact
+	switch {
+	case fact.Load != nil && !event.Local:
+		if t := o.targets[fact.Load.Target]; t != nil {
+			return o.take(turn, t, *fact.Load)
+		}
+	case fact.Phase != nil && event.Local:
+		if t := o.targets[fact.Phase.Target]; t != nil {
+			t.warm = fact.Phase.Phase == mulberrybeam.PhaseWarm
+			t.next = turn.Now
+		}
+	case fact.Drain != nil && fact.Drain.Target != "":
+		if t := o.targets[fact.Drain.Target]; t != nil {
+			return t.leave(t.reported, fact.Drain.Drained)
+		}
+	}
+	return nil
+}
+
+func (o *Observer) take(turn mulberrybeam.Turn, t *target, report mulberrybeam.LoadReport) []mulberrybeam.Action {
+	t.reportedAt = turn.Now
+	t.silent = false
+	return t.leave(report.Leaving, t.drained)
+}
+
+func (t *target) leave(reported, drained bool) []mulberrybeam.Action {
+	before := t.reported || t.drained
+	t.reported, t.drained = reported, drained
+	switch after := reported || drained; {
+	case after && !before:
+		return []mulberrybeam.Action{sign(SignLeaving, t)}
+	case before && !after:
+		return []mulberrybeam.Action{sign(SignReturned, t)}
+	}
+	return nil
+}
+
+func sign(kind mulberrybeam.SignKind, t *target) mulberrybeam.Action {
+	return mulberrybeam.Raise{Event: mulberrybeam.TrafficSign{Kind: kind, Target: t.declared.ID}}
+}
--- /dev/null
+++ b/process/permitter/timing.go
@@ -0,0 +1,55 @@
+package permitter
+
+import "time"
+
+// Timing has the durations and counts of permits and of the ramp-up.
+type Timing struct {
+	// Valid is the longest validity of a permit.
+	Valid time.Duration
+	// Transit bounds the way of a request from the sender's last check to
+	// the target's count of requests in flight.
+	Transit time.Duration
+	// DriftShare is the part by which another process's clock may be off.
+	DriftShare float64
+	// DoublingAfter is the number of completions after which the limit
+	// doubles, WarmAfter the number after which a target is warm when
+	// WarmTime has passed too.
+	DoublingAfter int
+	WarmAfter     int
+	WarmTime      time.Duration
+	// DoubtTime is how long a report of another process does not clear a
+	// doubt of a process's own, since it may have been measured before.
+	DoubtTime time.Duration
+	// Retry is proposed to processes whose request is refused.
+	Retry time.Duration
+	// FactTTL is the time to live of phase facts. It outlasts a platform
+	// outage in which nobody can state them again.
+	FactTTL time.Duration
+	// Restate is the time between two statements of an unchanged phase.
+	Restate time.Duration
+}
+
+// DefaultTiming returns the durations and counts of the design page.
+func DefaultTiming() Timing {
+	return Timing{
+		Valid:         2 * time.Second,
+		Transit:       500 * time.Millisecond,
+		DriftShare:    0.05,
+		DoublingAfter: 4,
+		WarmAfter:     16,
+		WarmTime:      2 * time.Second,
+		DoubtTime:     3 * time.Second,
+		Retry:         200 * time.Millisecond,
+		FactTTL:       24 * time.Hour,
+		Restate:       time.Hour,
+	}
+}
+
+// longer is how long to wait for a length on another process's clock.
+func (t Timing) longer(length time.Duration) time.Duration {
+	return length + time.Duration(float64(length)*t.DriftShare)
+}
+
+func (t Timing) shorter(length time.Duration) time.Duration {
+	return length - time.Duration(float64(length)*t.DriftShare)
+}
