--- /dev/null
+++ b/request/assembler/assembler_test.go
@@ -0,0 +1,118 @@
+package assembler_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mulberrybeam"
+	"mulberrybeam/request/assembler"
+)
+
+func answer(request mulberrybeam.RequestID, tokens int) []mulberrybeam.Token {
+	stream := make([]mulberrybeam.Token, 0, tokens+1)
+	for i := range tokens {
+		stream = append(stream, mulberrybeam.Token{Request: request, Sequence: uint64(i + 1), Text: fmt.Sprintf("%s-%d ", request, i+1)})
+	}
+	return append(stream, mulberrybeam.Token{Request: request, Sequence: uint64(tokens + 1), End: true, FinishReason: "stop"})
+}
+
+// Guards against each single kind of fault being taken for a good token.
+func TestVerdictOfEachFault(t *testing.T) {
+	stream := answer("r", 3)
+	cases := []struct {
+		name  string
+		given []mulberrybeam.Token
+		want  assembler.Verdict
+		last  uint64
+	}{
+		{"next token", stream[:1], assembler.Deliver, 1},
+		{"doubled token", []mulberrybeam.Token{stream[0], stream[0]}, assembler.Duplicate, 1},
+		{"lost first token", stream[1:2], assembler.Lost, 0},
+		{"lost last token", []mulberrybeam.Token{stream[0], stream[1], stream[3]}, assembler.Lost, 2},
+		{"token of another request", []mulberrybeam.Token{stream[0], answer("s", 3)[1]}, assembler.Foreign, 1},
+		{"end of another request", []mulberrybeam.Token{stream[0], answer("s", 1)[1]}, assembler.Foreign, 1},
+		{"end before delivered tokens", []mulberrybeam.Token{stream[0], stream[1], answer("r", 1)[1]}, assembler.Lost, 2},
+		{"sequence 0", []mulberrybeam.Token{{Request: "r", Text: "x"}}, assembler.Duplicate, 0},
+		{"end", stream, assembler.Finished, 4},
+		{"token after the end", append(answer("r", 1), stream[2]), assembler.Duplicate, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			state := assembler.State{Request: "r"}
+			var verdict assembler.Verdict
+			for _, token := range c.given {
+				verdict = assembler.Take(&state, token)
+			}
+			is.Equal(verdict, c.want)
+			is.Equal(state.Last, c.last)
+		})
+	}
+}
+
+// Guards against an answer that is delivered with a gap, a repetition or text
+// of another request, or that counts as complete without its end, whatever
+// the connection does to the tokens.
+func TestDeliveredTokensAreAlwaysAPrefixOfTheAnswer(t *testing.T) {
+	hit := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		sent := answer("r", rapid.IntRange(0, 12).Draw(t, "tokens"))
+		foreign := answer("s", 12)
+		state := assembler.State{Request: "r"}
+		delivered := []mulberrybeam.Token{}
+		for range rapid.IntRange(1, 6).Draw(t, "attempts") {
+			at := int(state.Last)
+			for broken := false; !broken && at < len(sent); at++ {
+				fault := rapid.SampledFrom([]string{"none", "none", "none", "lost", "doubled", "crossed", "cut"}).Draw(t, "fault")
+				hit[fault]++
+				arriving := []mulberrybeam.Token{sent[at]}
+				switch fault {
+				case "lost":
+					continue
+				case "doubled":
+					arriving = append(arriving, sent[at])
+				case "crossed":
+					arriving = append([]mulberrybeam.Token{foreign[at]}, arriving...)
+				case "cut":
+					broken = true
+					continue
+				}
+				for _, token := range arriving {
+					switch assembler.Take(&state, token) {
+					case assembler.Deliver, assembler.Finished:
+						delivered = append(delivered, token)
+					case assembler.Foreign:
+						if token.Request == "r" {
+							t.Fatalf("own token %d rejected", token.Sequence)
+						}
+					case assembler.Lost:
+						broken = true
+					}
+				}
+			}
+		}
+		for i, token := range delivered {
+			if token != sent[i] {
+				t.Fatalf("delivered %v at position %d, sent %v", token, i, sent[i])
+			}
+		}
+		if state.Complete != (len(delivered) == len(sent)) {
+			t.Fatalf("complete is %v after %d of %d tokens", state.Complete, len(delivered), len(sent))
+		}
+		text := ""
+		for _, token := range delivered {
+			text += token.Text
+		}
+		if assembler.Text(state) != text || int(state.Last) != len(delivered) {
+			t.Fatalf("position %d with text %q after %d tokens", state.Last, assembler.Text(state), len(delivered))
+		}
+	})
+	for _, fault := range []string{"lost", "doubled", "crossed", "cut"} {
+		if hit[fault] == 0 {
+			t.Errorf("fault %q never occurred", fault)
+		}
+	}
+}
