Add admission

Requests pass a rate limit and an in-flight limit per workspace, wait in a weighted fair queue of bounded length, and are refused early when they would miss their deadline. The concurrency towards each target adapts to refusals and to slow first tokens. Decisions are functions over plain state; the gate runs them under a mutex of traffic goroutines.

--- /dev/null
+++ b/request/admitter/gate.go
@@ -0,0 +1,161 @@
+package admitter
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"mulberrybeam"
+)
+
+// tokensPerCost is the prompt length of an ordinary request.
+const tokensPerCost = 1024
+
+// Gate holds the admission state of a process. Its mutex is taken by traffic
+// goroutines only; control never waits for it.
+type Gate struct {
+	clock func() time.Duration
+
+	mutex   sync.Mutex
+	state   *State
+	limits  map[mulberrybeam.TargetID]Limit
+	waiting map[Ticket]chan *mulberrybeam.Failure
+	last    Ticket
+}
+
+// New returns a gate without requests. The clock gives monotonic time.
+func New(clock func() time.Duration) *Gate {
+	return &Gate{
+		clock:   clock,
+		state:   NewState(),
+		limits:  map[mulberrybeam.TargetID]Limit{},
+		waiting: map[Ticket]chan *mulberrybeam.Failure{},
+	}
+}
+
+// Admit blocks until the request may start and returns the function that ends
+// it. An error is a Failure with NotRun.
+func (g *Gate) Admit(ctx context.Context, snapshot *mulberrybeam.Snapshot, request *mulberrybeam.Request) (func(), error) {
+	now := g.clock()
+	limits := snapshot.Tables.Environment.Limits
+	arrival := Arrival{
+		Workspace: request.Workspace, Priority: request.Priority, Pool: poolOf(request),
+		Cost:     max(1, float64(request.PromptTokens)/tokensPerCost),
+		Deadline: min(request.Deadline, now+limits.QueueTimeout),
+	}
+	answer := make(chan *mulberrybeam.Failure, 1)
+	g.mutex.Lock()
+	g.last++
+	arrival.Ticket = g.last
+	g.waiting[arrival.Ticket] = answer
+	g.decide(Arrive(g.state, now, arrival, g.bounds(snapshot, request)))
+	g.mutex.Unlock()
+
+	timer := time.NewTimer(arrival.Deadline - now)
+	defer timer.Stop()
+	release := sync.OnceFunc(func() { g.finish(arrival) })
+	select {
+	case failure := <-answer:
+		return settle(release, failure)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	g.mutex.Lock()
+	waited := Abandon(g.state, arrival)
+	delete(g.waiting, arrival.Ticket)
+	g.mutex.Unlock()
+	if !waited {
+		return settle(release, <-answer)
+	}
+	code, text := mulberrybeam.CodeQueueTimeout, "the request waited too long for admission"
+	if ctx.Err() != nil {
+		code, text = mulberrybeam.CodeCancelled, "the caller left while the request waited"
+	}
+	return nil, &mulberrybeam.Failure{
+		Code: code, Step: mulberrybeam.StepAdmit, Message: text, NotRun: true, RetryAfter: defaultRetryAfter, Cause: ctx.Err(),
+	}
+}
+
+// Observe records how a request ended at a target.
+func (g *Gate) Observe(target mulberrybeam.Target, outcome Outcome) {
+	now := g.clock()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.limits[target.ID] = Next(g.limit(target), now, outcome)
+}
+
+// Full says whether the process has as many requests in flight at a target as
+// its adaptive limit allows.
+func (g *Gate) Full(target mulberrybeam.Target, inFlight int) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return inFlight >= int(g.limit(target).Current)
+}
+
+func settle(release func(), failure *mulberrybeam.Failure) (func(), error) {
+	if failure != nil {
+		return nil, failure
+	}
+	return release, nil
+}
+
+func (g *Gate) finish(arrival Arrival) {
+	now := g.clock()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.decide(Finish(g.state, now, arrival.Workspace, arrival.Pool))
+}
+
+// decide hands decisions to the goroutines that wait for them.
+func (g *Gate) decide(decisions []Decision) {
+	for _, decision := range decisions {
+		g.waiting[decision.Ticket] <- decision.Failure
+		delete(g.waiting, decision.Ticket)
+	}
+}
+
+func (g *Gate) limit(target mulberrybeam.Target) Limit {
+	limit, found := g.limits[target.ID]
+	if !found {
+		return NewLimit(target.WarmLimit)
+	}
+	// A new revision may have changed the declared limit.
+	limit.Max = max(1, float64(target.WarmLimit))
+	limit.Current = min(limit.Current, limit.Max)
+	return limit
+}
+
+func (g *Gate) bounds(snapshot *mulberrybeam.Snapshot, request *mulberrybeam.Request) Bounds {
+	tables := snapshot.Tables
+	workspace := tables.Workspaces[request.Workspace]
+	share, known := snapshot.Shares[request.Workspace]
+	if !known {
+		// Without any word on demand the limit is split evenly.
+		share = 1 / float64(max(1, len(snapshot.Members)))
+	}
+	bounds := Bounds{
+		QueueLength: tables.Environment.Limits.QueueLength,
+		Weight:      float64(workspace.Weight),
+		Rate:        workspace.RequestsPerSecond * share,
+	}
+	if workspace.MaxInFlight > 0 {
+		// A share below one request would shut the workspace out of this host.
+		bounds.InFlight = max(1, int(math.Round(float64(workspace.MaxInFlight)*share)))
+	}
+	ids := tables.TargetsByService[request.Service]
+	if request.Model != "" {
+		ids = tables.EnginesByModel[request.Model]
+	}
+	for _, id := range ids {
+		bounds.PoolCapacity += int(g.limit(tables.Targets[id]).Current)
+	}
+	return bounds
+}
+
+func poolOf(request *mulberrybeam.Request) string {
+	if request.Model != "" {
+		return "model/" + string(request.Model)
+	}
+	return "service/" + string(request.Service)
+}
--- /dev/null
+++ b/request/admitter/shed.go
@@ -0,0 +1,130 @@
+package admitter
+
+import (
+	"time"
+
+	"mulberrybeam"
+)
+
+// shed refuses a request that would most likely miss its deadline in the
+// queue, so that its caller can go elsewhere at once.
+func shed(state *State, now time.Duration, flow *Flow, use *Use, pool *Pool, arrival Arrival) *mulberrybeam.Failure {
+	if now >= arrival.Deadline {
+		return refuse(arrival.Ticket, mulberrybeam.CodeQueueTimeout, "the deadline passed before admission", 0).Failure
+	}
+	if pool.Intervals < minIntervals {
+		return nil
+	}
+	ahead := float64(len(flow.Waiting) + 1)
+	total := 0.0
+	for key, other := range state.Flows {
+		if key.Pool == arrival.Pool && (len(other.Waiting) > 0 || other == flow) {
+			total += other.Weight
+		}
+	}
+	places := min(ahead*total/flow.Weight, float64(pool.Waiting+1))
+	wait := time.Duration(places * float64(pool.Interval))
+	if now+wait <= arrival.Deadline {
+		return nil
+	}
+	code, text := mulberrybeam.CodeOverloaded, "the queue is too long for the request's deadline"
+	if use.Bounds.InFlight > 0 && use.InFlight >= use.Bounds.InFlight {
+		code, text = mulberrybeam.CodeWorkspaceLimit, "the workspace has too many requests in flight"
+	}
+	return refuse(arrival.Ticket, code, text, wait).Failure
+}
+
+// makeRoom refuses one request of a full queue: the newest one of the
+// workspace with the longest queue for its weight, which may be the arriving
+// one. It says whether the arriving request may wait.
+func makeRoom(state *State, use *Use, arrival Arrival) (Decision, bool) {
+	const text = "the queue of this host is full"
+	longest, length := arrival.Workspace, float64(use.Waiting+1)/use.Bounds.Weight
+	for name, other := range state.Uses {
+		if mine := float64(other.Waiting) / other.Bounds.Weight; other.Waiting > 0 && mine > length {
+			longest, length = name, mine
+		}
+	}
+	if longest == arrival.Workspace {
+		code := mulberrybeam.CodeOverloaded
+		if use.Bounds.InFlight > 0 && use.InFlight >= use.Bounds.InFlight {
+			code = mulberrybeam.CodeWorkspaceLimit
+		}
+		return refuse(arrival.Ticket, code, text, state.retryAfter(arrival.Pool)), false
+	}
+	var victim *Flow
+	var lowest mulberrybeam.Priority
+	for key, flow := range state.Flows {
+		if key.Workspace == longest && len(flow.Waiting) > 0 && (victim == nil || key.Priority > lowest) {
+			victim, lowest = flow, key.Priority
+		}
+	}
+	last := victim.Waiting[len(victim.Waiting)-1]
+	victim.Waiting = victim.Waiting[:len(victim.Waiting)-1]
+	state.count(last, -1)
+	return refuse(last.Ticket, mulberrybeam.CodeOverloaded, text, state.retryAfter(last.Pool)), true
+}
+
+func refuse(ticket Ticket, code mulberrybeam.Code, text string, wait time.Duration) Decision {
+	return Decision{Ticket: ticket, Failure: &mulberrybeam.Failure{
+		Code: code, Step: mulberrybeam.StepAdmit, Message: text, NotRun: true, RetryAfter: wait,
+	}}
+}
+
+func (s *State) retryAfter(name string) time.Duration {
+	pool := s.Pools[name]
+	if pool == nil || pool.Intervals < minIntervals {
+		return defaultRetryAfter
+	}
+	return pool.Interval * time.Duration(pool.Waiting+1)
+}
+
+// use returns the use of a workspace with its rate tokens filled up to now.
+func (s *State) use(now time.Duration, workspace mulberrybeam.WorkspaceName, bounds Bounds) *Use {
+	bounds.Weight = max(1, bounds.Weight)
+	burst := max(1, bounds.Rate*burstSeconds)
+	use := s.Uses[workspace]
+	if use == nil {
+		use = &Use{Tokens: burst, FilledAt: now}
+		s.Uses[workspace] = use
+	}
+	use.Bounds = bounds
+	use.Tokens = min(burst, use.Tokens+bounds.Rate*(now-use.FilledAt).Seconds())
+	use.FilledAt = now
+	return use
+}
+
+func (s *State) pool(name string) *Pool {
+	pool := s.Pools[name]
+	if pool == nil {
+		pool = &Pool{}
+		s.Pools[name] = pool
+	}
+	return pool
+}
+
+func (s *State) flow(arrival Arrival, bounds Bounds) *Flow {
+	key := keyOf(arrival)
+	flow := s.Flows[key]
+	if flow == nil {
+		flow = &Flow{Finish: s.Virtual}
+		s.Flows[key] = flow
+	}
+	if len(flow.Waiting) == 0 {
+		// An idle flow has no claim to the time it did not use.
+		flow.Finish = max(flow.Finish, s.Virtual)
+	}
+	flow.Weight = max(1, bounds.Weight) * max(1, priorityWeights[arrival.Priority])
+	return flow
+}
+
+// count adds to the numbers of waiting requests.
+func (s *State) count(arrival Arrival, change int) {
+	s.Waiting += change
+	s.Uses[arrival.Workspace].Waiting += change
+	s.Pools[arrival.Pool].Waiting += change
+}
+
+func keyOf(arrival Arrival) FlowKey {
+	return FlowKey{Workspace: arrival.Workspace, Priority: arrival.Priority, Pool: arrival.Pool}
+}
