Add the state machine of non-repeatable calls

A non-repeatable call must run at most once for its key whatever is lost. Step decides from events alone; Driver runs it over the object API. Faults at each step and concurrent histories are tested, and the history check is shown to find a driver that sends without reading back a lost create and one that ignores its send window.

--- /dev/null
+++ b/request/intender/history_test.go
@@ -0,0 +1,187 @@
+package intender_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/request/intender"
+)
+
+// step is one operation of a history: a run at the target or an answer that a
+// caller got for a key.
+type step struct {
+	key    string
+	answer bool
+	run    int
+}
+
+// atMostOneRun is the sequential rule: a key has at most one run, and every
+// answer is that of the run.
+var atMostOneRun = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, operation := range history {
+			key := operation.Input.(step).key
+			byKey[key] = append(byKey[key], operation)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return 0 },
+	Step: func(state, input, _ any) (bool, any) {
+		s := input.(step)
+		if s.answer {
+			return state == s.run, state
+		}
+		return state == 0, s.run
+	},
+}
+
+// mutation breaks a rule of the driver on purpose.
+type mutation func(*process)
+
+// history is one run of many callers with everything that was seen.
+type history struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+	tick   atomic.Int64
+	steps  []porcupine.Operation
+	hits   map[string]int
+	notRun map[mulberrybeam.RequestID]bool
+	ranFor map[mulberrybeam.RequestID]bool
+}
+
+// draw names a fault in one of three calls.
+func (h *history) draw(faults ...string) string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.random.IntN(3) > 0 {
+		return ""
+	}
+	fault := faults[h.random.IntN(len(faults))]
+	h.hits[fault]++
+	return fault
+}
+
+func (h *history) note(s step, from int64) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.steps = append(h.steps, porcupine.Operation{ClientId: len(h.steps), Input: s, Call: from, Return: h.tick.Add(1)})
+}
+
+func (h *history) call(t *testing.T, p *process, target *service, id, key string) {
+	from := h.tick.Add(1)
+	request := mulberrybeam.ServiceRequest{Request: &mulberrybeam.Request{ID: mulberrybeam.RequestID(id), IdempotencyKey: key}}
+	finish := p.driver().Run(t.Context(), callWith(key, "b", id), intender.ServiceSender(target, request))
+	var answer []byte
+	switch {
+	case finish.Answer != nil:
+		answer = finish.Answer.Body
+	case finish.Replayed != nil:
+		answer = finish.Replayed.Body
+	case finish.Failure.NotRun:
+		h.mutex.Lock()
+		h.notRun[request.Request.ID] = true
+		h.mutex.Unlock()
+	}
+	if answer != nil {
+		run, _ := strconv.Atoi(string(answer))
+		h.note(step{key: key, answer: true, run: run}, from)
+	}
+}
+
+// runHistory lets callers of several processes use the same keys with faults
+// at every step.
+func runHistory(t *testing.T, seed uint64, mutate mutation) *history {
+	h := &history{
+		random: rand.New(rand.NewPCG(seed, seed)), hits: map[string]int{},
+		notRun: map[mulberrybeam.RequestID]bool{}, ranFor: map[mulberrybeam.RequestID]bool{},
+	}
+	target := &service{fault: func() string { return h.draw(broken, brokenIdle, refused) }}
+	target.ran = func(run int, request *mulberrybeam.Request) {
+		h.ranFor[request.ID] = true
+		h.note(step{key: request.IdempotencyKey, run: run}, h.tick.Add(1))
+	}
+	var keys []string
+	for range 6 {
+		keys = append(keys, keyAt(wall, h.random))
+	}
+	shared := newPlatform()
+	var group sync.WaitGroup
+	for caller := range 12 {
+		p := &process{id: mulberrybeam.ProcessID(fmt.Sprint("p", caller%3)), platform: shared, wall: wall}
+		p.fault = func(op mulberrybeam.ObjectOp) string {
+			if op == mulberrybeam.OpCreate {
+				return h.draw(downBefore, downAfter, late, budget, paused)
+			}
+			return h.draw(downBefore, downAfter)
+		}
+		if mutate != nil {
+			mutate(p)
+		}
+		group.Go(func() {
+			for i, key := range keys {
+				h.call(t, p, target, fmt.Sprintf("r%d-%d", caller, i), key)
+			}
+		})
+	}
+	group.Wait()
+	for id := range h.notRun {
+		if h.ranFor[id] {
+			t.Errorf("request %s ran although its refusal says not-run", id)
+		}
+	}
+	return h
+}
+
+// Guards against a second run of a key under concurrent callers, processes and
+// faults, and against not-run refusals of calls that ran.
+func TestConcurrentHistoryHasAtMostOneRunPerKey(t *testing.T) {
+	is := is.New(t)
+	all, runs := map[string]int{}, 0
+	for seed := range uint64(40) {
+		h := runHistory(t, seed, nil)
+		is.True(porcupine.CheckOperations(atMostOneRun, h.steps))
+		for fault, count := range h.hits {
+			all[fault] += count
+		}
+		runs += len(h.ranFor)
+	}
+	for _, fault := range []string{downBefore, downAfter, late, budget, paused, broken, brokenIdle, refused} {
+		is.True(all[fault] > 0) // the fault occurred
+	}
+	is.True(runs > 0)
+}
+
+// Shows that the check finds drivers that break a rule: one that sends after
+// a lost answer to its create without reading the record back, and one that
+// does not see that its send window has passed.
+func TestHistoryCheckFindsBrokenDrivers(t *testing.T) {
+	mutations := map[string]mutation{
+		"sends without reading": func(p *process) { p.trusting = true },
+		"ignores the window":    func(p *process) { p.frozen = true },
+	}
+	for name, mutate := range mutations {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			found := 0
+			for seed := range uint64(40) {
+				if !porcupine.CheckOperations(atMostOneRun, runHistory(t, seed, mutate).steps) {
+					found++
+				}
+			}
+			is.True(found > 0)
+		})
+	}
+}
--- /dev/null
+++ b/request/intender/intender_test.go
@@ -0,0 +1,207 @@
+package intender_test
+
+import (
+	"crypto/sha256"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/request/intender"
+)
+
+var (
+	wall  = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	none  = func() string { return "" }
+	clean = func(mulberrybeam.ObjectOp) string { return "" }
+)
+
+func callWith(key, body, attempt string) intender.Call {
+	return intender.Call{
+		Workspace: "w", Service: "orders", Name: "place", Key: key, BodyHash: sha256.Sum256([]byte(body)),
+		Attempt: attempt, Process: "p", Timeout: time.Second, Retention: 24 * time.Hour,
+	}
+}
+
+// Guards against keys whose record may be gone, or that two spellings share.
+func TestKeys(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	cases := []struct {
+		name, key string
+		code      mulberrybeam.Code
+	}{
+		{"missing", "", mulberrybeam.CodeKeyMissing},
+		{"no UUID", "order-7", mulberrybeam.CodeKeyInvalid},
+		{"version 4", "3f1f2f64-6d1c-4e0f-8a57-0c8f7ab4f0aa", mulberrybeam.CodeKeyInvalid},
+		{"urn form", "urn:uuid:" + keyAt(wall, random), mulberrybeam.CodeKeyInvalid},
+		{"braces", "{" + keyAt(wall, random) + "}", mulberrybeam.CodeKeyInvalid},
+		{"too old", keyAt(wall.Add(-24*time.Hour-time.Second), random), mulberrybeam.CodeKeyExpired},
+		{"too far in the future", keyAt(wall.Add(5*time.Minute+time.Second), random), mulberrybeam.CodeKeyInvalid},
+		{"old enough", keyAt(wall.Add(-24*time.Hour), random), ""},
+		{"a little in the future", keyAt(wall.Add(4*time.Minute), random), ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, action := intender.Begin(mulberrybeam.Turn{Wall: wall}, callWith(c.key, "b", "a"))
+			finish, refused := action.(intender.Finish)
+			is.Equal(refused, c.code != "")
+			if refused {
+				is.Equal(finish.Failure.Code, c.code)
+				is.True(finish.Failure.NotRun)
+			}
+		})
+	}
+}
+
+// faultCase is a call with one fault, and the same call once more without.
+type faultCase struct {
+	name string
+	op   mulberrybeam.ObjectOp
+	// fault hits the first call of op, targetFault the first send.
+	fault, targetFault string
+	// code is the first result, "" for an answer. again is the second
+	// result; "replay" stands for the stored answer.
+	code   mulberrybeam.Code
+	notRun bool
+	again  mulberrybeam.Code
+	runs   int
+}
+
+const replay = mulberrybeam.Code("replay")
+
+var faultCases = []faultCase{
+	{name: "no fault", again: replay, runs: 1},
+	{"create not effective", mulberrybeam.OpCreate, downBefore, "", "", false, replay, 1},
+	{"create answer lost", mulberrybeam.OpCreate, downAfter, "", "", false, replay, 1},
+	{"create effective late", mulberrybeam.OpCreate, late, "", "", false, replay, 1},
+	{"budget used up", mulberrybeam.OpCreate, budget, "", mulberrybeam.CodePlatformBudget, true, "", 1},
+	{"paused past the window", mulberrybeam.OpCreate, paused, "", mulberrybeam.CodeTimeout, true, "", 1},
+	{"outcome write not effective", mulberrybeam.OpUpdate, downBefore, "", "", false, mulberrybeam.CodeInProgress, 1},
+	{"outcome write answer lost", mulberrybeam.OpUpdate, downAfter, "", "", false, replay, 1},
+	{"target breaks after the run", "", "", broken, mulberrybeam.CodeOutcomeUnknown, false, mulberrybeam.CodeOutcomeUnknown, 1},
+	{"target breaks before the run", "", "", brokenIdle, mulberrybeam.CodeOutcomeUnknown, false, mulberrybeam.CodeOutcomeUnknown, 0},
+	{"target refuses", "", "", refused, mulberrybeam.CodeTargetRefused, true, "", 1},
+	{"target refuses and the delete is lost", mulberrybeam.OpDelete, downBefore, refused, mulberrybeam.CodeTargetRefused, true, mulberrybeam.CodeInProgress, 0},
+	{"target breaks and the outcome write fails", mulberrybeam.OpUpdate, downBefore, broken, mulberrybeam.CodeOutcomeUnknown, false, mulberrybeam.CodeInProgress, 1},
+}
+
+// Guards against a second run, a lost refusal and a wrong not-run after a
+// fault at each step of a call.
+func TestFaultAtEachStep(t *testing.T) {
+	for _, c := range faultCases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			hit, targetHit := c.fault == "", c.targetFault == ""
+			p := &process{id: "p", platform: newPlatform(), wall: wall, fault: func(op mulberrybeam.ObjectOp) string {
+				if op != c.op || hit {
+					return ""
+				}
+				hit = true
+				return c.fault
+			}}
+			target := &service{fault: func() string {
+				if targetHit {
+					return ""
+				}
+				targetHit = true
+				return c.targetFault
+			}}
+			key := keyAt(wall, rand.New(rand.NewPCG(2, 2)))
+			send := intender.ServiceSender(target, mulberrybeam.ServiceRequest{Request: &mulberrybeam.Request{}})
+			first := p.driver().Run(t.Context(), callWith(key, "b", "a1"), send)
+			is.True(hit && targetHit) // the fault occurred
+			is.Equal(resultOf(first), c.code)
+			if first.Failure != nil {
+				is.Equal(first.Failure.NotRun, c.notRun)
+			}
+			second := p.driver().Run(t.Context(), callWith(key, "b", "a2"), send)
+			is.Equal(resultOf(second), c.again)
+			if second.Replayed != nil {
+				is.Equal(second.Replayed.Body, first.Answer.Body)
+			}
+			if second.Failure != nil {
+				is.True(!second.Failure.NotRun)
+			}
+			is.Equal(target.runs, c.runs)
+		})
+	}
+}
+
+func resultOf(finish intender.Finish) mulberrybeam.Code {
+	switch {
+	case finish.Failure != nil:
+		return finish.Failure.Code
+	case finish.Replayed != nil:
+		return replay
+	}
+	return ""
+}
+
+// Guards against a call whose record can neither be written nor read, against
+// one that other bodies share, and against waiting for a dead process.
+func TestRecordsOfOthers(t *testing.T) {
+	is := is.New(t)
+	down := false
+	p := &process{id: "p", platform: newPlatform(), wall: wall, fault: func(mulberrybeam.ObjectOp) string {
+		if down {
+			return downBefore
+		}
+		return ""
+	}}
+	target := &service{fault: none}
+	key := keyAt(wall, rand.New(rand.NewPCG(3, 3)))
+	send := intender.ServiceSender(target, mulberrybeam.ServiceRequest{Request: &mulberrybeam.Request{}})
+	down = true
+	finish := p.driver().Run(t.Context(), callWith(key, "b", "a1"), send)
+	is.Equal(resultOf(finish), mulberrybeam.CodePlatformDown)
+	is.True(finish.Failure.NotRun)
+	down = false
+
+	// A process that crashes between the send and the outcome leaves an
+	// open record: the machine is not stepped on after its send.
+	state, action := intender.Begin(mulberrybeam.Turn{Wall: wall}, callWith(key, "b", "crashed"))
+	create := action.(intender.CreateRecord)
+	data, err := p.driver().Codec.Encode(create.Record)
+	is.NoErr(err)
+	object, err := p.Create(t.Context(), mulberrybeam.Object{Name: create.Name, Data: data})
+	is.NoErr(err)
+	_, sends := intender.Step(mulberrybeam.Turn{Wall: wall}, &state, intender.Created{Version: object.Version}).(intender.SendCall)
+	is.True(sends)
+	is.Equal(resultOf(p.driver().Run(t.Context(), callWith(key, "b", "a2"), send)), mulberrybeam.CodeInProgress)
+	reused := p.driver().Run(t.Context(), callWith(key, "other", "a3"), send)
+	is.Equal(resultOf(reused), mulberrybeam.CodeKeyReused)
+	is.True(reused.Failure.NotRun)
+	p.wall = wall.Add(time.Minute) // longer than the run may take
+	is.Equal(resultOf(p.driver().Run(t.Context(), callWith(key, "b", "a4"), send)), mulberrybeam.CodeOutcomeUnknown)
+	p.wall, p.id = wall, "successor"
+	is.Equal(resultOf(p.driver().Run(t.Context(), callWith(key, "b", "a5"), send)), mulberrybeam.CodeOutcomeUnknown)
+	is.Equal(target.runs, 0)
+}
+
+// Guards against outcomes that do not fit an object of the platform.
+func TestLargeOutcomeIsStoredWithoutItsBody(t *testing.T) {
+	is := is.New(t)
+	p := &process{id: "p", platform: newPlatform(), wall: wall, fault: clean}
+	target := &service{fault: none, body: intender.MaxOutcomeBody + 1}
+	key := keyAt(wall, rand.New(rand.NewPCG(4, 4)))
+	send := intender.ServiceSender(target, mulberrybeam.ServiceRequest{Request: &mulberrybeam.Request{}})
+	first := p.driver().Run(t.Context(), callWith(key, "b", "a1"), send)
+	is.True(len(first.Answer.Body) > intender.MaxOutcomeBody)
+	second := p.driver().Run(t.Context(), callWith(key, "b", "a2"), send)
+	is.True(second.Replayed.BodyOmitted)
+	is.Equal(second.Replayed.BodyBytes, len(first.Answer.Body))
+	is.Equal(second.Replayed.Status, 201)
+	is.Equal(len(second.Replayed.Body), 0)
+}
+
+// Guards against records that are deleted while their key is still accepted
+// somewhere.
+func TestRecordsOutliveTheirKeys(t *testing.T) {
+	is := is.New(t)
+	key := keyAt(wall, rand.New(rand.NewPCG(5, 5)))
+	is.True(!intender.Deletable(key, 24*time.Hour, wall.Add(24*time.Hour+intender.SendWindow)))
+	is.True(intender.Deletable(key, 24*time.Hour, wall.Add(24*time.Hour+intender.DeletionMargin+time.Second)))
+}
--- /dev/null
+++ b/request/intender/machine.go
@@ -0,0 +1,272 @@
+package intender
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"mulberrybeam"
+)
+
+// Event is a result that the state machine waits for.
+type Event interface{ event() }
+
+// Created answers a CreateRecord.
+type Created struct {
+	Version string
+	Err     error
+}
+
+// Read answers a ReadRecord. HostLive says whether the process named in the
+// record is known to be alive.
+type Read struct {
+	Record   Record
+	Version  string
+	HostLive bool
+	Err      error
+}
+
+// Answered answers a SendCall.
+type Answered struct {
+	Answer mulberrybeam.ServiceAnswer
+	Err    error
+}
+
+// Written answers a WriteRecord or a DeleteRecord. An error does not tell
+// whether the write took effect.
+type Written struct{ Err error }
+
+// Action is what the driver does next. Each step returns exactly one.
+type Action interface{ action() }
+
+// CreateRecord creates the intent object if it is absent.
+type CreateRecord struct {
+	Name   string
+	Record Record
+}
+
+// ReadRecord reads the intent object.
+type ReadRecord struct{ Name string }
+
+// SendCall sends the call once, at the latest at NotAfter in local monotonic
+// time.
+type SendCall struct{ NotAfter time.Duration }
+
+// WriteRecord replaces the intent object of a version.
+type WriteRecord struct {
+	Name    string
+	Version string
+	Record  Record
+}
+
+// DeleteRecord deletes the intent object of a version after a call that surely
+// did not run.
+type DeleteRecord struct {
+	Name    string
+	Version string
+}
+
+// Finish ends the call. Exactly one of Answer, Replayed and Failure is set.
+type Finish struct {
+	Answer   *mulberrybeam.ServiceAnswer
+	Replayed *Outcome
+	Failure  *mulberrybeam.Failure
+}
+
+func (Created) event()       {}
+func (Read) event()          {}
+func (Answered) event()      {}
+func (Written) event()       {}
+func (CreateRecord) action() {}
+func (ReadRecord) action()   {}
+func (SendCall) action()     {}
+func (WriteRecord) action()  {}
+func (DeleteRecord) action() {}
+func (Finish) action()       {}
+
+// State is the state of one attempt.
+type State struct {
+	Call   Call
+	Key    uuid.UUID
+	Name   string
+	Record Record
+	// Version is the object's version once the record is known to be the
+	// attempt's own.
+	Version string
+	// NotAfter ends the send window.
+	NotAfter time.Duration
+	Creates  int
+	// Sent is true from the action that sends the call on. The machine
+	// never sends twice.
+	Sent bool
+	// End is how the attempt ends once the outcome is written.
+	End Finish
+}
+
+// Begin checks the key and starts an attempt.
+func Begin(turn mulberrybeam.Turn, call Call) (State, Action) {
+	state := State{Call: call, NotAfter: turn.Now + SendWindow}
+	key, failure := parseKey(call.Key)
+	if failure == nil {
+		failure = checkAge(key, call.Retention, turn.Wall)
+	}
+	if failure != nil {
+		return state, Finish{Failure: failure}
+	}
+	state.Key = key
+	state.Name = ObjectName(call, key)
+	state.Record = Record{
+		Workspace: call.Workspace, Service: call.Service, Call: call.Name, Key: key.String(),
+		BodyHash: call.BodyHash, Attempt: call.Attempt, Process: call.Process,
+		CreatedAt: turn.Wall, OpenUntil: turn.Wall.Add(SendWindow + call.Timeout + outcomeMargin), Progress: Open,
+	}
+	return state, state.create()
+}
+
+// Step takes the result of the last action and returns the next one.
+func Step(turn mulberrybeam.Turn, state *State, event Event) Action {
+	switch e := event.(type) {
+	case Created:
+		return state.created(turn, e)
+	case Read:
+		return state.read(turn, e)
+	case Answered:
+		return state.answered(e)
+	default:
+		// A lost outcome leaves the record open, never a second run.
+		return state.End
+	}
+}
+
+func (s *State) create() Action {
+	s.Creates++
+	return CreateRecord{Name: s.Name, Record: s.Record}
+}
+
+func (s *State) created(turn mulberrybeam.Turn, event Created) Action {
+	switch codeOf(event.Err) {
+	case "":
+		if event.Version == "" {
+			// Without a version the later writes would be unconditional.
+			return ReadRecord{Name: s.Name}
+		}
+		return s.send(turn, event.Version)
+	case mulberrybeam.CodeExists, mulberrybeam.CodeConflict, mulberrybeam.CodePlatformDown:
+		// The record may be the attempt's own, created by a request whose
+		// answer was lost.
+		return ReadRecord{Name: s.Name}
+	default:
+		return s.platformFailure(event.Err)
+	}
+}
+
+func (s *State) read(turn mulberrybeam.Turn, event Read) Action {
+	switch codeOf(event.Err) {
+	case "":
+	case mulberrybeam.CodeNotFound:
+		if s.Creates < maxCreates && turn.Now < s.NotAfter {
+			return s.create()
+		}
+		return s.platformFailure(event.Err)
+	default:
+		return s.platformFailure(event.Err)
+	}
+	record := event.Record
+	switch {
+	case record.Attempt == s.Call.Attempt:
+		return s.send(turn, event.Version)
+	case record.BodyHash != s.Call.BodyHash:
+		return Finish{Failure: refuse(mulberrybeam.CodeKeyReused, "the Idempotency-Key was used with another body")}
+	case record.Progress == Done && record.Outcome != nil:
+		return Finish{Replayed: record.Outcome}
+	case record.Progress == Open && event.HostLive && turn.Wall.Before(record.OpenUntil):
+		return Finish{Failure: &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeInProgress, Step: mulberrybeam.StepIntent, Peer: string(record.Process),
+			Message: describe("the call is running", record), RetryAfter: time.Second,
+		}}
+	default:
+		return Finish{Failure: &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeOutcomeUnknown, Step: mulberrybeam.StepIntent, Peer: string(record.Process),
+			Message: describe("the call may have run and its answer was lost", record),
+		}}
+	}
+}
+
+// send allows the one send of the attempt while the window is open. The age is
+// checked again, because a suspended machine may stop the monotonic clock.
+func (s *State) send(turn mulberrybeam.Turn, version string) Action {
+	s.Version = version
+	failure := checkAge(s.Key, s.Call.Retention+SendWindow, turn.Wall)
+	if turn.Now >= s.NotAfter {
+		failure = refuse(mulberrybeam.CodeTimeout, "the call was not sent within "+SendWindow.String())
+	}
+	if failure != nil {
+		return s.withdraw(failure)
+	}
+	s.Sent = true
+	return SendCall{NotAfter: s.NotAfter}
+}
+
+func (s *State) answered(event Answered) Action {
+	var failure *mulberrybeam.Failure
+	switch {
+	case event.Err == nil:
+		s.Record.Progress, s.Record.Outcome = Done, store(event.Answer)
+		s.End = Finish{Answer: &event.Answer}
+	case errors.As(event.Err, &failure) && failure.NotRun:
+		return s.withdraw(failure)
+	default:
+		s.Record.Progress = Unknown
+		s.End = Finish{Failure: &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeOutcomeUnknown, Step: mulberrybeam.StepOutcome,
+			Message: describe("the call may have run and its answer was lost", s.Record), Cause: event.Err,
+		}}
+		if failure != nil {
+			s.End.Failure.Peer = failure.Peer
+		}
+	}
+	return WriteRecord{Name: s.Name, Version: s.Version, Record: s.Record}
+}
+
+// withdraw deletes the record of a call that surely did not run, so that the
+// caller can use the key again. The attempt never sends after it.
+func (s *State) withdraw(failure *mulberrybeam.Failure) Action {
+	s.Sent = true
+	s.End = Finish{Failure: failure}
+	return DeleteRecord{Name: s.Name, Version: s.Version}
+}
+
+// platformFailure refuses a call that was not sent.
+func (s *State) platformFailure(err error) Action {
+	code, wait := mulberrybeam.CodePlatformDown, time.Second
+	var failure *mulberrybeam.Failure
+	if errors.As(err, &failure) {
+		wait = max(wait, failure.RetryAfter)
+		if failure.Code == mulberrybeam.CodePlatformBudget {
+			code = failure.Code
+		}
+	}
+	return Finish{Failure: &mulberrybeam.Failure{
+		Code: code, Step: mulberrybeam.StepIntent, Peer: "platform", NotRun: true, RetryAfter: wait, Cause: err,
+		Message: "the intent of the call could not be recorded",
+	}}
+}
+
+func describe(text string, record Record) string {
+	return fmt.Sprintf("%s: attempt %s of process %s at %s", text, record.Attempt, record.Process, record.CreatedAt.UTC().Format(time.RFC3339))
+}
+
+// codeOf returns the code of a failure, an empty code for no error and
+// platform-unavailable for an error of another kind.
+func codeOf(err error) mulberrybeam.Code {
+	if err == nil {
+		return ""
+	}
+	var failure *mulberrybeam.Failure
+	if errors.As(err, &failure) {
+		return failure.Code
+	}
+	return mulberrybeam.CodePlatformDown
+}
