Add the forwarder and the encoding of intent records

One request passes admission, routing, permits, context import, the engine or service call and retries. The last check before a send is the permit on the monotonic clock. A refusal keeps not-run only when no attempt may have run.

--- /dev/null
+++ b/connection/intentencoder/intentencoder.go
@@ -0,0 +1,86 @@
+// Package intentencoder encodes the records of non-repeatable calls as the JSON
+// that intent objects hold.
+package intentencoder
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/request/intender"
+)
+
+type record struct {
+	Workspace string   `json:"workspace"`
+	Service   string   `json:"service"`
+	Call      string   `json:"call"`
+	Key       string   `json:"idempotency-key"`
+	BodyHash  string   `json:"body-sha256"`
+	Attempt   string   `json:"attempt"`
+	Process   string   `json:"process"`
+	CreatedMs int64    `json:"created-ms"`
+	OpenMs    int64    `json:"open-until-ms"`
+	Progress  string   `json:"progress"`
+	Outcome   *outcome `json:"outcome,omitempty"`
+}
+
+type outcome struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"content-type,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	BodyOmitted bool   `json:"body-omitted,omitempty"`
+	BodyBytes   int    `json:"body-bytes"`
+}
+
+// Codec returns the codec for an intender.Driver.
+func Codec() intender.Codec { return intender.Codec{Encode: Encode, Decode: Decode} }
+
+// Encode returns the JSON of a record.
+func Encode(plain intender.Record) ([]byte, error) {
+	wire := record{
+		Workspace: string(plain.Workspace), Service: string(plain.Service), Call: plain.Call,
+		Key: plain.Key, BodyHash: hex.EncodeToString(plain.BodyHash[:]),
+		Attempt: plain.Attempt, Process: string(plain.Process),
+		CreatedMs: plain.CreatedAt.UnixMilli(), OpenMs: plain.OpenUntil.UnixMilli(),
+		Progress: string(plain.Progress),
+	}
+	if plain.Outcome != nil {
+		o := outcome(*plain.Outcome)
+		wire.Outcome = &o
+	}
+	return json.Marshal(wire)
+}
+
+// Decode reads the JSON of a record. A record with an unknown progress or a
+// hash of another length is an error, so that it is never taken for a finished
+// or absent call.
+func Decode(data []byte) (intender.Record, error) {
+	var wire record
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return intender.Record{}, fmt.Errorf("intent record is no JSON: %w", err)
+	}
+	hash, err := hex.DecodeString(wire.BodyHash)
+	if err != nil || len(hash) != sha256.Size {
+		return intender.Record{}, fmt.Errorf("intent record has body hash %q", wire.BodyHash)
+	}
+	progress := intender.Progress(wire.Progress)
+	switch progress {
+	case intender.Open, intender.Done, intender.Unknown:
+	default:
+		return intender.Record{}, fmt.Errorf("intent record has progress %q", wire.Progress)
+	}
+	plain := intender.Record{
+		Workspace: mulberrybeam.WorkspaceName(wire.Workspace), Service: mulberrybeam.ServiceName(wire.Service),
+		Call: wire.Call, Key: wire.Key, BodyHash: [sha256.Size]byte(hash),
+		Attempt: wire.Attempt, Process: mulberrybeam.ProcessID(wire.Process),
+		CreatedAt: time.UnixMilli(wire.CreatedMs), OpenUntil: time.UnixMilli(wire.OpenMs), Progress: progress,
+	}
+	if wire.Outcome != nil {
+		o := intender.Outcome(*wire.Outcome)
+		plain.Outcome = &o
+	}
+	return plain, nil
+}
--- /dev/null
+++ b/request/forwarder/fake_test.go
@@ -0,0 +1,197 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/intentencoder"
+	"mulberrybeam/request/forwarder"
+)
+
+// fleet fakes everything that a Forwarder calls. Targets are picked in the
+// order "a", "b", "c".
+type fleet struct {
+	mulberrybeam.EngineClient
+	mutex    sync.Mutex
+	now      time.Duration
+	snapshot *mulberrybeam.Snapshot
+	// generate and call answer the attempts by number from 1.
+	generate  func(attempt int, call mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error)
+	call      func(attempt int) (mulberrybeam.ServiceAnswer, error)
+	permit    mulberrybeam.AskPermitReply
+	askTakes  time.Duration
+	importErr error
+	source    mulberrybeam.Source
+
+	calls     []mulberrybeam.EngineCall
+	sends     int
+	asks      int
+	releases  []mulberrybeam.ReleasePermit
+	signs     []mulberrybeam.TrafficSign
+	cancelled int
+	imports   int
+}
+
+func (f *fleet) clock() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.now
+}
+
+func (f *fleet) post(event mulberrybeam.Event) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if sign, is := event.(mulberrybeam.TrafficSign); is {
+		f.signs = append(f.signs, sign)
+	}
+}
+
+func (f *fleet) Pick(_ mulberrybeam.Turn, _ mulberrybeam.RouteView, query mulberrybeam.RouteQuery) (mulberrybeam.Route, error) {
+	for _, id := range []mulberrybeam.TargetID{"a", "b", "c"} {
+		if !slices.Contains(query.Tried, id) {
+			return mulberrybeam.Route{Target: id, Source: f.source, Import: mulberrybeam.Manifest{Store: "s"}}, nil
+		}
+	}
+	return mulberrybeam.Route{}, &mulberrybeam.Failure{Code: mulberrybeam.CodeNoTarget, Step: mulberrybeam.StepRoute, NotRun: true}
+}
+
+func (f *fleet) Generate(_ context.Context, call mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.calls = append(f.calls, call)
+	f.sends++
+	return f.generate(f.sends, call)
+}
+
+func (f *fleet) Cancel(context.Context, mulberrybeam.Target, mulberrybeam.RequestID) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.cancelled++
+	return nil
+}
+
+func (f *fleet) ImportContext(context.Context, mulberrybeam.Target, mulberrybeam.Store, mulberrybeam.Manifest, []mulberrybeam.BlockKey) (int, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.imports++
+	return 0, f.importErr
+}
+
+func (f *fleet) Ask(context.Context, mulberrybeam.TargetID, mulberrybeam.AskPermit) (mulberrybeam.AskPermitReply, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.asks++
+	f.now += f.askTakes
+	return f.permit, nil
+}
+
+func (f *fleet) Release(_ context.Context, _ mulberrybeam.TargetID, release mulberrybeam.ReleasePermit) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.releases = append(f.releases, release)
+}
+
+// services is the ServiceClient of a fleet.
+type services struct {
+	mulberrybeam.ServiceClient
+	fleet *fleet
+}
+
+func (s services) Call(context.Context, mulberrybeam.ServiceRequest) (mulberrybeam.ServiceAnswer, error) {
+	s.fleet.mutex.Lock()
+	defer s.fleet.mutex.Unlock()
+	s.fleet.sends++
+	return s.fleet.call(s.fleet.sends)
+}
+
+// tokens is an engine stream that ends with err.
+type tokens struct {
+	version mulberrybeam.WeightVersion
+	left    []mulberrybeam.Token
+	err     error
+}
+
+func (s *tokens) Instance() mulberrybeam.InstanceID         { return "i" }
+func (s *tokens) WeightVersion() mulberrybeam.WeightVersion { return s.version }
+func (s *tokens) Close() error                              { return nil }
+func (s *tokens) Next() (mulberrybeam.Token, error) {
+	if len(s.left) == 0 {
+		return mulberrybeam.Token{}, s.err
+	}
+	token := s.left[0]
+	s.left = s.left[1:]
+	return token, nil
+}
+
+// stream returns the tokens of request "r" from first to last, and the end
+// after token 3.
+func stream(first, last uint64) *tokens {
+	made := &tokens{version: "v1", err: io.EOF}
+	for sequence := first; sequence <= last; sequence++ {
+		made.left = append(made.left, mulberrybeam.Token{Request: "r", Sequence: sequence, Text: string(rune('w' + sequence))})
+	}
+	if last == 3 {
+		made.left = append(made.left, mulberrybeam.Token{Request: "r", Sequence: 4, End: true, FinishReason: "stop"})
+	}
+	return made
+}
+
+func newFleet(phase mulberrybeam.Phase) *fleet {
+	f := &fleet{now: time.Second, source: mulberrybeam.SourceRecompute}
+	f.snapshot = &mulberrybeam.Snapshot{
+		Self: "p", Targets: map[mulberrybeam.TargetID]mulberrybeam.TargetState{}, Shares: map[mulberrybeam.WorkspaceName]float64{"w": 1},
+		Tables: &mulberrybeam.Tables{
+			Environment: &mulberrybeam.Environment{Limits: mulberrybeam.Limits{QueueLength: 9, QueueTimeout: time.Second, IdempotencyRetention: 24 * time.Hour}},
+			Targets:     map[mulberrybeam.TargetID]mulberrybeam.Target{},
+			Workspaces:  map[mulberrybeam.WorkspaceName]mulberrybeam.Workspace{"w": {Name: "w", Weight: 1}},
+			Stores:      map[mulberrybeam.StoreID]mulberrybeam.Store{"s": {ID: "s"}},
+		},
+	}
+	for _, id := range []mulberrybeam.TargetID{"a", "b", "c"} {
+		f.snapshot.Targets[id] = mulberrybeam.TargetState{Phase: phase, Instance: "i"}
+		f.snapshot.Tables.Targets[id] = mulberrybeam.Target{ID: id, WarmLimit: 8}
+	}
+	return f
+}
+
+// start returns a Forwarder over the fleet and the function that stops it.
+func (f *fleet) start(t *testing.T, options ...forwarder.Option) (*forwarder.Forwarder, func()) {
+	t.Helper()
+	return forwarder.New(append([]forwarder.Option{
+		forwarder.WithControl(func() *mulberrybeam.Snapshot { return f.snapshot }, f.post),
+		forwarder.WithRouting(f, nil), forwarder.WithTargets(f, services{fleet: f}, nil), forwarder.WithPermits(f),
+		forwarder.WithClocks(f.clock, time.Now),
+	}, options...)...)
+}
+
+func prompt() *mulberrybeam.Request {
+	return &mulberrybeam.Request{
+		ID: "r", Workspace: "w", Model: "m", Version: "v1", Repeatable: true,
+		Fingerprint: mulberrybeam.Fingerprint{7}, Deadline: time.Minute,
+	}
+}
+
+var codec = intentencoder.Codec()
+
+// objects is an object API that accepts every write.
+type objects struct{ mulberrybeam.ObjectClient }
+
+func (objects) Create(_ context.Context, object mulberrybeam.Object) (mulberrybeam.Object, error) {
+	object.Version = "1"
+	return object, nil
+}
+
+func (objects) Update(_ context.Context, object mulberrybeam.Object) (mulberrybeam.Object, error) {
+	return object, nil
+}
+
+func (objects) Delete(context.Context, mulberrybeam.Object) error { return nil }
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
--- /dev/null
+++ b/request/forwarder/forwarder_test.go
@@ -0,0 +1,238 @@
+package forwarder_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/request/forwarder"
+)
+
+var (
+	refusal = &mulberrybeam.Failure{Code: mulberrybeam.CodeOverloaded, Step: mulberrybeam.StepSend, NotRun: true}
+	crash   = &mulberrybeam.Failure{Code: mulberrybeam.CodeStreamBroken, Step: mulberrybeam.StepAnswer}
+	unknown = &mulberrybeam.Failure{Code: mulberrybeam.CodeTargetFailed, Step: mulberrybeam.StepSend, Cause: errors.New("connection reset")}
+	absent  = &mulberrybeam.Failure{Code: mulberrybeam.CodeTargetFailed, Step: mulberrybeam.StepConnect, NotRun: true}
+)
+
+type script = func(int, mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error)
+
+// first answers the first attempt as given and the rest of the answer after it.
+func first(given *tokens, err error) script {
+	return func(attempt int, call mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error) {
+		if attempt > 1 {
+			return stream(call.After+1, 3), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		return given, nil
+	}
+}
+
+func with(s *tokens, change func(*tokens)) *tokens {
+	change(s)
+	return s
+}
+
+// Guards against answers with gaps, repetitions or foreign text after each
+// fault of an engine, and against wrong signs to control.
+func TestPromptSurvivesEachFaultOfAnEngine(t *testing.T) {
+	cases := []struct {
+		name   string
+		engine script
+		sends  int
+		after  uint64
+		sign   mulberrybeam.SignKind
+		cancel int
+	}{
+		{"no fault", first(stream(1, 3), nil), 1, 0, mulberrybeam.SignCompleted, 0},
+		{"connection refused", first(nil, absent), 2, 0, mulberrybeam.SignBroken, 0},
+		{"overloaded", first(nil, refusal), 2, 0, mulberrybeam.SignRefused, 0},
+		{"broken before the answer", first(nil, unknown), 2, 0, mulberrybeam.SignBroken, 1},
+		{"broken in mid-stream", first(with(stream(1, 2), func(s *tokens) { s.err = crash }), nil), 2, 2, mulberrybeam.SignBroken, 1},
+		{"ended without the end marker", first(stream(1, 2), nil), 2, 2, mulberrybeam.SignBroken, 1},
+		{"token lost", first(with(stream(1, 3), func(s *tokens) { s.left = append(s.left[:1], s.left[2:]...) }), nil), 2, 1, mulberrybeam.SignCompleted, 1},
+		{"token doubled", first(with(stream(1, 3), func(s *tokens) { s.left = append(s.left[:1:1], s.left...) }), nil), 1, 0, mulberrybeam.SignCompleted, 0},
+		{"token of another request", first(with(stream(1, 3), func(s *tokens) { s.left[1].Request = "x" }), nil), 2, 1, mulberrybeam.SignCompleted, 1},
+		{"other weight version", first(with(stream(1, 3), func(s *tokens) { s.version = "v2" }), nil), 2, 0, mulberrybeam.SignCompleted, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(mulberrybeam.PhaseWarm)
+			f.generate = c.engine
+			forwarder, stop := f.start(t)
+			text := ""
+			err := forwarder.Generate(t.Context(), prompt(), func(token mulberrybeam.Token) error {
+				text += token.Text
+				if token.End {
+					text += "."
+				}
+				return nil
+			})
+			stop()
+			is.NoErr(err)
+			is.Equal(text, "xyz.")
+			is.Equal(f.sends, c.sends)
+			last := f.calls[len(f.calls)-1]
+			is.Equal(last.After, c.after)
+			is.Equal(len(last.Generated), int(c.after))
+			is.Equal(f.signs[0].Kind, c.sign)
+			is.Equal(f.signs[len(f.signs)-1].Kind, mulberrybeam.SignCompleted)
+			if c.cancel == 1 && c.sign == mulberrybeam.SignBroken {
+				is.Equal(f.signs[0].InFlight, []mulberrybeam.Fingerprint{{7}})
+			}
+			is.Equal(f.cancelled, c.cancel)
+			is.Equal(forwarder.InFlight("a")+forwarder.InFlight("b"), 0)
+			is.Equal(f.asks, 0)
+		})
+	}
+}
+
+// Guards against a not-run that is untrue, or missing where nothing reached a
+// target.
+func TestNotRunOfPrompts(t *testing.T) {
+	always := func(err error) script {
+		return func(int, mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error) { return nil, err }
+	}
+	refusesLater := func(attempt int, _ mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error) {
+		if attempt == 1 {
+			return nil, unknown
+		}
+		return nil, refusal
+	}
+	none := func(*fleet) {}
+	cases := []struct {
+		name    string
+		phase   mulberrybeam.Phase
+		engine  script
+		prepare func(*fleet)
+		code    mulberrybeam.Code
+		notRun  bool
+		sends   int
+		permits int
+	}{
+		{"no configuration", mulberrybeam.PhaseWarm, nil, func(f *fleet) { f.snapshot = &mulberrybeam.Snapshot{} }, mulberrybeam.CodeNotReady, true, 0, 0},
+		{"every target refuses", mulberrybeam.PhaseWarm, always(refusal), none, mulberrybeam.CodeOverloaded, true, 3, 0},
+		{"no target is reached", mulberrybeam.PhaseWarm, always(absent), none, mulberrybeam.CodeTargetFailed, true, 3, 0},
+		{"one may have run it", mulberrybeam.PhaseWarm, refusesLater, none, mulberrybeam.CodeOverloaded, false, 3, 0},
+		{"no permit", mulberrybeam.PhaseCold, nil, func(f *fleet) { f.askTakes = 400 * time.Millisecond }, mulberrybeam.CodeNoPermit, true, 0, 0},
+		{"permit too late", mulberrybeam.PhaseCold, nil, func(f *fleet) {
+			f.permit, f.askTakes = mulberrybeam.AskPermitReply{Granted: true, Permit: 5, Valid: time.Second}, time.Second
+		}, mulberrybeam.CodeNoPermit, true, 0, 3},
+		{"deadline passed", mulberrybeam.PhaseCold, nil, func(f *fleet) {
+			f.permit, f.askTakes = mulberrybeam.AskPermitReply{Granted: true, Permit: 5, Valid: time.Hour}, time.Minute
+		}, mulberrybeam.CodeTimeout, true, 0, 1},
+		{"cold target breaks", mulberrybeam.PhaseCold, always(unknown), func(f *fleet) {
+			f.permit = mulberrybeam.AskPermitReply{Granted: true, Permit: 5, Valid: time.Second}
+		}, mulberrybeam.CodeTargetFailed, false, 3, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(c.phase)
+			f.generate = c.engine
+			c.prepare(f)
+			forwarder, stop := f.start(t)
+			err := forwarder.Generate(t.Context(), prompt(), func(mulberrybeam.Token) error { return nil })
+			stop()
+			var failure *mulberrybeam.Failure
+			is.True(errors.As(err, &failure))
+			is.Equal(failure.Code, c.code)
+			is.Equal(failure.NotRun, c.notRun)
+			is.Equal(f.sends, c.sends)
+			is.Equal(len(f.releases), c.permits) // every granted permit was released
+			for _, release := range f.releases {
+				is.Equal(release.Permit, uint64(5))
+				is.Equal(release.Crashed, c.sends > 0)
+				is.True(!release.Completed)
+			}
+		})
+	}
+}
+
+// Guards against a run that goes on after its caller has left, a suspect that
+// runs without isolation, and an import whose failure stops the prompt.
+func TestCallerLeavesSuspectsAndImports(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(mulberrybeam.PhaseCold)
+	f.permit = mulberrybeam.AskPermitReply{Granted: true, Permit: 5, Valid: time.Second}
+	f.generate = first(stream(1, 3), nil)
+	runner, stop := f.start(t)
+	left := errors.New("left")
+	is.True(errors.Is(runner.Generate(t.Context(), prompt(), func(mulberrybeam.Token) error { return left }), left))
+	stop()
+	is.Equal([]int{f.sends, f.cancelled, len(f.releases)}, []int{1, 1, 1})
+
+	f = newFleet(mulberrybeam.PhaseWarm)
+	f.permit = mulberrybeam.AskPermitReply{Granted: true, Valid: time.Second}
+	f.generate = first(stream(1, 3), nil)
+	f.source, f.importErr = mulberrybeam.SourceImport, refusal
+	refuse := false
+	runner, stop = f.start(t, forwarder.WithSuspicion(func(*mulberrybeam.Snapshot, *mulberrybeam.Request) forwarder.Suspicion {
+		if refuse {
+			return forwarder.Suspicion{Refusal: &mulberrybeam.Failure{Code: mulberrybeam.CodeCrashesTargets, NotRun: true}}
+		}
+		return forwarder.Suspicion{Isolated: true}
+	}))
+	keep := func(mulberrybeam.Token) error { return nil }
+	is.NoErr(runner.Generate(t.Context(), prompt(), keep))
+	refuse = true
+	is.True(runner.Generate(t.Context(), prompt(), keep) != nil)
+	stop()
+	is.Equal([]int{f.sends, f.asks, f.imports}, []int{1, 1, 1})
+	is.Equal(*f.signs[0].Cleared, mulberrybeam.Fingerprint{7})
+}
+
+// Guards against a second run of a call that is not repeatable, and against a
+// repeatable one that is given up after a broken connection.
+func TestServiceCallsAreRepeatedOnlyWhereAllowed(t *testing.T) {
+	cases := []struct {
+		name       string
+		repeatable bool
+		first      *mulberrybeam.Failure
+		sends      int
+		code       mulberrybeam.Code
+		notRun     bool
+	}{
+		{"repeatable and broken", true, unknown, 2, "", false},
+		{"repeatable and refused", true, refusal, 2, "", false},
+		{"once and broken", false, unknown, 1, mulberrybeam.CodeOutcomeUnknown, false},
+		{"once and surely not run", false, refusal, 2, "", false},
+		{"once without a key", false, nil, 0, mulberrybeam.CodeKeyMissing, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(mulberrybeam.PhaseWarm)
+			f.call = func(attempt int) (mulberrybeam.ServiceAnswer, error) {
+				if attempt == 1 {
+					return mulberrybeam.ServiceAnswer{}, c.first
+				}
+				return mulberrybeam.ServiceAnswer{Status: 201}, nil
+			}
+			forwarder, stop := f.start(t, forwarder.WithObjects(objects{}, codec))
+			request := prompt()
+			request.Model, request.Service, request.Call, request.Repeatable = "", "orders", "place", c.repeatable
+			if c.first != nil {
+				request.IdempotencyKey = newKey()
+			}
+			result, err := forwarder.Call(t.Context(), request)
+			stop()
+			is.Equal(f.sends, c.sends)
+			if c.code == "" {
+				is.NoErr(err)
+				is.Equal(result.Answer.Status, 201)
+				return
+			}
+			var failure *mulberrybeam.Failure
+			is.True(errors.As(err, &failure))
+			is.Equal(failure.Code, c.code)
+			is.Equal(failure.NotRun, c.notRun)
+		})
+	}
+}
--- /dev/null
+++ b/request/forwarder/prompt.go
@@ -0,0 +1,122 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"mulberrybeam"
+	"mulberrybeam/request/assembler"
+)
+
+// Generate runs a prompt and calls deliver for each token, each once and in
+// order, the last with End. It returns a Failure when the answer did not come
+// to its end. An error of deliver cancels the run.
+func (f *Forwarder) Generate(ctx context.Context, request *mulberrybeam.Request, deliver func(mulberrybeam.Token) error) error {
+	ctx, cancel := f.bounded(ctx, request)
+	defer cancel()
+	r, release, err := f.begin(ctx, request)
+	if err != nil {
+		return err
+	}
+	defer release()
+	r.kept = f.keptContexts(ctx, request)
+	state := assembler.State{Request: request.ID}
+	failure := f.attempts(ctx, r, func(a *attempt) *mulberrybeam.Failure {
+		return f.prompt(ctx, r, a, &state, deliver)
+	})
+	if failure != nil {
+		return failure
+	}
+	return nil
+}
+
+// prompt runs one attempt of a prompt.
+func (f *Forwarder) prompt(ctx context.Context, r *run, a *attempt, state *assembler.State, deliver func(mulberrybeam.Token) error) (failure *mulberrybeam.Failure) {
+	if failure := f.enter(ctx, r, a); failure != nil {
+		return failure
+	}
+	defer func() { f.leave(ctx, r, a, failure) }()
+	stream, err := f.Engines.Generate(ctx, mulberrybeam.EngineCall{
+		Request: r.request, Target: a.target, Attempt: a.number, Priority: r.request.Priority,
+		After: state.Last, Generated: state.Generated,
+	})
+	if err != nil {
+		if mayRun(err) {
+			f.cancelRun(ctx, r, a)
+		}
+		return failureOf(err)
+	}
+	defer stream.Close()
+	f.sawInstance(a, stream.Instance())
+	failure = f.versionOf(r, a, stream)
+	if failure == nil {
+		failure = f.receive(a, state, stream, deliver)
+	}
+	if failure != nil {
+		f.cancelRun(ctx, r, a)
+		return failure
+	}
+	f.note(mulberrybeam.EntryCompletion, r.request, string(a.target.ID),
+		fmt.Sprintf("attempt %d, first token after %v, %d tokens", a.number, a.firstToken, len(state.Generated)))
+	f.exportLater(r, a)
+	return nil
+}
+
+// versionOf refuses an answer of another weight version, whose context must
+// not mix with the request's.
+func (f *Forwarder) versionOf(r *run, a *attempt, stream mulberrybeam.EngineStream) *mulberrybeam.Failure {
+	if r.request.Version == "" || stream.WeightVersion() == r.request.Version {
+		return nil
+	}
+	a.misdelivered = true
+	return &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeTargetRefused, Step: mulberrybeam.StepAnswer, Peer: string(a.target.ID),
+		Message: fmt.Sprintf("the engine runs weight version %q instead of %q", stream.WeightVersion(), r.request.Version),
+	}
+}
+
+// receive passes tokens on until the end of the answer or a fault.
+func (f *Forwarder) receive(a *attempt, state *assembler.State, stream mulberrybeam.EngineStream, deliver func(mulberrybeam.Token) error) *mulberrybeam.Failure {
+	for {
+		token, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			err = wrongStream(a, "the connection ended before the end of the answer")
+		}
+		if err != nil {
+			return failureOf(err)
+		}
+		verdict := assembler.Take(state, token)
+		switch verdict {
+		case assembler.Duplicate:
+			continue
+		case assembler.Foreign, assembler.Lost:
+			a.misdelivered = true
+			return wrongStream(a, fmt.Sprintf("token %d of request %s after token %d: %s", token.Sequence, token.Request, state.Last, verdict))
+		}
+		if a.firstToken == 0 {
+			a.firstToken = max(1, f.Clock()-a.sentAt)
+		}
+		if err := deliver(token); err != nil {
+			a.misdelivered = true
+			return &mulberrybeam.Failure{
+				Code: mulberrybeam.CodeCancelled, Step: mulberrybeam.StepAnswer, Message: "the answer is no longer wanted", Cause: err,
+			}
+		}
+		if verdict == assembler.Finished {
+			return nil
+		}
+	}
+}
+
+func wrongStream(a *attempt, text string) *mulberrybeam.Failure {
+	return &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeStreamBroken, Step: mulberrybeam.StepAnswer, Peer: string(a.target.ID), Message: text,
+	}
+}
+
+// cancelRun tells the engine to stop a run whose answer is not read any more.
+func (f *Forwarder) cancelRun(ctx context.Context, r *run, a *attempt) {
+	f.later(ctx, func(ctx context.Context) { _ = f.Engines.Cancel(ctx, a.target, r.request.ID) })
+}
--- /dev/null
+++ b/request/forwarder/service.go
@@ -0,0 +1,125 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"mulberrybeam"
+	"mulberrybeam/request/intender"
+)
+
+// Result is the answer of a service call.
+type Result struct {
+	Answer mulberrybeam.ServiceAnswer
+	// Replayed says that the answer is the stored one of an earlier call
+	// with the same key. BodyOmitted says that its body of BodyBytes was
+	// too large to be stored.
+	Replayed    bool
+	BodyOmitted bool
+	BodyBytes   int
+}
+
+// Call runs a service call. A call that is not repeatable runs at most once
+// for its key. An error is a Failure.
+func (f *Forwarder) Call(ctx context.Context, request *mulberrybeam.Request) (Result, error) {
+	ctx, cancel := f.bounded(ctx, request)
+	defer cancel()
+	r, release, err := f.begin(ctx, request)
+	if err != nil {
+		return Result{}, err
+	}
+	defer release()
+	snapshot := f.Snapshot()
+	call := snapshot.Tables.Calls[request.Service][request.Call]
+	if !request.Repeatable {
+		return f.callOnce(ctx, snapshot, r, call)
+	}
+	answer, failure := f.callService(ctx, r, call)
+	if failure != nil {
+		return Result{}, failure
+	}
+	return Result{Answer: answer}, nil
+}
+
+// callOnce runs a non-repeatable call through its intent. It goes on when the
+// caller leaves, so that the outcome is stored.
+func (f *Forwarder) callOnce(ctx context.Context, snapshot *mulberrybeam.Snapshot, r *run, call mulberrybeam.ServiceCall) (Result, error) {
+	ctx, cancel := f.bounded(context.WithoutCancel(ctx), r.request)
+	defer cancel()
+	attempt, err := uuid.NewV7()
+	if err != nil {
+		return Result{}, f.refused(r.request, &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeInternal, Step: mulberrybeam.StepIntent, Message: "no attempt id", NotRun: true, Cause: err,
+		})
+	}
+	driver := intender.Driver{Objects: f.Objects, Codec: f.Codec, Clock: f.Clock, Wall: f.Wall, Live: f.live}
+	finish := driver.Run(ctx, intender.Call{
+		Workspace: r.request.Workspace, Service: r.request.Service, Name: r.request.Call,
+		Key: r.request.IdempotencyKey, BodyHash: bodyHash(r.request), Attempt: attempt.String(),
+		Process: snapshot.Self, Timeout: call.Timeout, Retention: snapshot.Tables.Environment.Limits.IdempotencyRetention,
+	}, func(ctx context.Context, notAfter time.Duration) (mulberrybeam.ServiceAnswer, error) {
+		r.sendBefore = min(r.sendBefore, notAfter)
+		answer, failure := f.callService(ctx, r, call)
+		if failure != nil {
+			return answer, failure
+		}
+		return answer, nil
+	})
+	switch {
+	case finish.Answer != nil:
+		return Result{Answer: *finish.Answer}, nil
+	case finish.Replayed != nil:
+		stored := finish.Replayed
+		f.note(mulberrybeam.EntryIntent, r.request, string(r.request.Service), "stored outcome returned")
+		return Result{
+			Answer:   mulberrybeam.ServiceAnswer{Status: stored.Status, ContentType: stored.ContentType, Body: stored.Body},
+			Replayed: true, BodyOmitted: stored.BodyOmitted, BodyBytes: stored.BodyBytes,
+		}, nil
+	}
+	f.note(mulberrybeam.EntryIntent, r.request, string(r.request.Service), finish.Failure.Error())
+	return Result{}, finish.Failure
+}
+
+// callService tries targets until one answers.
+func (f *Forwarder) callService(ctx context.Context, r *run, call mulberrybeam.ServiceCall) (mulberrybeam.ServiceAnswer, *mulberrybeam.Failure) {
+	var answer mulberrybeam.ServiceAnswer
+	failure := f.attempts(ctx, r, func(a *attempt) (failure *mulberrybeam.Failure) {
+		if failure := f.enter(ctx, r, a); failure != nil {
+			return failure
+		}
+		defer func() { f.leave(ctx, r, a, failure) }()
+		bounded, cancel := ctx, context.CancelFunc(func() {})
+		if call.Timeout > 0 {
+			bounded, cancel = context.WithTimeout(ctx, call.Timeout)
+		}
+		defer cancel()
+		given, err := f.Services.Call(bounded, mulberrybeam.ServiceRequest{Request: r.request, Target: a.target, Attempt: a.number})
+		if err != nil {
+			return failureOf(err)
+		}
+		a.firstToken = max(1, f.Clock()-a.sentAt)
+		f.sawInstance(a, given.Instance)
+		f.note(mulberrybeam.EntryCompletion, r.request, string(a.target.ID), "service answered")
+		answer = given
+		return nil
+	})
+	return answer, failure
+}
+
+// live says whether an entry process is known to be alive.
+func (f *Forwarder) live(process mulberrybeam.ProcessID) bool {
+	snapshot := f.Snapshot()
+	if process == snapshot.Self {
+		return true
+	}
+	for _, members := range [][]mulberrybeam.Member{snapshot.Members, snapshot.Relays} {
+		for _, member := range members {
+			if member.ID == process {
+				return member.State == mulberrybeam.MemberAlive || member.State == mulberrybeam.MemberLeaving
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/request/forwarder/use.go
@@ -0,0 +1,92 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"mulberrybeam"
+)
+
+// Constants of the measured use.
+const (
+	// useGain is the weight of the newest interval, so that rates cover the
+	// last few seconds.
+	useGain = 0.3
+	// forgottenRate ends the report on an idle link or workspace.
+	forgottenRate = 0.01
+)
+
+// use measures this process's use of links in bytes and of workspaces in
+// requests. Only traffic goroutines take its mutex.
+type use struct {
+	mutex      sync.Mutex
+	bytes      map[mulberrybeam.StoreID]float64
+	requests   map[mulberrybeam.WorkspaceName]float64
+	links      map[mulberrybeam.StoreID]float64
+	workspaces map[mulberrybeam.WorkspaceName]float64
+}
+
+func (u *use) asked(workspace mulberrybeam.WorkspaceName) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.requests == nil {
+		u.requests = map[mulberrybeam.WorkspaceName]float64{}
+	}
+	u.requests[workspace]++
+}
+
+func (u *use) moved(store mulberrybeam.StoreID, bytes int64) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.bytes == nil {
+		u.bytes = map[mulberrybeam.StoreID]float64{}
+	}
+	u.bytes[store] += float64(bytes)
+}
+
+func (u *use) link(store mulberrybeam.StoreID) float64 {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.links[store]
+}
+
+// measure ends an interval and returns the rates.
+func (u *use) measure(interval time.Duration) mulberrybeam.UseMeasured {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.links = smooth(u.links, u.bytes, interval)
+	u.workspaces = smooth(u.workspaces, u.requests, interval)
+	u.bytes, u.requests = nil, nil
+	return mulberrybeam.UseMeasured{Links: u.links, Workspaces: u.workspaces}
+}
+
+// smooth returns new maps, because the old ones were given to control.
+func smooth[K comparable](rates, amounts map[K]float64, interval time.Duration) map[K]float64 {
+	next := map[K]float64{}
+	for key, rate := range rates {
+		if rate *= 1 - useGain; rate > forgottenRate {
+			next[key] = rate
+		}
+	}
+	for key, amount := range amounts {
+		next[key] += useGain * amount / interval.Seconds()
+	}
+	return next
+}
+
+func (f *Forwarder) measureLoop(ctx context.Context) {
+	ticker := time.NewTicker(measureInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f.Post(f.use.measure(measureInterval))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
