Use the retry, quarantine and placement decisions in the forwarder

A request that was in flight at a broken connection now runs again only under an isolation permit, retries take from the process's budget, and transfers of contexts ask for their part of the link.

--- /dev/null
+++ b/request/forwarder/again.go
@@ -0,0 +1,137 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/request/quarantiner"
+	"mulberrybeam/request/retrier"
+)
+
+// again says whether another target may be tried after a failure, and waits
+// where the decision asks for it. A failure it returns ends the request in
+// place of the given one.
+func (f *Forwarder) again(ctx context.Context, r *run, failure *mulberrybeam.Failure) (bool, *mulberrybeam.Failure) {
+	if !failure.NotRun {
+		r.reached = true
+	}
+	if ctx.Err() != nil || f.Clock() >= r.sendBefore {
+		return false, failure
+	}
+	if r.broken > 0 {
+		if refusal := f.suspect(r); refusal != nil {
+			return false, refusal
+		}
+	}
+	turn := mulberrybeam.Turn{Now: f.Clock(), Wall: f.Wall(), Rand: r.random}
+	decision := f.budget.decide(turn, r, failure)
+	if !decision.Retry {
+		return false, failure
+	}
+	f.note(mulberrybeam.EntryRetry, r.request, failure.Peer, decision.Reason+" after: "+failure.Error())
+	r.tried = decision.Tried
+	return pause(ctx, decision.Delay), failure
+}
+
+// suspect decides on the request by the crashes it was in flight at.
+func (f *Forwarder) suspect(r *run) *mulberrybeam.Failure {
+	suspicion := quarantiner.Suspicion{Before: r.crashesBefore, Broken: r.broken}
+	if crash, found := f.Snapshot().Crashes[r.request.Fingerprint]; found {
+		suspicion.Spread = []mulberrybeam.CrashFact{crash}
+	}
+	suspicion.Copies = f.copies.others(r)
+	verdict, crashes := quarantiner.Decide(suspicion)
+	if verdict == quarantiner.RunIsolated && !r.isolated && !f.copies.enter(r) {
+		// A copy of the request began its isolated run in the meantime.
+		verdict = quarantiner.Wait
+	}
+	if err := quarantiner.Refusal(verdict, crashes, suspicion); err != nil {
+		return failureOf(err)
+	}
+	return nil
+}
+
+// pause waits and says whether the context still holds.
+func pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// budget is the process's retry budget. Only traffic goroutines take its
+// mutex.
+type budget struct {
+	mutex sync.Mutex
+	value retrier.Budget
+}
+
+func (b *budget) count(now time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.value = b.value.Count(now)
+}
+
+func (b *budget) decide(turn mulberrybeam.Turn, r *run, failure *mulberrybeam.Failure) retrier.Decision {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	decision, value := retrier.Decide(turn, r.request, r.history, failure, b.value)
+	b.value = value
+	return decision
+}
+
+// copies counts the isolated runs of each request in this process.
+type copies struct {
+	mutex   sync.Mutex
+	running map[mulberrybeam.Fingerprint]int
+}
+
+// others counts the isolated runs of the same request but for this one.
+func (c *copies) others(r *run) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	count := c.running[r.request.Fingerprint]
+	if r.isolated {
+		count--
+	}
+	return count
+}
+
+// enter isolates a run unless a copy of it runs in isolation.
+func (c *copies) enter(r *run) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.running[r.request.Fingerprint] > 0 {
+		return false
+	}
+	c.running[r.request.Fingerprint]++
+	r.isolated = true
+	return true
+}
+
+func (c *copies) leave(r *run) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !r.isolated {
+		return
+	}
+	if c.running[r.request.Fingerprint]--; c.running[r.request.Fingerprint] == 0 {
+		delete(c.running, r.request.Fingerprint)
+	}
+}
+
+// mayRun says whether a target may be running the request after an error.
+func mayRun(err error) bool {
+	var failure *mulberrybeam.Failure
+	return !errors.As(err, &failure) || !failure.NotRun
+}
--- a/request/forwarder/attempt.go
+++ b/request/forwarder/attempt.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
 	"mulberrybeam"
 	"mulberrybeam/request/admitter"
+	"mulberrybeam/request/retrier"
 )
 
 // Bounds of the wait for a permit when no other target is left.
@@ -58,8 +58,8 @@
 			continue
 		}
 		last = failure
-		if !f.again(ctx, r, failure) {
-			return f.ended(ctx, r, failure)
+		if more, end := f.again(ctx, r, failure); !more {
+			return f.ended(ctx, r, end)
 		}
 	}
 }
@@ -74,10 +74,9 @@
 		failure.NotRun = true
 		return nil, &failure
 	}
-	r.rounds++
-	r.tried = append(r.tried, route.Target)
+	r.history.Attempts = append(r.history.Attempts, retrier.Attempt{Target: route.Target})
 	a := &attempt{
-		number: r.attempts + 1, route: route, target: snapshot.Tables.Targets[route.Target],
+		number: len(r.history.Attempts), route: route, target: snapshot.Tables.Targets[route.Target],
 		instance: snapshot.Targets[route.Target].Instance,
 	}
 	f.note(mulberrybeam.EntryRoute, r.request, string(route.Target), route.Reason)
@@ -142,18 +141,19 @@
 // to try them again.
 func (f *Forwarder) awaitPermit(ctx context.Context, r *run, last *mulberrybeam.Failure, until time.Duration) bool {
 	wait := min(max(last.RetryAfter, minPermitWait), maxPermitWait)
-	if f.Clock()+wait > min(until, r.request.Deadline, r.sendBefore) || r.reached || r.attempts > 0 {
+	if f.Clock()+wait > min(until, r.request.Deadline, r.sendBefore) {
 		return false
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return false
+	var sent []retrier.Attempt
+	r.tried = nil
+	for _, earlier := range r.history.Attempts {
+		if earlier.Sent {
+			sent = append(sent, earlier)
+			r.tried = append(r.tried, earlier.Target)
+		}
 	}
-	r.tried, r.rounds = nil, 0
-	return true
+	r.history.Attempts = sent
+	return pause(ctx, wait)
 }
 
 // enter checks the permit and the send window right before the send and counts
@@ -174,7 +174,7 @@
 		f.release(ctx, a, false, false)
 		return failure
 	}
-	r.attempts++
+	r.history.Attempts[len(r.history.Attempts)-1].Sent = true
 	a.sentAt = now
 	flight := f.flights.at(a.target.ID)
 	flight.enter(r.request)
@@ -206,6 +206,7 @@
 		sign.Kind = mulberrybeam.SignBroken
 		sign.InFlight = flight.list()
 		crashed = true
+		r.broken++
 	case failure.Code == mulberrybeam.CodeTimeout:
 		sign.Kind = mulberrybeam.SignBroken
 	}
@@ -242,9 +243,3 @@
 	a.instance = instance
 	f.Post(mulberrybeam.TrafficSign{Kind: mulberrybeam.SignInstance, Target: a.target.ID, Instance: instance})
 }
-
-// mayRun says whether a target may be running the request after an error.
-func mayRun(err error) bool {
-	var failure *mulberrybeam.Failure
-	return !errors.As(err, &failure) || !failure.NotRun
-}
--- a/request/forwarder/context.go
+++ b/request/forwarder/context.go
@@ -1,42 +1,47 @@
 package forwarder
 
 import (
-	"cmp"
 	"context"
-	"encoding/hex"
+	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"mulberrybeam"
-	"mulberrybeam/version/ranker"
+	"mulberrybeam/request/keyer"
+	"mulberrybeam/request/placer"
 )
 
-// storeCandidates is how many stores may hold a context.
-const storeCandidates = 2
+// maxLinkWait bounds the wait of one export or prefetch for its link, so that
+// a busy link does not hold up the transfers of the others for long.
+const maxLinkWait = 2 * time.Second
 
 // export is a context to write to a store after its request, or, when
 // prefetch is set, a context to load before the next one.
 type export struct {
-	request  *mulberrybeam.Request
-	target   mulberrybeam.Target
-	prefetch *mulberrybeam.Manifest
+	request    *mulberrybeam.Request
+	target     mulberrybeam.Target
+	store      mulberrybeam.Store
+	generation uint64
+	prefetch   *mulberrybeam.Manifest
 }
 
-// storesOf returns the stores that may hold a context, the first one first.
-func storesOf(tables *mulberrybeam.Tables, keys []mulberrybeam.BlockKey) []mulberrybeam.Store {
-	ids := make([]mulberrybeam.StoreID, 0, len(tables.Stores))
-	for id := range tables.Stores {
-		ids = append(ids, id)
-	}
-	var stores []mulberrybeam.Store
-	for _, id := range ranker.Top(hex.EncodeToString(keys[0][:]), ids, storeCandidates) {
-		stores = append(stores, tables.Stores[id])
-	}
-	return stores
+// moves is what this process moves over the links of stores. Only traffic
+// goroutines take its mutex.
+type moves struct {
+	mutex   sync.Mutex
+	links   map[mulberrybeam.StoreID]placer.Link
+	fetches placer.Flights
+	waiting int
+}
+
+// storesOf returns the declared stores.
+func storesOf(tables *mulberrybeam.Tables) []mulberrybeam.Store {
+	return slices.Collect(maps.Values(tables.Stores))
 }
 
-// keptContexts returns the kept contexts of a prompt, longest first. A store
-// that does not answer in time counts as empty.
+// keptContexts returns the usable kept contexts of a prompt, longest first. A
+// store that does not answer in time counts as empty.
 func (f *Forwarder) keptContexts(ctx context.Context, request *mulberrybeam.Request) []mulberrybeam.Manifest {
 	if len(request.Keys) == 0 || f.Stores == nil {
 		return nil
@@ -45,61 +50,102 @@
 	defer cancel()
 	var group sync.WaitGroup
 	var mutex sync.Mutex
-	var kept []mulberrybeam.Manifest
-	for _, store := range storesOf(f.Snapshot().Tables, request.Keys) {
+	var found []mulberrybeam.Manifest
+	for _, store := range placer.Stores(request.Keys, storesOf(f.Snapshot().Tables)) {
 		group.Go(func() {
-			found, err := f.Stores.Manifests(ctx, store, request.Keys)
+			manifests, err := f.Stores.Manifests(ctx, store, request.Keys)
 			if err != nil {
 				return
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
-			kept = append(kept, found...)
+			found = append(found, manifests...)
 		})
 	}
 	group.Wait()
-	slices.SortStableFunc(kept, func(a, b mulberrybeam.Manifest) int { return cmp.Compare(b.Blocks, a.Blocks) })
-	return kept
+	return placer.Usable(request.Keys, found)
 }
 
 // importContext has the engine load a kept context. After a failure the engine
-// recomputes it. A permit bounds the import too.
+// recomputes it. A permit bounds the import too, with time left for the send.
 func (f *Forwarder) importContext(ctx context.Context, snapshot *mulberrybeam.Snapshot, r *run, a *attempt) {
-	if a.permit.needed {
-		bounded, cancel := context.WithTimeout(ctx, (a.permit.sendBefore-f.Clock())/2)
-		defer cancel()
-		ctx = bounded
-	}
 	store, found := snapshot.Tables.Stores[a.route.Import.Store]
 	if !found {
 		return
 	}
-	if _, err := f.load(ctx, a.target, store, a.route.Import, r.request.Keys); err != nil {
-		f.note(mulberrybeam.EntryRoute, r.request, string(store.ID), "context is recomputed: "+err.Error())
+	bound := importTimeout
+	if a.permit.needed {
+		bound = (a.permit.sendBefore - f.Clock()) / 2
+	}
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	if reason := f.fetch(ctx, snapshot, r.request, a.target, store, a.route.Import, r.request.Priority); reason != "" {
+		f.note(mulberrybeam.EntryRoute, r.request, string(store.ID), "context is recomputed: "+reason)
 	}
 }
 
-func (f *Forwarder) load(ctx context.Context, target mulberrybeam.Target, store mulberrybeam.Store, manifest mulberrybeam.Manifest, keys []mulberrybeam.BlockKey) (int, error) {
-	blocks := min(manifest.Blocks, len(keys))
-	tokens, err := f.Engines.ImportContext(ctx, target, store, manifest, keys[:blocks])
-	if err == nil {
-		f.use.moved(store.ID, manifest.Bytes)
-	}
-	return tokens, err
+// fetch loads a kept context into an engine when its link allows it. It
+// returns why it did not.
+func (f *Forwarder) fetch(
+	ctx context.Context, snapshot *mulberrybeam.Snapshot, request *mulberrybeam.Request, target mulberrybeam.Target,
+	store mulberrybeam.Store, manifest mulberrybeam.Manifest, priority mulberrybeam.Priority,
+) string {
+	now := f.Clock()
+	flight := placer.Flight{Request: request.ID, Target: target.ID, Until: now + importTimeout}
+	f.moves.mutex.Lock()
+	_, own := f.moves.fetches.Begin(now, manifest.Key, flight)
+	f.moves.mutex.Unlock()
+	if !own {
+		return "the context is being fetched for another request"
+	}
+	defer func() {
+		f.moves.mutex.Lock()
+		defer f.moves.mutex.Unlock()
+		f.moves.fetches.End(manifest.Key, request.ID)
+	}()
+	if verdict := f.askLink(snapshot, store, priority, manifest.Bytes); !verdict.Go {
+		return verdict.Reason
+	}
+	if priority < mulberrybeam.PriorityPrefetch {
+		f.wait(1)
+		defer f.wait(-1)
+	}
+	if _, err := f.Engines.ImportContext(ctx, target, store, manifest, request.Keys[:min(manifest.Blocks, len(request.Keys))]); err != nil {
+		return err.Error()
+	}
+	f.use.moved(store.ID, manifest.Bytes)
+	return ""
+}
+
+// askLink says whether a transfer may use a store's link now.
+func (f *Forwarder) askLink(snapshot *mulberrybeam.Snapshot, store mulberrybeam.Store, priority mulberrybeam.Priority, bytes int64) placer.Verdict {
+	use := placer.Use{
+		Rate: store.LinkRate, Others: snapshot.LinkUse[store.ID], Own: f.use.link(store.ID), Members: len(snapshot.Members),
+	}
+	f.moves.mutex.Lock()
+	defer f.moves.mutex.Unlock()
+	use.WaitingPrompts = f.moves.waiting
+	link, verdict := placer.Decide(f.Clock(), f.moves.links[store.ID], use, placer.Transfer{Priority: priority, Bytes: bytes})
+	f.moves.links[store.ID] = link
+	return verdict
+}
+
+// wait counts the prompts that wait for a link.
+func (f *Forwarder) wait(change int) {
+	f.moves.mutex.Lock()
+	defer f.moves.mutex.Unlock()
+	f.moves.waiting += change
 }
 
 // exportLater queues the context of a completed prompt, unless a store has it.
 func (f *Forwarder) exportLater(r *run, a *attempt) {
-	keys := r.request.Keys
-	if len(keys) == 0 || f.Stores == nil {
+	if len(r.request.Keys) == 0 || f.Stores == nil {
 		return
 	}
-	for _, manifest := range r.kept {
-		if manifest.Key == keys[len(keys)-1] {
-			return
-		}
+	store, generation, needed := placer.Export(r.request.Keys, storesOf(f.Snapshot().Tables), r.kept)
+	if needed {
+		f.enqueue(export{request: r.request, target: a.target, store: store, generation: generation})
 	}
-	f.enqueue(export{request: r.request, target: a.target})
 }
 
 // Prefetch has the context of an expected prompt loaded by a warm engine, at
@@ -107,7 +153,7 @@
 func (f *Forwarder) Prefetch(ctx context.Context, request *mulberrybeam.Request) error {
 	snapshot := f.Snapshot()
 	if snapshot == nil || snapshot.Tables == nil {
-		return &mulberrybeam.Failure{Code: mulberrybeam.CodeNotReady, Step: mulberrybeam.StepAccept, Message: "no configuration is in force", NotRun: true}
+		return notReady()
 	}
 	r := &run{request: request, random: newRandom(), kept: f.keptContexts(ctx, request)}
 	if len(r.kept) == 0 {
@@ -117,13 +163,14 @@
 	if err != nil {
 		return failureOf(err)
 	}
-	if route.Source == mulberrybeam.SourceImport && snapshot.Targets[route.Target].Phase == mulberrybeam.PhaseWarm {
-		f.enqueue(export{request: request, target: snapshot.Tables.Targets[route.Target], prefetch: &route.Import})
+	store, found := snapshot.Tables.Stores[route.Import.Store]
+	if found && route.Source == mulberrybeam.SourceImport && snapshot.Targets[route.Target].Phase == mulberrybeam.PhaseWarm {
+		f.enqueue(export{request: request, target: snapshot.Tables.Targets[route.Target], store: store, prefetch: &route.Import})
 	}
 	return nil
 }
 
-// enqueue drops work when the queue is full; it is never waited for.
+// enqueue drops work when the queue is full; nobody waits for it.
 func (f *Forwarder) enqueue(work export) {
 	select {
 	case f.exports <- work:
@@ -142,29 +189,31 @@
 	}
 }
 
-// move runs one queued import or export, unless the link is needed for waiting
-// prompts.
+// move runs one queued export or prefetch. It waits for its link once.
 func (f *Forwarder) move(ctx context.Context, work export) {
 	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
 	defer cancel()
-	snapshot := f.Snapshot()
-	keys := work.request.Keys
-	for _, store := range storesOf(snapshot.Tables, keys) {
-		if snapshot.LinkUse[store.ID]+f.use.link(store.ID) > exportLinkShare*store.LinkRate {
-			continue
-		}
-		if work.prefetch != nil {
-			if store.ID == work.prefetch.Store {
-				_, _ = f.load(ctx, work.target, store, *work.prefetch, keys)
-			}
-			continue
-		}
-		// The wall time makes generations rise over processes.
-		manifest, err := f.Engines.ExportContext(ctx, work.target, store, keys, uint64(f.Wall().UnixMilli()))
-		if err == nil {
-			f.use.moved(store.ID, manifest.Bytes)
-			return
+	snapshot, keys := f.Snapshot(), work.request.Keys
+	if work.prefetch != nil {
+		reason := f.fetch(ctx, snapshot, work.request, work.target, work.store, *work.prefetch, mulberrybeam.PriorityPrefetch)
+		if reason == "" {
+			f.Index.Sent(work.target.ID, "", keys[:min(work.prefetch.Blocks, len(keys))])
 		}
-		f.note(mulberrybeam.EntryCompletion, work.request, string(store.ID), "context not exported: "+err.Error())
+		return
+	}
+	bytes := int64(len(keys)) * keyer.BlockBytes
+	verdict := f.askLink(snapshot, work.store, mulberrybeam.PriorityExport, bytes)
+	if !verdict.Go && pause(ctx, min(verdict.Wait, maxLinkWait)) {
+		verdict = f.askLink(f.Snapshot(), work.store, mulberrybeam.PriorityExport, bytes)
+	}
+	if !verdict.Go {
+		f.note(mulberrybeam.EntryCompletion, work.request, string(work.store.ID), "context not exported: "+verdict.Reason)
+		return
+	}
+	manifest, err := f.Engines.ExportContext(ctx, work.target, work.store, keys, work.generation)
+	if err != nil {
+		f.note(mulberrybeam.EntryCompletion, work.request, string(work.store.ID), "context not exported: "+err.Error())
+		return
 	}
+	f.use.moved(work.store.ID, manifest.Bytes)
 }
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -13,15 +13,12 @@
 	"mulberrybeam"
 	"mulberrybeam/request/admitter"
 	"mulberrybeam/request/intender"
+	"mulberrybeam/request/placer"
+	"mulberrybeam/request/retrier"
 )
 
 // Constants of forwarding.
 const (
-	// maxAttempts bounds the targets that one request is sent to.
-	maxAttempts = 4
-	// maxRounds bounds the targets that are tried for one request, those
-	// included that gave no permit.
-	maxRounds = 8
 	// signalTimeout bounds cancellations and permit releases, which go on
 	// after the request has ended.
 	signalTimeout = 2 * time.Second
@@ -32,35 +29,19 @@
 	// exportQueue bounds the contexts that wait for export. A context that
 	// is not exported is recomputed.
 	exportQueue = 64
-	// exportLinkShare is how much of a link exports may leave no room for:
-	// above it waiting prompts need the link.
-	exportLinkShare = 0.5
+	// importTimeout is when a fetch counts as lost for others.
+	importTimeout   = 10 * time.Second
 	measureInterval = time.Second
 )
 
 // Index is what is known of the prefix caches of targets.
 type Index interface {
+	// Sent notes that an instance has computed or imported a context.
+	Sent(target mulberrybeam.TargetID, instance mulberrybeam.InstanceID, keys []mulberrybeam.BlockKey)
 	CachedBlocks(target mulberrybeam.TargetID, keys []mulberrybeam.BlockKey) int
 	Holders(keys []mulberrybeam.BlockKey) []mulberrybeam.TargetID
 }
 
-// RetryQuery is what the decision to try another target needs.
-type RetryQuery struct {
-	Now     time.Duration
-	Request *mulberrybeam.Request
-	Failure *mulberrybeam.Failure
-	// Attempts counts the targets that the request was sent to.
-	Attempts int
-}
-
-// Suspicion is the decision on a request that was in flight at a crash.
-type Suspicion struct {
-	// Refusal is set when the request must not run again.
-	Refusal *mulberrybeam.Failure
-	// Isolated says that the request needs an isolation permit.
-	Isolated bool
-}
-
 // Settings are the dependencies of a Forwarder.
 type Settings struct {
 	// Snapshot returns the current snapshot.
@@ -80,10 +61,6 @@
 	// Clock is local monotonic time, Wall is wall time.
 	Clock func() time.Duration
 	Wall  func() time.Time
-	// Retry says whether another target may be tried.
-	Retry func(RetryQuery) bool
-	// Suspect decides on a request by what is known of crashes.
-	Suspect func(*mulberrybeam.Snapshot, *mulberrybeam.Request) Suspicion
 }
 
 // Option changes the settings of a Forwarder.
@@ -124,22 +101,15 @@
 	return func(s *Settings) { s.Clock, s.Wall = clock, wall }
 }
 
-// WithRetry sets the retry decision.
-func WithRetry(retry func(RetryQuery) bool) Option {
-	return func(s *Settings) { s.Retry = retry }
-}
-
-// WithSuspicion sets the decision on requests that were in flight at a crash.
-func WithSuspicion(suspect func(*mulberrybeam.Snapshot, *mulberrybeam.Request) Suspicion) Option {
-	return func(s *Settings) { s.Suspect = suspect }
-}
-
 // Forwarder runs requests. It is shared by all traffic goroutines.
 type Forwarder struct {
 	Settings
 	gate    *admitter.Gate
 	flights flights
 	use     use
+	moves   moves
+	budget  budget
+	copies  copies
 	exports chan export
 	// background are goroutines that outlive their request.
 	background sync.WaitGroup
@@ -153,8 +123,6 @@
 		Clock:    func() time.Duration { return time.Since(begin) },
 		Wall:     time.Now,
 		Post:     func(mulberrybeam.Event) {},
-		Retry:    func(RetryQuery) bool { return true },
-		Suspect:  func(*mulberrybeam.Snapshot, *mulberrybeam.Request) Suspicion { return Suspicion{} },
 		Recorder: silent{},
 		Index:    noIndex{},
 	}
@@ -164,6 +132,9 @@
 	f := &Forwarder{
 		Settings: settings,
 		gate:     admitter.New(settings.Clock),
+		moves:    moves{links: map[mulberrybeam.StoreID]placer.Link{}, fetches: placer.Flights{}},
+		budget:   budget{value: retrier.NewBudget(settings.Clock())},
+		copies:   copies{running: map[mulberrybeam.Fingerprint]int{}},
 		exports:  make(chan export, exportQueue),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -182,13 +153,16 @@
 type run struct {
 	request *mulberrybeam.Request
 	random  *rand.Rand
-	tried   []mulberrybeam.TargetID
 	kept    []mulberrybeam.Manifest
-	// attempts counts the sends, rounds the targets picked.
-	attempts, rounds int
+	history retrier.History
+	// tried are the targets that the next route must leave out.
+	tried []mulberrybeam.TargetID
 	// reached is true once an attempt may have run at a target.
-	reached  bool
-	isolated bool
+	reached bool
+	// crashesBefore counts the crashes known at the start, broken the
+	// attempts of this request that ended with a broken connection.
+	crashesBefore, broken int
+	isolated              bool
 	// sendBefore bounds the send of a non-repeatable call.
 	sendBefore time.Duration
 }
@@ -196,49 +170,27 @@
 // begin admits a request. The release function is nil after a failure.
 func (f *Forwarder) begin(ctx context.Context, request *mulberrybeam.Request) (*run, func(), error) {
 	f.use.asked(request.Workspace)
+	f.budget.count(f.Clock())
 	snapshot := f.Snapshot()
 	if snapshot == nil || snapshot.Tables == nil {
-		return nil, nil, f.refused(request, &mulberrybeam.Failure{
-			Code: mulberrybeam.CodeNotReady, Step: mulberrybeam.StepAccept, Message: "no configuration is in force", NotRun: true, RetryAfter: time.Second,
-		})
+		return nil, nil, f.refused(request, notReady())
+	}
+	r := &run{
+		request: request, sendBefore: request.Deadline, random: newRandom(),
+		crashesBefore: snapshot.Crashes[request.Fingerprint].Count,
 	}
-	suspicion := f.Suspect(snapshot, request)
-	if suspicion.Refusal != nil {
-		return nil, nil, f.refused(request, suspicion.Refusal)
+	if failure := f.suspect(r); failure != nil {
+		return nil, nil, f.refused(request, failure)
 	}
 	release, err := f.gate.Admit(ctx, snapshot, request)
 	if err != nil {
+		f.copies.leave(r)
 		return nil, nil, f.refused(request, failureOf(err))
 	}
-	return &run{
-		request: request, isolated: suspicion.Isolated, sendBefore: request.Deadline,
-		random: newRandom(),
-	}, release, nil
-}
-
-// again says whether another target may be tried after a failure.
-func (f *Forwarder) again(ctx context.Context, r *run, failure *mulberrybeam.Failure) bool {
-	if !failure.NotRun {
-		r.reached = true
-	}
-	now := f.Clock()
-	switch {
-	case ctx.Err() != nil, now >= min(r.request.Deadline, r.sendBefore), r.attempts >= maxAttempts, r.rounds >= maxRounds:
-		return false
-	case failure.Code == mulberrybeam.CodeNoTarget, failure.Code == mulberrybeam.CodeCancelled, failure.Code == mulberrybeam.CodeBadRequest:
-		return false
-	case !failure.NotRun && !r.request.Repeatable:
-		return false
-	case failure.Step == mulberrybeam.StepPermit:
-		// A target without a free permit was not sent to, so it takes
-		// nothing from the retry budget.
-		return true
-	}
-	if !f.Retry(RetryQuery{Now: now, Request: r.request, Failure: failure, Attempts: r.attempts}) {
-		return false
-	}
-	f.note(mulberrybeam.EntryRetry, r.request, failure.Peer, failure.Error())
-	return true
+	return r, func() {
+		f.copies.leave(r)
+		release()
+	}, nil
 }
 
 // ended returns the failure of a whole request. NotRun holds only when no
@@ -284,4 +236,11 @@
 	f.Recorder.Record(entry)
 }
 
+func notReady() *mulberrybeam.Failure {
+	return &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeNotReady, Step: mulberrybeam.StepAccept, Message: "no configuration is in force",
+		NotRun: true, RetryAfter: time.Second,
+	}
+}
+
 func bodyHash(request *mulberrybeam.Request) [sha256.Size]byte { return sha256.Sum256(request.Body) }
--- a/request/forwarder/view.go
+++ b/request/forwarder/view.go
@@ -95,6 +95,8 @@
 
 type noIndex struct{}
 
+func (noIndex) Sent(mulberrybeam.TargetID, mulberrybeam.InstanceID, []mulberrybeam.BlockKey) {}
+
 func (noIndex) CachedBlocks(mulberrybeam.TargetID, []mulberrybeam.BlockKey) int { return 0 }
 
 func (noIndex) Holders([]mulberrybeam.BlockKey) []mulberrybeam.TargetID { return nil }
