Check the request id of answers and prepare load bodies before their time

An answer to another request must not reach a caller, so a response that names another request id is a failure. Load bodies are made 500 ms before their arrival, so that making them does not count as latency.

--- a/cmd/mulberryload/process/runner/runner.go
+++ b/cmd/mulberryload/process/runner/runner.go
@@ -20,6 +20,10 @@
 	"mulberrybeam/process/standin/engine"
 )
 
+// preparation is how long before its arrival a request's body is made, so that
+// making it does not count as latency.
+const preparation = 500 * time.Millisecond
+
 // Settings describe what the load is sent to.
 type Settings struct {
 	// Entries are the addresses of entry processes, used in turn.
@@ -53,13 +57,13 @@
 // end of the context stops further arrivals.
 func (r *Runner) Run(ctx context.Context) scorer.Results {
 	arrivals := planner.Arrivals(r.settings.Plan)
-	start := time.Now()
+	start := time.Now().Add(preparation)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var group sync.WaitGroup
-	defer group.Wait()
 	for n, arrival := range arrivals {
-		timer.Reset(time.Until(start.Add(arrival.At)))
+		intended := start.Add(arrival.At)
+		timer.Reset(time.Until(intended) - preparation)
 		select {
 		case <-ctx.Done():
 			group.Wait()
@@ -67,8 +71,7 @@
 		case <-timer.C:
 		}
 		group.Go(func() {
-			entry := r.settings.Entries[n%len(r.settings.Entries)]
-			r.send(ctx, entry, arrival, start.Add(arrival.At))
+			r.send(ctx, r.settings.Entries[n%len(r.settings.Entries)], arrival, intended)
 		})
 	}
 	group.Wait()
@@ -79,10 +82,13 @@
 	ctx, cancel := context.WithDeadline(ctx, intended.Add(r.settings.Timeout))
 	defer cancel()
 	if arrival.Kind == planner.Prompt {
-		r.scorer.Add(r.prompt(ctx, entry, arrival, intended))
+		r.sendPrompt(ctx, entry, arrival, intended)
 		return
 	}
 	call := r.call(entry, arrival, intended)
+	if !until(ctx, intended) {
+		return
+	}
 	r.scorer.Add(sender.SendCall(ctx, r.client, call))
 	if arrival.Resend {
 		call.Intended = time.Now()
@@ -90,20 +96,36 @@
 	}
 }
 
-func (r *Runner) prompt(ctx context.Context, entry string, arrival planner.Arrival, intended time.Time) scorer.Outcome {
+func (r *Runner) sendPrompt(ctx context.Context, entry string, arrival planner.Arrival, intended time.Time) {
 	tokens := r.settings.MaxTokens
 	body, err := planner.Body(r.settings.Plan, r.settings.Model, tokens, arrival.Conversation, arrival.Turn, engine.Answer)
-	if err != nil {
-		return scorer.Outcome{Prompt: true, Code: "invalid-plan"}
+	var expected []string
+	if err == nil {
+		expected, err = engine.Answer(body, tokens)
 	}
-	expected, err := engine.Answer(body, tokens)
 	if err != nil {
-		return scorer.Outcome{Prompt: true, Code: "invalid-plan"}
+		r.scorer.Add(scorer.Outcome{Prompt: true, Code: "invalid-plan"})
+		return
 	}
-	return sender.SendPrompt(ctx, r.client, sender.Prompt{
+	if !until(ctx, intended) {
+		return
+	}
+	r.scorer.Add(sender.SendPrompt(ctx, r.client, sender.Prompt{
 		Entry: entry, Key: r.settings.Plan.Workspaces[arrival.Workspace].Key, Body: body,
 		Expected: expected, Returning: arrival.Turn > 1, Intended: intended,
-	})
+	}))
+}
+
+// until waits for a time and reports whether it came before the context's end.
+func until(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
 }
 
 func (r *Runner) call(entry string, arrival planner.Arrival, intended time.Time) sender.Call {
--- a/cmd/mulberryload/run/run_test.go
+++ b/cmd/mulberryload/run/run_test.go
@@ -49,6 +49,16 @@
 	}
 }
 
+// Guards against an example that does not match the fields.
+func TestExampleIsValid(t *testing.T) {
+	is := is.New(t)
+	document, err := os.ReadFile(filepath.Join("..", "example.jsonc"))
+	is.NoErr(err)
+	settings, err := run.Parse(document)
+	is.NoErr(err)
+	is.Equal(settings.Plan.ReturnMin, time.Second)
+}
+
 // entry is an entry process that only passes requests on.
 func entry(t *testing.T) (*engine.Engine, *service.Service, string) {
 	t.Helper()
--- a/connection/encoder/encoder.go
+++ b/connection/encoder/encoder.go
@@ -155,6 +155,19 @@
 	return answer, nil
 }
 
+// Belongs returns a failure when a response names another request than the
+// call. A response that names none is taken as the call's own.
+func Belongs(response *http.Response, call Call) error {
+	got, sent := response.Header.Get("X-Request-Id"), call.Header.Get("X-Request-Id")
+	if got == "" || got == sent {
+		return nil
+	}
+	return &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeTargetFailed, Step: mulberrybeam.StepAnswer, Peer: call.Peer,
+		Message: fmt.Sprintf("answer belongs to request %q", got),
+	}
+}
+
 // ReadAll reads an answer up to the size limit.
 func ReadAll(body io.Reader) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes+1))
--- a/connection/enginecaller/body.go
+++ b/connection/enginecaller/body.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"strings"
 
 	"mulberrybeam"
@@ -82,6 +83,9 @@
 	if _, err := decoder.Token(); err != nil {
 		return fmt.Errorf("%w: %w", errNotObject, err)
 	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return fmt.Errorf("%w: data after the object", errNotObject)
+	}
 	return nil
 }
 
--- a/connection/enginecaller/caller.go
+++ b/connection/enginecaller/caller.go
@@ -104,6 +104,10 @@
 	if err == nil && response.StatusCode != http.StatusOK {
 		err = encoder.Refused(response, call)
 		_ = response.Body.Close()
+	} else if err == nil {
+		if err = encoder.Belongs(response, call); err != nil {
+			_ = response.Body.Close()
+		}
 	}
 	if err != nil {
 		err = idle.explain(ctx, err)
--- a/connection/enginecaller/caller_test.go
+++ b/connection/enginecaller/caller_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http/httptrace"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,12 +90,37 @@
 			is.True(json.Valid(body))
 		})
 	}
-	for _, raw := range []string{``, `[]`, `{"a":`, `{"a" 1}`, `{"a":1`} {
+	for _, raw := range []string{``, `[]`, `{} {}`, `{"a":`, `{"a" 1}`, `{"a":1`} {
 		_, err := enginecaller.Body(mulberrybeam.EngineCall{Request: &mulberrybeam.Request{Body: []byte(raw)}})
 		is.New(t).True(err != nil) // not a JSON object
 	}
 }
 
+// Guards against bodies for which the added fields are not what an engine
+// reads, or a caller's field is lost.
+func FuzzBody(f *testing.F) {
+	for _, raw := range []string{`{}`, chat, `{"context":1,"a":{"context":[]}}`, `{"\u0063ontext":{"salt":"x"}}`, `{"a":"\ud800"}`} {
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw string) {
+		is := is.New(t)
+		body, err := enginecaller.Body(mulberrybeam.EngineCall{Request: &mulberrybeam.Request{Body: []byte(raw), Version: "v1"}})
+		var before, after map[string]any
+		if json.Unmarshal([]byte(raw), &before) != nil || before == nil {
+			is.True(err != nil)
+			return
+		}
+		is.NoErr(err)
+		is.NoErr(json.Unmarshal(body, &after))
+		is.Equal(after["context"].(map[string]any)["version"], "v1")
+		for _, name := range []string{"stream", "priority", "context"} {
+			maps.DeleteFunc(before, func(field string, _ any) bool { return strings.EqualFold(field, name) })
+			delete(after, name)
+		}
+		is.Equal(after, before)
+	})
+}
+
 // Guards against an answer that is incomplete, altered or out of order.
 func TestGenerateGivesTheWholeAnswer(t *testing.T) {
 	is := is.New(t)
--- a/connection/servicecaller/caller.go
+++ b/connection/servicecaller/caller.go
@@ -55,6 +55,9 @@
 		return mulberrybeam.ServiceAnswer{}, err
 	}
 	defer response.Body.Close()
+	if err := encoder.Belongs(response, call); err != nil {
+		return mulberrybeam.ServiceAnswer{}, err
+	}
 	body, err := encoder.ReadAll(response.Body)
 	if err != nil {
 		return mulberrybeam.ServiceAnswer{}, encoder.Broken(ctx, mulberrybeam.StepAnswer, call.Peer, "answer broken off", err)
--- a/connection/servicecaller/caller_test.go
+++ b/connection/servicecaller/caller_test.go
@@ -68,6 +68,7 @@
 		"broken after the run":  {service.Faults{BreakAfterNext: 1}, "broken-after-run", mulberrybeam.CodeTargetFailed, false, 1, 0},
 		"crash":                 {service.Faults{CrashNext: 1}, "crashes", mulberrybeam.CodeTargetFailed, false, 1, 0},
 		"answer cut off":        {service.Faults{TruncateNext: 1}, "truncated", mulberrybeam.CodeTargetFailed, false, 1, 0},
+		"misdelivered answer":   {service.Faults{MisdeliverNext: 1}, "misdelivered", mulberrybeam.CodeTargetFailed, false, 1, 0},
 		"late answer":           {service.Faults{AnswerDelay: time.Minute}, "runs", mulberrybeam.CodeTimeout, false, 1, 0},
 		"error of the service":  {service.Faults{CallStatus: 422}, "runs", "", false, 1, 422},
 	}
--- a/process/standin/service/service.go
+++ b/process/standin/service/service.go
@@ -41,6 +41,8 @@
 	BreakBeforeNext int
 	BreakAfterNext  int
 	TruncateNext    int
+	// MisdeliverNext answers with the answer to another request.
+	MisdeliverNext int
 	// CrashNext runs the call and then crashes.
 	CrashNext int
 	// Delay is added before a run, AnswerDelay after it.
@@ -270,6 +272,10 @@
 }
 
 func (s *Service) answer(w http.ResponseWriter, answer Answer) {
+	if s.Take(func(f *Faults) *int { return &f.MisdeliverNext }) {
+		s.Add("misdelivered")
+		answer.RequestID = "other-request"
+	}
 	w.Header().Set("X-Instance-Id", answer.Instance)
 	w.Header().Set("X-Request-Id", answer.RequestID)
 	if s.Take(func(f *Faults) *int { return &f.TruncateNext }) {
