--- a/process/standin/platform/watch.go
+++ b/process/standin/platform/watch.go
@@ -43,6 +43,10 @@
 	for {
 		p.mu.Lock()
 		changes, known := p.content.since(at, name, version)
+		if known && len(changes) == 0 {
+			// Changes of other objects must not let this watch expire.
+			version = p.content.version
+		}
 		changed, ended := p.changed, p.round != round
 		p.mu.Unlock()
 		faults := p.Faults()
