Add the HTTP front end

Prompts are streamed from a bounded buffer, so that a slow reader holds up nobody and a broken stream is resumed on any host of the zone. The read bound is set for the body alone, since a bound of the whole server ends streams. The path from caller to engine and service fakes is tested with their faults.

--- /dev/null
+++ b/process/server/accept.go
@@ -0,0 +1,168 @@
+package server
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"mulberrybeam"
+	"mulberrybeam/request/keyer"
+)
+
+const (
+	headerRequestID = "X-Request-Id"
+	headerKey       = "Idempotency-Key"
+)
+
+// authenticate returns the workspace of the caller's key. It compares the hash
+// of the key with every known hash, so that its time does not depend on how
+// much of one matches.
+func (s *Server) authenticate(r *http.Request, tables *mulberrybeam.Tables) (mulberrybeam.WorkspaceName, *mulberrybeam.Failure) {
+	refused := &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeUnauthorized, Step: mulberrybeam.StepAccept, Message: "the workspace key is missing or unknown", NotRun: true,
+	}
+	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !found || key == "" {
+		return "", refused
+	}
+	sum := sha256.Sum256([]byte(key))
+	given := []byte(hex.EncodeToString(sum[:]))
+	var workspace mulberrybeam.WorkspaceName
+	for hash, name := range tables.WorkspaceByKeyHash {
+		if subtle.ConstantTimeCompare(given, []byte(hash)) == 1 {
+			workspace = name
+		}
+	}
+	if workspace == "" {
+		return "", refused
+	}
+	return workspace, nil
+}
+
+// readBody reads a body within its size and time. The deadline is taken off
+// afterwards, because it would end the stream that follows.
+func (s *Server) readBody(ctx iris.Context) ([]byte, *mulberrybeam.Failure) {
+	raw := ctx.ResponseWriter().Naive()
+	control := http.NewResponseController(raw)
+	// A writer without deadlines, as in tests without a connection, reads
+	// without one.
+	_ = control.SetReadDeadline(time.Now().Add(s.ReadTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(raw, ctx.Request().Body, maxBody))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeBodyTooLarge, Step: mulberrybeam.StepAccept, NotRun: true,
+			Message: fmt.Sprintf("the body is larger than %d bytes", maxBody),
+		}
+	default:
+		return nil, badRequest("the body could not be read: " + err.Error())
+	}
+}
+
+// accept authenticates a caller and reads the body. It has counted a run when
+// it returns no failure.
+func (s *Server) accept(ctx iris.Context) (*mulberrybeam.Request, *mulberrybeam.Snapshot, *mulberrybeam.Failure) {
+	if failure := s.begin(); failure != nil {
+		return nil, nil, failure
+	}
+	snapshot := s.Snapshot()
+	workspace, failure := s.authenticate(ctx.Request(), snapshot.Tables)
+	var body []byte
+	if failure == nil {
+		body, failure = s.readBody(ctx)
+	}
+	if failure != nil {
+		s.runs.Done()
+		return nil, nil, failure
+	}
+	now := s.Clock()
+	request := &mulberrybeam.Request{
+		ID: newID(snapshot.Self), Environment: snapshot.Tables.Environment.Name, Workspace: workspace, Body: body,
+		Fingerprint: s.Keyer.Fingerprint(workspace, body), Arrived: now,
+		Deadline: now + snapshot.Tables.Environment.Limits.RequestTimeout,
+	}
+	ctx.Header(headerRequestID, string(request.ID))
+	return request, snapshot, nil
+}
+
+// fillPrompt fills in what a chat body says.
+func (s *Server) fillPrompt(request *mulberrybeam.Request, tables *mulberrybeam.Tables) *mulberrybeam.Failure {
+	chat, err := parseChat(request.Body)
+	if err != nil {
+		return badRequest(err.Error())
+	}
+	model, found := tables.Models[mulberrybeam.ModelName(chat.Model)]
+	if !found {
+		return &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeUnknownModel, Step: mulberrybeam.StepAccept, NotRun: true,
+			Message: fmt.Sprintf("model %q does not exist", chat.Model),
+		}
+	}
+	if chat.MaxTokens != nil && model.MaxTokens > 0 && *chat.MaxTokens > model.MaxTokens {
+		return badRequest(fmt.Sprintf(`"max_tokens" is %d, model %q allows %d`, *chat.MaxTokens, model.Name, model.MaxTokens))
+	}
+	prompt := render(chat)
+	request.Model, request.Version = model.Name, model.Version
+	request.Repeatable, request.Stream = true, chat.Stream
+	request.Priority = mulberrybeam.Priority(chat.Priority)
+	request.PromptTokens = keyer.PromptTokens(len(prompt))
+	request.Keys = s.Keyer.Keys(keyer.Scope{
+		Environment: request.Environment, Workspace: request.Workspace, Model: model.Name, Version: model.Version,
+	}, prompt)
+	return nil
+}
+
+func badRequest(text string) *mulberrybeam.Failure {
+	return &mulberrybeam.Failure{Code: mulberrybeam.CodeBadRequest, Step: mulberrybeam.StepAccept, Message: text, NotRun: true}
+}
+
+// refuse writes a refusal.
+func (s *Server) refuse(ctx iris.Context, failure *mulberrybeam.Failure) {
+	if failure.RetryAfter > 0 {
+		ctx.Header("Retry-After", retryAfter(failure.RetryAfter))
+	}
+	if failure.Code == mulberrybeam.CodeUnauthorized {
+		ctx.Header("WWW-Authenticate", "Bearer")
+	}
+	s.json(ctx, statusOf(failure.Code), refusalOf(failure))
+}
+
+func (s *Server) json(ctx iris.Context, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		status, data = http.StatusServiceUnavailable, []byte(`{"error":{"code":"internal","not-run":false}}`)
+	}
+	s.write(ctx, status, "application/json", data)
+}
+
+func (s *Server) text(ctx iris.Context, status int, text string) {
+	s.write(ctx, status, "text/plain; charset=utf-8", []byte(text+"\n"))
+}
+
+func (s *Server) write(ctx iris.Context, status int, contentType string, data []byte) {
+	if contentType != "" {
+		ctx.Header("Content-Type", contentType)
+	}
+	ctx.StatusCode(status)
+	s.bound(ctx)
+	// A caller that has left needs no answer.
+	_, _ = ctx.ResponseWriter().Write(data)
+}
+
+// bound limits the time of the next write.
+func (s *Server) bound(ctx iris.Context) {
+	_ = http.NewResponseController(ctx.ResponseWriter().Naive()).SetWriteDeadline(time.Now().Add(s.WriteTimeout))
+}
--- /dev/null
+++ b/process/server/fake_test.go
@@ -0,0 +1,236 @@
+package server_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/intentencoder"
+	"mulberrybeam/process/server"
+	"mulberrybeam/request/forwarder"
+	"mulberrybeam/request/keyer"
+)
+
+// engine answers with the texts that a test sends on its channel. Closing the
+// channel ends the answer.
+type engine struct {
+	mulberrybeam.EngineClient
+	texts chan string
+	runs  atomic.Int64
+	ended chan error // the context's error at the end of each run
+}
+
+func (e *engine) Generate(ctx context.Context, call mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error) {
+	e.runs.Add(1)
+	return &answer{engine: e, ctx: ctx, request: call.Request.ID}, nil
+}
+
+func (e *engine) Cancel(context.Context, mulberrybeam.Target, mulberrybeam.RequestID) error {
+	return nil
+}
+
+type answer struct {
+	engine  *engine
+	ctx     context.Context
+	request mulberrybeam.RequestID
+	last    uint64
+}
+
+func (a *answer) Instance() mulberrybeam.InstanceID         { return "i" }
+func (a *answer) WeightVersion() mulberrybeam.WeightVersion { return "v1" }
+func (a *answer) Close() error                              { a.engine.ended <- a.ctx.Err(); return nil }
+
+func (a *answer) Next() (mulberrybeam.Token, error) {
+	select {
+	case text, open := <-a.engine.texts:
+		a.last++
+		return mulberrybeam.Token{Request: a.request, Sequence: a.last, Text: text, End: !open, FinishReason: "stop"}, nil
+	case <-a.ctx.Done():
+		return mulberrybeam.Token{}, &mulberrybeam.Failure{Code: mulberrybeam.CodeCancelled, Step: mulberrybeam.StepAnswer}
+	}
+}
+
+// objects is an object API that is down.
+type objects struct{ mulberrybeam.ObjectClient }
+
+func (objects) Create(context.Context, mulberrybeam.Object) (mulberrybeam.Object, error) {
+	return mulberrybeam.Object{}, &mulberrybeam.Failure{Code: mulberrybeam.CodePlatformDown}
+}
+
+func (objects) Get(context.Context, mulberrybeam.ObjectKind, string) (mulberrybeam.Object, error) {
+	return mulberrybeam.Object{}, &mulberrybeam.Failure{Code: mulberrybeam.CodePlatformDown}
+}
+
+// first is a policy that knows one target, unless it has none.
+type first struct{ none atomic.Bool }
+
+func (f *first) Pick(_ mulberrybeam.Turn, _ mulberrybeam.RouteView, query mulberrybeam.RouteQuery) (mulberrybeam.Route, error) {
+	if f.none.Load() || len(query.Tried) > 0 {
+		return mulberrybeam.Route{}, &mulberrybeam.Failure{Code: mulberrybeam.CodeNoTarget, Step: mulberrybeam.StepRoute, NotRun: true}
+	}
+	return mulberrybeam.Route{Target: "e"}, nil
+}
+
+// entry is a running server over an engine fake.
+type entry struct {
+	*server.Server
+	t        *testing.T
+	address  string
+	engine   *engine
+	picker   *first
+	snapshot atomic.Pointer[mulberrybeam.Snapshot]
+	stop     func(context.Context) error
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func snapshotOf(self mulberrybeam.ProcessID) *mulberrybeam.Snapshot {
+	return &mulberrybeam.Snapshot{
+		Self: self, Ready: true, Shares: map[mulberrybeam.WorkspaceName]float64{"w": 1, "x": 1, "y": 1},
+		Targets: map[mulberrybeam.TargetID]mulberrybeam.TargetState{"e": {Phase: mulberrybeam.PhaseWarm, Instance: "i"}},
+		Tables: &mulberrybeam.Tables{
+			Environment: &mulberrybeam.Environment{Limits: mulberrybeam.Limits{
+				QueueLength: 9, QueueTimeout: 50 * time.Millisecond, RequestTimeout: time.Minute, IdempotencyRetention: time.Hour,
+			}},
+			Targets:            map[mulberrybeam.TargetID]mulberrybeam.Target{"e": {ID: "e", WarmLimit: 8}},
+			EnginesByModel:     map[mulberrybeam.ModelName][]mulberrybeam.TargetID{"m": {"e"}},
+			Models:             map[mulberrybeam.ModelName]mulberrybeam.Model{"m": {Name: "m", Version: "v1", MaxTokens: 100}},
+			Calls:              map[mulberrybeam.ServiceName]map[string]mulberrybeam.ServiceCall{"orders": {"place": {Name: "place"}}},
+			Workspaces:         map[mulberrybeam.WorkspaceName]mulberrybeam.Workspace{"w": {Name: "w", Weight: 1}, "x": {Name: "x", Weight: 1, MaxInFlight: 1}, "y": {Name: "y", Weight: 1, RequestsPerSecond: 0.01}},
+			WorkspaceByKeyHash: map[string]mulberrybeam.WorkspaceName{hashOf("secret"): "w", hashOf("other"): "x", hashOf("rare"): "y"},
+		},
+	}
+}
+
+func start(t *testing.T, self mulberrybeam.ProcessID, options ...server.Option) *entry {
+	t.Helper()
+	return startWith(t, self, nil, options...)
+}
+
+// startWith starts a server over other dependencies of its forwarder.
+func startWith(t *testing.T, self mulberrybeam.ProcessID, dependencies []forwarder.Option, options ...server.Option) *entry {
+	t.Helper()
+	is := is.New(t)
+	e := &entry{t: t, engine: &engine{texts: make(chan string), ended: make(chan error, 9)}, picker: &first{}}
+	e.snapshot.Store(snapshotOf(self))
+	runner, stopRunner := forwarder.New(append([]forwarder.Option{
+		forwarder.WithControl(e.snapshot.Load, func(mulberrybeam.Event) {}), forwarder.WithRouting(e.picker, nil),
+		forwarder.WithTargets(e.engine, nil, nil), forwarder.WithObjects(objects{}, intentencoder.Codec()),
+	}, dependencies...)...)
+	keys, err := keyer.New([]byte("sixteen bytes or more"))
+	is.NoErr(err)
+	e.Server, e.stop, err = server.New(append([]server.Option{
+		server.WithControl(e.snapshot.Load), server.WithForwarder(runner), server.WithKeyer(keys),
+	}, options...)...)
+	is.NoErr(err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	e.address = listener.Addr().String()
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = e.Serve(listener) })
+	t.Cleanup(func() {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = e.stop(ended)
+		serving.Wait()
+		stopRunner()
+	})
+	return e
+}
+
+const prompt = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hello"}]}`
+
+// send returns an open response.
+func (e *entry) send(method, path, body string, header ...string) *http.Response {
+	e.t.Helper()
+	request, err := http.NewRequest(method, "http://"+e.address+path, strings.NewReader(body))
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer secret")
+	for i := 0; i < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	e.t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+// refused is the body of a refusal.
+type refused struct {
+	Error struct {
+		Code, Step, Message string
+		NotRun              *bool  `json:"not-run"`
+		RetryAfterMs        *int64 `json:"retry-after-ms"`
+	}
+}
+
+func readRefusal(t *testing.T, response *http.Response) refused {
+	t.Helper()
+	var body refused
+	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
+		t.Fatalf("status %d without a refusal: %v", response.StatusCode, err)
+	}
+	return body
+}
+
+// events reads a stream event by event.
+type events struct{ *bufio.Reader }
+
+func eventsOf(response *http.Response) events { return events{bufio.NewReader(response.Body)} }
+
+// next returns the id and the text, "[DONE]" or "error" of the next event.
+func (e events) next(t *testing.T) (id, text string) {
+	t.Helper()
+	for {
+		line, err := e.ReadString('\n')
+		if err == io.EOF {
+			return id, "EOF"
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		line = strings.TrimSuffix(line, "\n")
+		if line == "" {
+			return id, text
+		}
+		if rest, found := strings.CutPrefix(line, "id: "); found {
+			id = rest
+		}
+		data, found := strings.CutPrefix(line, "data: ")
+		var chunk struct {
+			Error   any
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		switch {
+		case !found:
+		case data == "[DONE]":
+			text = data
+		case json.Unmarshal([]byte(data), &chunk) != nil:
+			t.Fatalf("event %q is no JSON", data)
+		case chunk.Error != nil:
+			text = "error"
+		default:
+			text = chunk.Choices[0].Delta.Content
+		}
+	}
+}
--- /dev/null
+++ b/process/server/handler.go
@@ -0,0 +1,313 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"mulberrybeam"
+	"mulberrybeam/request/replayer"
+)
+
+// maxStatus is the highest HTTP status that a service may answer with.
+const maxStatus = 599
+
+// chat runs a prompt.
+func (s *Server) chat(ctx iris.Context) {
+	request, snapshot, failure := s.accept(ctx)
+	if failure != nil {
+		s.refuse(ctx, failure)
+		return
+	}
+	if failure := s.fillPrompt(request, snapshot.Tables); failure != nil {
+		s.runs.Done()
+		s.refuse(ctx, failure)
+		return
+	}
+	stream := s.start(request)
+	if request.Stream {
+		s.relay(ctx, stream, 0, false)
+		return
+	}
+	s.collect(ctx, stream, request)
+}
+
+// start runs a prompt on a goroutine of its own, which outlives a broken
+// connection of its caller. The caller's handler is the first reader.
+func (s *Server) start(request *mulberrybeam.Request) *replayer.Stream {
+	running, cancel := context.WithCancel(context.Background())
+	grace := s.Grace
+	if !request.Stream {
+		grace = unreadTimeout
+	}
+	stream := replayer.New(replayer.Settings{
+		Request: request.ID, Workspace: request.Workspace, Model: request.Model,
+		MaxBytes: s.StreamBytes, Grace: grace, Cancel: cancel,
+	})
+	stream.Attach()
+	s.streams.add(stream)
+	go func() {
+		defer s.runs.Done()
+		defer cancel()
+		err := s.Forwarder.Generate(running, request, func(token mulberrybeam.Token) error {
+			stream.Append(token)
+			return nil
+		})
+		stream.Finish(failureOf(err))
+		s.streams.finish(stream)
+	}()
+	return stream
+}
+
+// relay writes a stream as server-sent events from a position on and detaches
+// from it. A failure before the first event is an ordinary refusal, so a new
+// stream begins with its first event. A resumed one begins at once, because
+// its caller knows that the request runs.
+func (s *Server) relay(ctx iris.Context, stream *replayer.Stream, after uint64, resumed bool) {
+	defer stream.Detach()
+	writer, created, begun := ctx.ResponseWriter(), time.Now().Unix(), false
+	for {
+		batch := stream.Next(after, batchTokens)
+		if batch.Gap {
+			batch.Done, batch.Failure = true, unknownStream("the position in the stream is no longer kept")
+		}
+		if !begun && batch.Failure != nil && len(batch.Tokens) == 0 {
+			s.refuse(ctx, batch.Failure)
+			return
+		}
+		if !begun && (resumed || len(batch.Tokens) > 0 || batch.Done) {
+			begun = true
+			ctx.Header(headerRequestID, string(stream.Request))
+			ctx.Header("Content-Type", "text/event-stream")
+			ctx.Header("Cache-Control", "no-store")
+			ctx.StatusCode(http.StatusOK)
+			writer.Flush()
+		}
+		var events strings.Builder
+		for _, token := range batch.Tokens {
+			after = token.Sequence
+			writeEvent(&events, strconv.FormatUint(after, 10), chunkOf(string(stream.Request), string(stream.Model), created, token))
+		}
+		switch {
+		case batch.Failure != nil:
+			writeEvent(&events, "", refusalOf(batch.Failure))
+		case batch.Done:
+			events.WriteString("data: [DONE]\n\n")
+		}
+		if events.Len() > 0 {
+			s.bound(ctx)
+			if _, err := writer.Write([]byte(events.String())); err != nil {
+				return
+			}
+			writer.Flush()
+		}
+		if batch.Done || !more(ctx, batch) {
+			return
+		}
+	}
+}
+
+// more waits until there may be more of a stream, unless the batch was full,
+// and says whether the caller is still there.
+func more(ctx iris.Context, batch replayer.Batch) bool {
+	if len(batch.Tokens) == batchTokens {
+		return true
+	}
+	select {
+	case <-batch.Changed:
+		return true
+	case <-ctx.Request().Context().Done():
+		return false
+	}
+}
+
+// writeEvent adds one event. The value has no line breaks as JSON.
+func writeEvent(events *strings.Builder, id string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return
+	}
+	if id != "" {
+		events.WriteString("id: " + id + "\n")
+	}
+	events.WriteString("data: ")
+	events.Write(data)
+	events.WriteString("\n\n")
+}
+
+// collect writes a whole answer once it is complete.
+func (s *Server) collect(ctx iris.Context, stream *replayer.Stream, request *mulberrybeam.Request) {
+	defer stream.Detach()
+	var text strings.Builder
+	var after uint64
+	reason := ""
+	for {
+		batch := stream.Next(after, batchTokens)
+		for _, token := range batch.Tokens {
+			after = token.Sequence
+			text.WriteString(token.Text)
+			reason = token.FinishReason
+		}
+		switch {
+		case batch.Gap:
+			s.refuse(ctx, &mulberrybeam.Failure{Code: mulberrybeam.CodeInternal, Step: mulberrybeam.StepAnswer, Message: "the answer came faster than it was collected"})
+			return
+		case batch.Failure != nil:
+			s.refuse(ctx, batch.Failure)
+			return
+		case batch.Done:
+			generated := max(0, int(after)-1)
+			s.json(ctx, http.StatusOK, completion{
+				ID: string(request.ID), Object: "chat.completion", Created: time.Now().Unix(), Model: string(request.Model),
+				Choices: []completionChoice{{Message: message{Role: "assistant", Content: text.String()}, FinishReason: reason}},
+				Usage:   usage{PromptTokens: request.PromptTokens, CompletionTokens: generated, TotalTokens: request.PromptTokens + generated},
+			})
+			return
+		case !more(ctx, batch):
+			return
+		}
+	}
+}
+
+// resume goes on with a stream after the event that the caller has last seen.
+func (s *Server) resume(ctx iris.Context) {
+	stream, done := s.findStream(ctx)
+	if done {
+		return
+	}
+	var after uint64
+	if text := ctx.GetHeader("Last-Event-ID"); text != "" {
+		parsed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			s.refuse(ctx, badRequest(fmt.Sprintf("Last-Event-ID is %q, a sequence number is needed", text)))
+			return
+		}
+		after = parsed
+	}
+	stream.Attach()
+	s.relay(ctx, stream, after, true)
+}
+
+// cancel ends a run. A run that has ended already is no error.
+func (s *Server) cancel(ctx iris.Context) {
+	stream, done := s.findStream(ctx)
+	if done {
+		return
+	}
+	stream.Cancel()
+	s.write(ctx, http.StatusNoContent, "", nil)
+}
+
+// findStream finds the caller's stream. It says that the request is done when
+// it has refused it or another process has answered it.
+func (s *Server) findStream(ctx iris.Context) (*replayer.Stream, bool) {
+	snapshot := s.Snapshot()
+	if snapshot == nil || snapshot.Tables == nil {
+		s.refuse(ctx, &mulberrybeam.Failure{Code: mulberrybeam.CodeNotReady, Step: mulberrybeam.StepAccept, Message: "no configuration is in force", RetryAfter: time.Second})
+		return nil, true
+	}
+	workspace, failure := s.authenticate(ctx.Request(), snapshot.Tables)
+	if failure != nil {
+		s.refuse(ctx, failure)
+		return nil, true
+	}
+	id := ctx.Params().Get("id")
+	if process, valid := processOf(id); valid && process != snapshot.Self {
+		// Each write of another process's stream may take as long as one
+		// of its own.
+		if s.Proxy(process, boundWriter{ctx.ResponseWriter(), func() { s.bound(ctx) }}, ctx.Request()) {
+			return nil, true
+		}
+	} else if stream := s.streams.find(mulberrybeam.RequestID(id), workspace); stream != nil {
+		return stream, false
+	}
+	s.refuse(ctx, unknownStream("the stream does not exist or is no longer kept"))
+	return nil, true
+}
+
+// service runs a call of a plain service.
+func (s *Server) service(ctx iris.Context) {
+	request, snapshot, failure := s.accept(ctx)
+	if failure != nil {
+		s.refuse(ctx, failure)
+		return
+	}
+	defer s.runs.Done()
+	service, name := mulberrybeam.ServiceName(ctx.Params().Get("service")), ctx.Params().Get("call")
+	call, found := snapshot.Tables.Calls[service][name]
+	if !found {
+		s.refuse(ctx, &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeUnknownService, Step: mulberrybeam.StepAccept, NotRun: true,
+			Message: fmt.Sprintf("service %q has no call %q", service, name),
+		})
+		return
+	}
+	request.Service, request.Call, request.Repeatable = service, name, call.Repeatable
+	request.IdempotencyKey = ctx.GetHeader(headerKey)
+	result, err := s.Forwarder.Call(ctx.Request().Context(), request)
+	if err != nil {
+		s.refuse(ctx, failureOf(err))
+		return
+	}
+	if result.Answer.Status < http.StatusOK || result.Answer.Status > maxStatus {
+		s.refuse(ctx, &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeTargetFailed, Step: mulberrybeam.StepAnswer,
+			Message: fmt.Sprintf("the service answered with status %d", result.Answer.Status),
+		})
+		return
+	}
+	if result.Replayed {
+		ctx.Header("X-Outcome", "replayed")
+	}
+	if result.BodyOmitted {
+		ctx.Header("X-Outcome-Body", fmt.Sprintf("omitted; bytes=%d", result.BodyBytes))
+	}
+	s.write(ctx, result.Answer.Status, result.Answer.ContentType, result.Answer.Body)
+}
+
+// hint has the context of an expected prompt prefetched. Too many hints are
+// dropped, since nothing depends on them.
+func (s *Server) hint(ctx iris.Context) {
+	request, snapshot, failure := s.accept(ctx)
+	if failure != nil {
+		s.refuse(ctx, failure)
+		return
+	}
+	if failure := s.fillPrompt(request, snapshot.Tables); failure != nil {
+		s.runs.Done()
+		s.refuse(ctx, failure)
+		return
+	}
+	select {
+	case s.hints <- struct{}{}:
+		go func() {
+			defer s.runs.Done()
+			defer func() { <-s.hints }()
+			// A hint that comes to nothing has no effect on its caller.
+			_ = s.Forwarder.Prefetch(context.Background(), request)
+		}()
+	default:
+		s.runs.Done()
+	}
+	s.write(ctx, http.StatusAccepted, "", nil)
+}
+
+func unknownStream(text string) *mulberrybeam.Failure {
+	return &mulberrybeam.Failure{Code: mulberrybeam.CodeUnknownStream, Step: mulberrybeam.StepAccept, Message: text}
+}
+
+// failureOf returns the failure in an error, nil for nil.
+func failureOf(err error) *mulberrybeam.Failure {
+	var failure *mulberrybeam.Failure
+	if err == nil || errors.As(err, &failure) {
+		return failure
+	}
+	return &mulberrybeam.Failure{Code: mulberrybeam.CodeInternal, Step: mulberrybeam.StepAnswer, Message: "unexpected error", Cause: err}
+}
--- /dev/null
+++ b/process/server/server_test.go
@@ -0,0 +1,257 @@
+package server_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/server"
+)
+
+// Guards against bad input that reaches a target, and against refusals with
+// another status, code or not-run than the design page gives.
+func TestBadInputIsRefusedWithNotRun(t *testing.T) {
+	e := start(t, "h/1")
+	with := func(field string) string { return strings.Replace(prompt, `"stream":true`, field, 1) }
+	const chat, place = "/v1/chat/completions", "/v1/services/orders/place"
+	noKey := []string{"Authorization", ""}
+	cases := []struct {
+		name, method, path, body string
+		header                   []string
+		status                   int
+		code                     mulberrybeam.Code
+	}{
+		{"no key", "POST", chat, prompt, noKey, 401, mulberrybeam.CodeUnauthorized},
+		{"unknown key", "POST", chat, prompt, []string{"Authorization", "Bearer secre"}, 401, mulberrybeam.CodeUnauthorized},
+		{"other scheme", "POST", chat, prompt, []string{"Authorization", "Basic secret"}, 401, mulberrybeam.CodeUnauthorized},
+		{"no JSON", "POST", chat, "hello", nil, 400, mulberrybeam.CodeBadRequest},
+		{"JSON array", "POST", chat, "[]", nil, 400, mulberrybeam.CodeBadRequest},
+		{"data after the object", "POST", chat, prompt + "{}", nil, 400, mulberrybeam.CodeBadRequest},
+		{"no model", "POST", chat, strings.Replace(prompt, `"model":"m",`, "", 1), nil, 400, mulberrybeam.CodeBadRequest},
+		{"no messages", "POST", chat, `{"model":"m"}`, nil, 400, mulberrybeam.CodeBadRequest},
+		{"message without a role", "POST", chat, `{"model":"m","messages":[{}]}`, nil, 400, mulberrybeam.CodeBadRequest},
+		{"no tokens wanted", "POST", chat, with(`"max_tokens":0`), nil, 400, mulberrybeam.CodeBadRequest},
+		{"too many tokens wanted", "POST", chat, with(`"max_tokens":101`), nil, 400, mulberrybeam.CodeBadRequest},
+		{"unknown priority", "POST", chat, with(`"priority":2`), nil, 400, mulberrybeam.CodeBadRequest},
+		{"field twice", "POST", chat, with(`"Messages":[]`), nil, 400, mulberrybeam.CodeBadRequest},
+		{"unknown model", "POST", chat, strings.Replace(prompt, `"m"`, `"n"`, 1), nil, 404, mulberrybeam.CodeUnknownModel},
+		{"body too large", "POST", chat, strings.Repeat(" ", 1<<20) + prompt, nil, 413, mulberrybeam.CodeBodyTooLarge},
+		{"bad hint", "POST", "/v1/hints", "hello", nil, 400, mulberrybeam.CodeBadRequest},
+		{"unknown service", "POST", "/v1/services/orders/steal", "{}", nil, 404, mulberrybeam.CodeUnknownService},
+		{"idempotency key missing", "POST", place, "{}", nil, 400, mulberrybeam.CodeKeyMissing},
+		{"idempotency key of version 4", "POST", place, "{}", []string{"Idempotency-Key", uuid.NewString()}, 400, mulberrybeam.CodeKeyInvalid},
+		{"idempotency key expired", "POST", place, "{}", []string{"Idempotency-Key", "017f22e2-79b0-7cc3-98c4-dc0c0c07398f"}, 422, mulberrybeam.CodeKeyExpired},
+		{"platform down", "POST", place, "{}", []string{"Idempotency-Key", uuid.Must(uuid.NewV7()).String()}, 503, mulberrybeam.CodePlatformDown},
+		{"unknown path", "GET", "/v2", "", nil, 404, mulberrybeam.CodeNotFound},
+		{"wrong method", "GET", chat, "", nil, 404, mulberrybeam.CodeNotFound},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			response := e.send(c.method, c.path, c.body, c.header...)
+			is.Equal(response.StatusCode, c.status)
+			body := readRefusal(t, response)
+			is.Equal(body.Error.Code, string(c.code))
+			is.True(body.Error.Message != "" && body.Error.Step != "")
+			is.True(*body.Error.NotRun)
+		})
+	}
+	is.New(t).Equal(e.engine.runs.Load(), int64(0))
+}
+
+// Guards against states of the process in which a request is refused without
+// not-run, or not refused.
+func TestRefusalsByState(t *testing.T) {
+	change := func(do func(*mulberrybeam.Snapshot)) func(*entry) {
+		return func(e *entry) {
+			changed := *e.snapshot.Load()
+			do(&changed)
+			e.snapshot.Store(&changed)
+		}
+	}
+	running := func(key string) func(*entry) {
+		return func(e *entry) {
+			go func() { e.engine.texts <- "a" }()
+			is.New(t).Equal(e.send("POST", "/v1/chat/completions", prompt, "Authorization", "Bearer "+key).StatusCode, 200)
+		}
+	}
+	cases := []struct {
+		name, key string
+		prepare   func(*entry)
+		status    int
+		code      mulberrybeam.Code
+		ready     int
+	}{
+		{"draining", "secret", func(e *entry) { e.Drain() }, 503, mulberrybeam.CodeShuttingDown, 503},
+		{"draining by control", "secret", change(func(s *mulberrybeam.Snapshot) { s.Draining = true }), 503, mulberrybeam.CodeShuttingDown, 503},
+		{"no configuration", "secret", change(func(s *mulberrybeam.Snapshot) { s.Tables = nil }), 503, mulberrybeam.CodeNotReady, 503},
+		{"no target", "secret", func(e *entry) { e.picker.none.Store(true) }, 503, mulberrybeam.CodeNoTarget, 200},
+		{"in-flight limit", "other", running("other"), 503, mulberrybeam.CodeQueueTimeout, 200},
+		{"rate limit", "rare", running("rare"), 429, mulberrybeam.CodeWorkspaceLimit, 200},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := start(t, "h/1")
+			c.prepare(e)
+			response := e.send("POST", "/v1/chat/completions", prompt, "Authorization", "Bearer "+c.key)
+			is.Equal(response.StatusCode, c.status)
+			body := readRefusal(t, response)
+			is.Equal(body.Error.Code, string(c.code))
+			is.True(*body.Error.NotRun)
+			is.Equal(response.Header.Get("Retry-After") != "", body.Error.RetryAfterMs != nil)
+			is.True(c.status != 429 || body.Error.RetryAfterMs != nil)
+			is.Equal(e.send("GET", "/readyz", "").StatusCode, c.ready)
+			is.Equal(e.send("GET", "/livez", "").StatusCode, 200)
+		})
+	}
+}
+
+// Guards against tokens that wait for later ones, and against streams that the
+// bound on reading a body ends.
+func TestTokensAreFlushedAsTheyCome(t *testing.T) {
+	is := is.New(t)
+	const readTimeout = 20 * time.Millisecond
+	e := start(t, "h/1", server.WithTimeouts(readTimeout, time.Second))
+	go func() { e.engine.texts <- "a" }()
+	response := e.send("POST", "/v1/chat/completions", prompt)
+	stream := eventsOf(response)
+	id, text := stream.next(t) // the engine has not produced "b" yet
+	is.Equal(id+text, "1a")
+	time.Sleep(3 * readTimeout)
+	e.engine.texts <- "b"
+	id, text = stream.next(t)
+	is.Equal(id+text, "2b")
+	close(e.engine.texts)
+	id, _ = stream.next(t)
+	is.Equal(id, "3")
+	_, text = stream.next(t)
+	is.Equal(text, "[DONE]")
+
+	again := start(t, "h/1")
+	go func() { again.engine.texts <- "a"; again.engine.texts <- "b"; close(again.engine.texts) }()
+	whole, err := io.ReadAll(again.send("POST", "/v1/chat/completions", strings.Replace(prompt, "true", "false", 1)).Body)
+	is.NoErr(err)
+	is.True(strings.Contains(string(whole), `"message":{"role":"assistant","content":"ab"},"finish_reason":"stop"`))
+	is.True(strings.Contains(string(whole), `"completion_tokens":2`))
+}
+
+// Guards against resumed streams with gaps or repetitions, on the same process
+// or another one, and against streams shown to another workspace.
+func TestResume(t *testing.T) {
+	is := is.New(t)
+	running := start(t, "h/1")
+	other := start(t, "h/2", server.WithProxy(server.ProxyTo(func(id mulberrybeam.ProcessID) (string, bool) {
+		return running.address, id == "h/1"
+	}, http.DefaultTransport)))
+	go func() { running.engine.texts <- "a"; running.engine.texts <- "b" }()
+	broken := running.send("POST", "/v1/chat/completions", prompt)
+	path := "/v1/streams/" + broken.Header.Get("X-Request-Id")
+	stream := eventsOf(broken)
+	stream.next(t)
+	stream.next(t)
+	is.NoErr(broken.Body.Close())
+	is.Equal(running.send("GET", path, "", "Authorization", "Bearer other").StatusCode, 404)
+	is.Equal(running.send("DELETE", path, "", "Authorization", "Bearer other").StatusCode, 404)
+	is.Equal(running.send("GET", path, "", "Last-Event-ID", "x").StatusCode, 400)
+	is.Equal(running.send("GET", "/v1/streams/h", "").StatusCode, 404)
+	is.Equal(running.send("GET", "/v1/streams/aC8z.1", "").StatusCode, 404) // of process h/3
+	for _, host := range []*entry{running, other} {
+		resumed := eventsOf(host.send("GET", path, "", "Last-Event-ID", "1"))
+		id, text := resumed.next(t)
+		is.Equal(id+text, "2b")
+	}
+	resumed := eventsOf(other.send("GET", path, "", "Last-Event-ID", "2"))
+	close(running.engine.texts)
+	id, _ := resumed.next(t)
+	is.Equal(id, "3")
+	_, text := resumed.next(t)
+	is.Equal(text, "[DONE]")
+	is.Equal(running.engine.runs.Load(), int64(1))
+	is.NoErr(<-running.engine.ended) // the run was not cancelled
+}
+
+// Guards against runs that nobody reads, and against a cancellation that does
+// not reach the engine.
+func TestRunsEndWithoutReaders(t *testing.T) {
+	is := is.New(t)
+	const grace = 30 * time.Millisecond
+	e := start(t, "h/1", server.WithGrace(grace))
+	go func() { e.engine.texts <- "a" }()
+	response := e.send("POST", "/v1/chat/completions", prompt)
+	eventsOf(response).next(t)
+	left := time.Now()
+	is.NoErr(response.Body.Close())
+	is.True(errors.Is(<-e.engine.ended, context.Canceled))
+	is.True(time.Since(left) >= grace) // time to resume
+
+	go func() { e.engine.texts <- "a" }()
+	stream := e.send("POST", "/v1/chat/completions", prompt)
+	is.Equal(e.send("DELETE", "/v1/streams/"+stream.Header.Get("X-Request-Id"), "").StatusCode, 204)
+	is.True(errors.Is(<-e.engine.ended, context.Canceled))
+	reader := eventsOf(stream)
+	reader.next(t)
+	_, text := reader.next(t)
+	is.Equal(text, "error") // never reported as complete
+}
+
+// Guards against a reader that does not read and so holds up the engine, the
+// other readers, or memory without bound.
+func TestSlowReaderHoldsUpNobody(t *testing.T) {
+	is := is.New(t)
+	const kept, size, count = 1 << 20, 64 << 10, 400 // 25 MiB, far above socket buffers
+	e := start(t, "h/1", server.WithBuffers(kept, 8*kept), server.WithTimeouts(time.Second, 50*time.Millisecond))
+	connection, err := net.Dial("tcp", e.address)
+	is.NoErr(err)
+	defer connection.Close()
+	_, err = io.WriteString(connection, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\nContent-Length: "+
+		"74\r\n\r\n"+prompt)
+	is.NoErr(err)
+	is.Equal(len(prompt), 74)
+	text := strings.Repeat("x", size)
+	for range count {
+		select {
+		case e.engine.texts <- text:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the slow reader holds up the engine")
+		}
+	}
+	close(e.engine.texts)
+	is.NoErr(<-e.engine.ended) // the whole answer was taken from the engine
+}
+
+// Guards against a shutdown that cuts a running stream or takes a new request.
+func TestShutdownLetsStreamsEnd(t *testing.T) {
+	is := is.New(t)
+	e := start(t, "h/1")
+	go func() { e.engine.texts <- "a" }()
+	response := e.send("POST", "/v1/chat/completions", prompt)
+	stream := eventsOf(response)
+	stream.next(t)
+	stopped := make(chan error)
+	go func() { stopped <- e.stop(context.Background()) }()
+	for e.send("GET", "/readyz", "").StatusCode == http.StatusOK {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(e.send("POST", "/v1/chat/completions", prompt).StatusCode, 503)
+	resumed := eventsOf(e.send("GET", "/v1/streams/"+response.Header.Get("X-Request-Id"), "", "Last-Event-ID", "1"))
+	e.engine.texts <- "b"
+	close(e.engine.texts)
+	for _, reader := range []events{stream, resumed} {
+		id, text := reader.next(t)
+		is.Equal(id+text, "2b")
+		reader.next(t)
+		_, text = reader.next(t)
+		is.Equal(text, "[DONE]")
+	}
+	is.NoErr(<-stopped)
+}
--- /dev/null
+++ b/process/server/wire.go
@@ -0,0 +1,123 @@
+package server
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mulberrybeam"
+)
+
+// refusal is the JSON of every refusal.
+type refusal struct {
+	Error refusalError `json:"error"`
+}
+
+type refusalError struct {
+	Code         string `json:"code"`
+	Message      string `json:"message"`
+	Step         string `json:"step"`
+	Peer         string `json:"peer,omitempty"`
+	NotRun       bool   `json:"not-run"`
+	RetryAfterMs int64  `json:"retry-after-ms,omitempty"`
+}
+
+// statuses are the HTTP statuses of failures. Those without an entry are 503.
+var statuses = map[mulberrybeam.Code]int{
+	mulberrybeam.CodeBadRequest:     http.StatusBadRequest,
+	mulberrybeam.CodeKeyMissing:     http.StatusBadRequest,
+	mulberrybeam.CodeKeyInvalid:     http.StatusBadRequest,
+	mulberrybeam.CodeUnauthorized:   http.StatusUnauthorized,
+	mulberrybeam.CodeUnknownModel:   http.StatusNotFound,
+	mulberrybeam.CodeUnknownService: http.StatusNotFound,
+	mulberrybeam.CodeUnknownStream:  http.StatusNotFound,
+	mulberrybeam.CodeNotFound:       http.StatusNotFound,
+	mulberrybeam.CodeInProgress:     http.StatusConflict,
+	mulberrybeam.CodeOutcomeUnknown: http.StatusConflict,
+	mulberrybeam.CodeConflict:       http.StatusConflict,
+	mulberrybeam.CodeBodyTooLarge:   http.StatusRequestEntityTooLarge,
+	mulberrybeam.CodeKeyExpired:     http.StatusUnprocessableEntity,
+	mulberrybeam.CodeKeyReused:      http.StatusUnprocessableEntity,
+	mulberrybeam.CodeCrashesTargets: http.StatusUnprocessableEntity,
+	mulberrybeam.CodeWorkspaceLimit: http.StatusTooManyRequests,
+	mulberrybeam.CodeTimeout:        http.StatusGatewayTimeout,
+}
+
+func statusOf(code mulberrybeam.Code) int {
+	if status, found := statuses[code]; found {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+func refusalOf(failure *mulberrybeam.Failure) refusal {
+	message := failure.Message
+	if message == "" {
+		message = string(failure.Code)
+	}
+	return refusal{Error: refusalError{
+		Code: string(failure.Code), Message: message, Step: string(failure.Step), Peer: failure.Peer,
+		NotRun: failure.NotRun, RetryAfterMs: failure.RetryAfter.Milliseconds(),
+	}}
+}
+
+// retryAfter returns whole seconds, rounded up so that nobody comes too early.
+func retryAfter(wait time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
+}
+
+// chunk is one event of a streamed answer in the OpenAI form.
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Delta        delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Content string `json:"content,omitempty"`
+}
+
+func chunkOf(id, model string, created int64, token mulberrybeam.Token) chunk {
+	made := choice{Delta: delta{Content: token.Text}}
+	if token.End {
+		made.FinishReason = &token.FinishReason
+	}
+	return chunk{ID: id, Object: "chat.completion.chunk", Created: created, Model: model, Choices: []choice{made}}
+}
+
+// completion is a whole answer in the OpenAI form.
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   usage              `json:"usage"`
+}
+
+type completionChoice struct {
+	Index        int     `json:"index"`
+	Message      message `json:"message"`
+	FinishReason string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// usage has the estimate of the prompt's tokens and the tokens generated.
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -71,9 +71,15 @@
 	return func(s *Settings) { s.Snapshot, s.Post = snapshot, post }
 }
 
-// WithRouting sets the routing policy and the index of prefix caches.
+// WithRouting sets the routing policy and the index of prefix caches, nil for
+// none.
 func WithRouting(picker mulberrybeam.Picker, index Index) Option {
-	return func(s *Settings) { s.Picker, s.Index = picker, index }
+	return func(s *Settings) {
+		s.Picker = picker
+		if index != nil {
+			s.Index = index
+		}
+	}
 }
 
 // WithTargets sets the clients of engines, services and context stores.
--- /dev/null
+++ b/request/replayer/replayer_test.go
@@ -0,0 +1,51 @@
+package replayer_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/request/replayer"
+)
+
+// Guards against memory without bound, and against a reader that goes on after
+// dropped tokens as if it had them.
+func TestKeptTokensAreBounded(t *testing.T) {
+	is := is.New(t)
+	const limit = 10 << 10
+	stream := replayer.New(replayer.Settings{MaxBytes: limit, Cancel: func() {}})
+	changed := stream.Next(0, 1).Changed
+	for i := range 100 {
+		stream.Append(mulberrybeam.Token{Sequence: uint64(i + 1), Text: strings.Repeat("x", 1000)})
+	}
+	<-changed
+	is.True(stream.Bytes() <= limit)
+	is.True(stream.Next(50, 10).Gap)
+	batch := stream.Next(97, 2)
+	is.Equal([]uint64{batch.Tokens[0].Sequence, batch.Tokens[1].Sequence}, []uint64{98, 99})
+	stream.Finish(nil)
+	is.True(!stream.Next(97, 2).Done) // one token is left
+	is.True(stream.Next(99, 2).Done)
+	is.True(stream.Next(1000, 2).Done) // a position that was never reached
+}
+
+// Guards against a run that is cancelled while it has a reader or after its
+// end, and one that goes on without readers.
+func TestGraceEndsARunWithoutReaders(t *testing.T) {
+	is := is.New(t)
+	cancelled := make(chan struct{}, 9)
+	settings := replayer.Settings{Grace: 20 * time.Millisecond, Cancel: func() { cancelled <- struct{}{} }}
+	read, ended, left := replayer.New(settings), replayer.New(settings), replayer.New(settings)
+	for _, stream := range []*replayer.Stream{read, ended, left} {
+		stream.Attach()
+		stream.Detach()
+	}
+	read.Attach()
+	ended.Finish(nil)
+	<-cancelled
+	time.Sleep(2 * settings.Grace)
+	is.Equal(len(cancelled), 0) // only the third
+}
