Serve a prompt end to end

The launcher wires the control machines, the clients and the front end into an entry process. The fleet package runs six of them over fakes of the platform, engines, services and stores on loopback.

--- a/fact.go
+++ b/fact.go
@@ -118,6 +118,9 @@
 	State     MemberState
 	// Revision is the configuration in force at the process.
 	Revision Revision
+	// CallerAddress is where the process serves callers. Peers pass calls
+	// about its streams on to it.
+	CallerAddress string
 }
 
 // Slot is a numbered share of a zone's right to hand out permits.
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -127,6 +127,7 @@
 	}
 	if whole {
 		short.Address = member.Address
+		short.CallerAddress = member.CallerAddress
 	}
 	return short
 }
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -54,6 +54,8 @@
 	ID      mulberrybeam.ProcessID
 	Zone    mulberrybeam.ZoneName
 	Address string
+	// CallerAddress is where callers reach the process, empty if unknown.
+	CallerAddress string
 }
 
 // Gossiper is the machine. It is driven by the control goroutine only.
@@ -120,7 +122,7 @@
 func New(self Self, options ...Option) *Gossiper {
 	gossiper := &Gossiper{
 		self: mulberrybeam.Member{
-			ID: self.ID, Zone: self.Zone, Address: self.Address,
+			ID: self.ID, Zone: self.Zone, Address: self.Address, CallerAddress: self.CallerAddress,
 			Heartbeat: 1, State: mulberrybeam.MemberAlive,
 		},
 		exchangeBytes: defaultExchangeBytes,
--- a/process/gossiper/roster.go
+++ b/process/gossiper/roster.go
@@ -112,6 +112,9 @@
 	}
 	existing.Heartbeat, existing.Revision, existing.risenAt = row.Heartbeat, row.Revision, g.turn.Now
 	existing.State = row.State
+	if row.CallerAddress != "" {
+		existing.CallerAddress = row.CallerAddress
+	}
 	return true
 }
 
--- /dev/null
+++ b/process/launcher/launcher.go
@@ -0,0 +1,277 @@
+package launcher
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/directoryencoder"
+	"mulberrybeam/connection/enginecaller"
+	"mulberrybeam/connection/intentencoder"
+	"mulberrybeam/connection/leaseencoder"
+	"mulberrybeam/connection/objectcaller"
+	"mulberrybeam/connection/peercaller"
+	"mulberrybeam/connection/servicecaller"
+	"mulberrybeam/connection/storecaller"
+	"mulberrybeam/process/configurer"
+	"mulberrybeam/process/controller"
+	"mulberrybeam/process/gossiper"
+	"mulberrybeam/process/indexer"
+	"mulberrybeam/process/leaser"
+	"mulberrybeam/process/meter"
+	"mulberrybeam/process/observer"
+	"mulberrybeam/process/permitcaller"
+	"mulberrybeam/process/permitter"
+	"mulberrybeam/process/recorder"
+	"mulberrybeam/process/server"
+	"mulberrybeam/process/stamper"
+	"mulberrybeam/process/suspecter"
+	"mulberrybeam/request/forwarder"
+	"mulberrybeam/request/keyer"
+	"mulberrybeam/request/router"
+	"mulberrybeam/version/parser"
+)
+
+// leaveTime lets peers hear that the process has left and the object API
+// take back its slots.
+const leaveTime = 1500 * time.Millisecond
+
+// minSecretLength is in bytes.
+const minSecretLength = 16
+
+// Process is a running entry process.
+type Process struct {
+	ID mulberrybeam.ProcessID
+	// CallerAddress, PeerAddress and OperatorAddress are what the process
+	// listens on.
+	CallerAddress   string
+	PeerAddress     string
+	OperatorAddress string
+	Control         *controller.Controller
+	Objects         *objectcaller.Caller
+	TimeLine        *recorder.Ring
+
+	settings  Settings
+	begin     time.Time
+	stampLock sync.Mutex
+	stamps    *stamper.Stamper
+	engines   *enginecaller.Caller
+	services  *servicecaller.Caller
+	stores    *storecaller.Caller
+	index     *indexer.Indexer
+	forwarder *forwarder.Forwarder
+	server    *server.Server
+	callers   net.Listener
+	metrics   http.Handler
+	// closers run in the reverse order.
+	closers []func()
+	// finish shuts the caller server down within its context.
+	finish func(context.Context) error
+}
+
+// Start starts an entry process. The returned function shuts it down
+// gracefully; when its context ends, running requests are cut.
+func Start(settings Settings) (*Process, func(context.Context) error, error) {
+	id := newProcessID(settings.Host)
+	p := &Process{
+		ID:       id,
+		settings: settings,
+		begin:    time.Now(),
+		stamps:   stamper.New(id),
+		index:    indexer.New(),
+	}
+	for _, step := range []func() error{p.listenForCallers, p.startClients, p.startControl, p.startTraffic, p.serveCallers, p.startOperator} {
+		if err := step(); err != nil {
+			p.close()
+			return nil, nil, fmt.Errorf("start entry process %s: %w", id, err)
+		}
+	}
+	return p, p.shutdown, nil
+}
+
+func newProcessID(host string) mulberrybeam.ProcessID {
+	incarnation := make([]byte, 4)
+	_, _ = rand.Read(incarnation)
+	return mulberrybeam.ProcessID(host + "/" + hex.EncodeToString(incarnation))
+}
+
+func (p *Process) now() time.Duration { return time.Since(p.begin) }
+
+// onClose registers a clean-up function.
+func (p *Process) onClose(closer func()) { p.closers = append(p.closers, closer) }
+
+func (p *Process) close() {
+	for i := len(p.closers) - 1; i >= 0; i-- {
+		p.closers[i]()
+	}
+	p.closers = nil
+}
+
+func (p *Process) startClients() error {
+	var closer func()
+	p.Objects, closer = objectcaller.New(p.settings.Platform.URL, p.settings.Environment, objectcaller.WithName(string(p.ID)))
+	p.onClose(closer)
+	p.engines, closer = enginecaller.New()
+	p.onClose(closer)
+	p.services, closer = servicecaller.New()
+	p.onClose(closer)
+	p.stores, closer = storecaller.New()
+	p.onClose(closer)
+	return nil
+}
+
+// startControl starts the peers' listener first, since its port is part of
+// what the machines say of this process. Messages that come before the
+// control goroutine runs wait for it.
+func (p *Process) startControl() error {
+	options, err := peerOptions(p.settings.Peer)
+	if err != nil {
+		return err
+	}
+	peers, closePeers := peercaller.New(p.ID, options...)
+	p.onClose(func() { _ = closePeers() })
+	started := make(chan struct{})
+	handler := func(ctx context.Context, from mulberrybeam.ProcessID, message mulberrybeam.Message) (mulberrybeam.Message, error) {
+		select {
+		case <-started:
+			return p.Control.Ask(ctx, from, message)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	address, closeListener, err := peercaller.Serve(p.settings.Peer.Address, handler, options...)
+	if err != nil {
+		return err
+	}
+	p.onClose(func() { _ = closeListener() })
+	p.PeerAddress = address
+	if err := p.startTimeLine(); err != nil {
+		return err
+	}
+	control, closeControl := controller.New(p.machines(),
+		controller.WithSelf(p.ID, p.settings.Zone),
+		controller.WithObjects(p.Objects),
+		controller.WithPeers(peers),
+		controller.WithEngines(p.engines),
+		controller.WithObserve(p.observe),
+		controller.WithRecorder(p.TimeLine),
+		controller.WithClock(p.now),
+	)
+	p.onClose(closeControl)
+	p.Control = control
+	close(started)
+	p.startForwarder(permitcaller.New(control.Snapshot, control.Ask, peers))
+	return nil
+}
+
+func (p *Process) machines() []mulberrybeam.Machine {
+	self := mulberrybeam.Member{ID: p.ID, Zone: p.settings.Zone, Address: p.PeerAddress}
+	membership := gossiper.Self{ID: p.ID, Zone: p.settings.Zone, Address: p.PeerAddress, CallerAddress: p.CallerAddress}
+	return []mulberrybeam.Machine{
+		gossiper.New(membership, gossiper.WithDirectory(directoryencoder.Encode, directoryencoder.Decode)),
+		configurer.New(membership, p.settings.Environment, parser.Parse),
+		leaser.New(self, leaser.WithEncoding(leaseencoder.Encode, leaseencoder.Decode)),
+		permitter.New(self),
+		observer.New(self),
+		suspecter.New(),
+	}
+}
+
+func (p *Process) startTimeLine() error {
+	counted, metrics, closeMeter, err := meter.New(p.settings.Environment, p.settings.Zone)
+	if err != nil {
+		return err
+	}
+	p.onClose(closeMeter)
+	p.TimeLine = recorder.New(recorder.WithStamp(p.stamp), recorder.WithObserver(counted.Observe))
+	p.metrics = metrics
+	return nil
+}
+
+func (p *Process) stamp() mulberrybeam.Stamp {
+	p.stampLock.Lock()
+	defer p.stampLock.Unlock()
+	return p.stamps.Next(time.Now())
+}
+
+func (p *Process) startForwarder(permits mulberrybeam.PermitClient) {
+	running, closer := forwarder.New(
+		forwarder.WithControl(p.Control.Snapshot, p.Control.Post),
+		forwarder.WithRouting(router.New(), p.index),
+		forwarder.WithTargets(p.engines, p.services, p.stores),
+		forwarder.WithObjects(p.Objects, intentencoder.Codec()),
+		forwarder.WithPermits(permits),
+		forwarder.WithRecorder(p.TimeLine),
+		forwarder.WithClocks(p.now, time.Now),
+	)
+	p.onClose(closer)
+	p.forwarder = running
+}
+
+func (p *Process) startTraffic() error {
+	secret, err := os.ReadFile(p.settings.ContextSecretFile)
+	if err != nil {
+		return err
+	}
+	if len(secret) < minSecretLength {
+		return fmt.Errorf("%s has %d bytes; a context secret has %d at least", p.settings.ContextSecretFile, len(secret), minSecretLength)
+	}
+	keys, err := keyer.New(secret)
+	if err != nil {
+		return err
+	}
+	front, finish, err := server.New(
+		server.WithControl(p.Control.Snapshot),
+		server.WithForwarder(p.forwarder),
+		server.WithKeyer(keys),
+		server.WithGrace(p.settings.ResumeGrace),
+		server.WithProxy(p.proxy),
+	)
+	if err != nil {
+		return err
+	}
+	p.server = front
+	p.finish = finish
+	return nil
+}
+
+// shutdown says that the process is not ready, waits for the balancer, lets
+// running requests end, gives the slots back and says that it has left.
+func (p *Process) shutdown(ctx context.Context) error {
+	p.server.Retire()
+	wait(ctx, p.settings.Shutdown.BalancerDelay)
+	p.Control.Post(mulberrybeam.ShutdownAsked{})
+	drain, cancel := p.drainContext(ctx)
+	defer cancel()
+	err := p.finish(drain)
+	wait(ctx, leaveTime)
+	p.close()
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("requests were still running when the shutdown's time ended: %w", err)
+	}
+	return err
+}
+
+func (p *Process) drainContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if p.settings.Shutdown.StreamLimit == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, p.settings.Shutdown.StreamLimit)
+}
+
+func wait(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/process/launcher/listen.go
@@ -0,0 +1,173 @@
+package launcher
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/peercaller"
+	"mulberrybeam/process/operator"
+)
+
+const (
+	// budgetInterval is how often the share of the platform's rate follows
+	// the number of live hosts.
+	budgetInterval = 5 * time.Second
+	// operatorHeaderTimeout bounds the reading of an operator's request.
+	operatorHeaderTimeout = 5 * time.Second
+)
+
+// listenForCallers opens the callers' listener first, since its port is part
+// of what peers are told. Connections wait until it is served.
+func (p *Process) listenForCallers() error {
+	listener, err := listen(p.settings.Caller)
+	if err != nil {
+		return err
+	}
+	p.onClose(func() { _ = listener.Close() })
+	p.callers = listener
+	p.CallerAddress = listener.Addr().String()
+	return nil
+}
+
+func (p *Process) serveCallers() error {
+	go func() { _ = p.server.Serve(p.callers) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	p.onClose(cancel)
+	go p.followBudget(ctx)
+	return nil
+}
+
+// startOperator serves the operators' listener.
+func (p *Process) startOperator() error {
+	handler, err := operator.New(operator.Sources{
+		Snapshot: p.Control.Snapshot,
+		Entries:  p.TimeLine.Entries,
+		Metrics:  p.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	listener, err := listen(p.settings.Operator)
+	if err != nil {
+		return err
+	}
+	p.OperatorAddress = listener.Addr().String()
+	running := &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout}
+	go func() { _ = running.Serve(listener) }()
+	p.onClose(func() { _ = running.Close() })
+	return nil
+}
+
+// followBudget gives the process its share of the platform's rate.
+func (p *Process) followBudget(ctx context.Context) {
+	ticker := time.NewTicker(budgetInterval)
+	defer ticker.Stop()
+	for {
+		if snapshot := p.Control.Snapshot(); snapshot.Tables != nil {
+			limits := snapshot.Tables.Environment.Limits
+			p.Objects.SetBudget(limits.PlatformReadRate, limits.PlatformWriteRate, LiveHosts(snapshot))
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// LiveHosts estimates the live entry hosts of the environment. A process
+// knows only the members of its own zone, and takes the other zones to have
+// as many.
+func LiveHosts(snapshot *mulberrybeam.Snapshot) int {
+	own := 1
+	for _, member := range snapshot.Members {
+		if member.ID != snapshot.Self && member.State == mulberrybeam.MemberAlive {
+			own++
+		}
+	}
+	return own * max(len(snapshot.Tables.Zones), 1)
+}
+
+// observe polls a target. Cache events go to the index at once.
+func (p *Process) observe(ctx context.Context, target mulberrybeam.Target, _ uint64) mulberrybeam.TargetObserved {
+	observed := mulberrybeam.TargetObserved{Target: target.ID}
+	if target.Kind == mulberrybeam.KindService {
+		observed.Report, observed.Err = p.services.Load(ctx, target)
+		return observed
+	}
+	observed.Report, observed.Err = p.engines.Load(ctx, target)
+	if observed.Err != nil {
+		return observed
+	}
+	events, err := p.engines.CacheEvents(ctx, target, p.index.Sequence(target.ID))
+	if err != nil {
+		return observed
+	}
+	for _, event := range events {
+		p.index.Apply(event)
+	}
+	return observed
+}
+
+// proxy passes a call about a stream to the process of the zone that runs it.
+func (p *Process) proxy(process mulberrybeam.ProcessID, response http.ResponseWriter, request *http.Request) bool {
+	for _, member := range p.Control.Snapshot().Members {
+		if member.ID != process || member.CallerAddress == "" {
+			continue
+		}
+		proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: p.callerScheme(), Host: member.CallerAddress})
+		proxy.FlushInterval = -1
+		proxy.ServeHTTP(response, request)
+		return true
+	}
+	return false
+}
+
+func (p *Process) callerScheme() string {
+	if p.settings.Caller.CertificateFile != "" {
+		return "https"
+	}
+	return "http"
+}
+
+// listen opens a listener, with TLS when the settings have a certificate.
+func listen(settings ListenerSettings) (net.Listener, error) {
+	listener, err := net.Listen("tcp", settings.Address)
+	if err != nil || settings.CertificateFile == "" {
+		return listener, err
+	}
+	certificate, err := tls.LoadX509KeyPair(settings.CertificateFile, settings.KeyFile)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	return tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}), nil
+}
+
+func peerOptions(settings ListenerSettings) ([]peercaller.Option, error) {
+	if settings.CertificateFile == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(settings.CertificateFile, settings.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	authority, err := os.ReadFile(settings.AuthorityFile)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, fmt.Errorf("%s has no certificate", settings.AuthorityFile)
+	}
+	return []peercaller.Option{peercaller.WithMutualTLS(certificate, pool)}, nil
+}
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -106,6 +106,7 @@
 	http     *http.Server
 	streams  *registry
 	hints    chan struct{}
+	retired  atomic.Bool
 	draining atomic.Bool
 	// admission orders the start of runs and the start of draining.
 	admission sync.RWMutex
@@ -149,6 +150,10 @@
 	return nil
 }
 
+// Retire makes the readiness probe fail while requests are still taken, so
+// that the balancer can notice before the server drains.
+func (s *Server) Retire() { s.retired.Store(true) }
+
 // Drain refuses new requests. Running ones go on and can be resumed.
 func (s *Server) Drain() {
 	s.admission.Lock()
@@ -217,7 +222,7 @@
 func (s *Server) ready(ctx iris.Context) {
 	snapshot := s.Snapshot()
 	switch {
-	case s.draining.Load() || snapshot != nil && snapshot.Draining:
+	case s.retired.Load() || s.draining.Load() || snapshot != nil && snapshot.Draining:
 		s.text(ctx, http.StatusServiceUnavailable, string(mulberrybeam.CodeShuttingDown))
 	case snapshot == nil || snapshot.Tables == nil || !snapshot.Ready:
 		s.text(ctx, http.StatusServiceUnavailable, string(mulberrybeam.CodeNotReady))
--- /dev/null
+++ b/process/standin/fleet/fleet.go
@@ -0,0 +1,307 @@
+// Package fleet starts a small environment on loopback: fakes of the platform,
+// engines, services and context stores, and real entry processes. The demo
+// and the tests of the whole path use it.
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/objectcaller"
+	"mulberrybeam/process/launcher"
+	"mulberrybeam/process/standin/engine"
+	"mulberrybeam/process/standin/platform"
+	"mulberrybeam/process/standin/service"
+	"mulberrybeam/process/standin/store"
+)
+
+// Names of what every fleet has.
+const (
+	Environment = mulberrybeam.EnvironmentName("trial")
+	Model       = "summary"
+	Service     = "shop"
+	// RepeatableCall and OrderCall are the calls of the service.
+	RepeatableCall = "check-stock"
+	OrderCall      = "place-order"
+	// Workspaces have the keys that Key returns.
+	FirstWorkspace  = mulberrybeam.WorkspaceName("divers")
+	SecondWorkspace = mulberrybeam.WorkspaceName("guides")
+)
+
+// Key returns the key of a workspace.
+func Key(workspace mulberrybeam.WorkspaceName) string { return "key-of-" + string(workspace) }
+
+// Layout is the size and the properties of a fleet.
+type Layout struct {
+	Zones           []mulberrybeam.ZoneName
+	EntriesPerZone  int
+	EnginesPerZone  int
+	ServicesPerZone int
+	Stores          int
+	// ColdLimit bounds the requests at a cold engine; fake engines crash
+	// above it.
+	ColdLimit int
+	// Engine changes the settings of all fake engines.
+	Engine func(*engine.Settings)
+	// StoreLinkRate is in bytes per second.
+	StoreLinkRate float64
+	// BalancerDelay is the wait of a shutdown before it drains.
+	BalancerDelay time.Duration
+}
+
+// DefaultLayout returns three zones with two entry processes, two engines and
+// a service each, and two stores.
+func DefaultLayout() Layout {
+	return Layout{
+		Zones:           []mulberrybeam.ZoneName{"a", "b", "c"},
+		EntriesPerZone:  2,
+		EnginesPerZone:  2,
+		ServicesPerZone: 1,
+		Stores:          2,
+		ColdLimit:       2,
+		StoreLinkRate:   20e6,
+		BalancerDelay:   200 * time.Millisecond,
+	}
+}
+
+// Entry is a running entry process.
+type Entry struct {
+	*launcher.Process
+	Zone     mulberrybeam.ZoneName
+	shutdown func(context.Context) error
+	once     sync.Once
+}
+
+// Shutdown shuts the process down gracefully. Further calls do nothing.
+func (e *Entry) Shutdown(ctx context.Context) error {
+	var err error
+	e.once.Do(func() { err = e.shutdown(ctx) })
+	return err
+}
+
+// Fleet is a running environment.
+type Fleet struct {
+	Layout   Layout
+	Platform *platform.Platform
+	Engines  map[mulberrybeam.TargetID]*engine.Engine
+	Services map[mulberrybeam.TargetID]*service.Service
+	Stores   map[mulberrybeam.StoreID]*store.Store
+	Entries  []*Entry
+	// Document is the configuration that was applied at the start.
+	Document string
+
+	directory string
+	closers   []func()
+}
+
+// Start starts a fleet. The clean-up function ends it at once.
+func Start(layout Layout) (*Fleet, func(), error) {
+	f := &Fleet{
+		Layout:   layout,
+		Engines:  map[mulberrybeam.TargetID]*engine.Engine{},
+		Services: map[mulberrybeam.TargetID]*service.Service{},
+		Stores:   map[mulberrybeam.StoreID]*store.Store{},
+	}
+	for _, step := range []func() error{f.startPlatform, f.startTargets, f.apply, f.startEntries} {
+		if err := step(); err != nil {
+			f.close()
+			return nil, nil, err
+		}
+	}
+	return f, f.close, nil
+}
+
+func (f *Fleet) close() {
+	expired, cancel := context.WithCancel(context.Background())
+	cancel()
+	var group sync.WaitGroup
+	for _, entry := range f.Entries {
+		group.Go(func() { _ = entry.Shutdown(expired) })
+	}
+	group.Wait()
+	for i := len(f.closers) - 1; i >= 0; i-- {
+		f.closers[i]()
+	}
+}
+
+func (f *Fleet) startPlatform() error {
+	directory, err := os.MkdirTemp("", "mulberrybeam-fleet-")
+	if err != nil {
+		return err
+	}
+	f.directory = directory
+	f.closers = append(f.closers, func() { _ = os.RemoveAll(directory) })
+	secret := filepath.Join(directory, "context-secret")
+	if err := os.WriteFile(secret, []byte("a context secret of a fleet on loopback"), 0o600); err != nil {
+		return err
+	}
+	fake, closer, err := platform.New()
+	if err != nil {
+		return err
+	}
+	f.Platform = fake
+	f.closers = append(f.closers, closer)
+	return nil
+}
+
+func (f *Fleet) startTargets() error {
+	var failures error
+	for _, zone := range f.Layout.Zones {
+		for i := range f.Layout.EnginesPerZone {
+			failures = errors.Join(failures, f.startEngine(mulberrybeam.TargetID(fmt.Sprintf("engine-%s%d", zone, i+1))))
+		}
+		for i := range f.Layout.ServicesPerZone {
+			failures = errors.Join(failures, f.startService(mulberrybeam.TargetID(fmt.Sprintf("%s-%s%d", Service, zone, i+1))))
+		}
+	}
+	for i := range f.Layout.Stores {
+		failures = errors.Join(failures, f.startStore(mulberrybeam.StoreID(fmt.Sprintf("store-%d", i+1))))
+	}
+	return failures
+}
+
+func (f *Fleet) startEngine(id mulberrybeam.TargetID) error {
+	fake, closer, err := engine.New(
+		engine.WithVersion(Model, "v1"),
+		engine.WithCold(f.Layout.ColdLimit, 8, time.Second),
+		engine.WithSettings(func(s *engine.Settings) {
+			if f.Layout.Engine != nil {
+				f.Layout.Engine(s)
+			}
+		}),
+	)
+	if err != nil {
+		return err
+	}
+	f.Engines[id] = fake
+	f.closers = append(f.closers, closer)
+	return nil
+}
+
+func (f *Fleet) startService(id mulberrybeam.TargetID) error {
+	fake, closer, err := service.New(service.WithRestartAfter(time.Second))
+	if err != nil {
+		return err
+	}
+	f.Services[id] = fake
+	f.closers = append(f.closers, closer)
+	return nil
+}
+
+func (f *Fleet) startStore(id mulberrybeam.StoreID) error {
+	fake, closer, err := store.New(store.WithLinkRate(f.Layout.StoreLinkRate))
+	if err != nil {
+		return err
+	}
+	f.Stores[id] = fake
+	f.closers = append(f.closers, closer)
+	return nil
+}
+
+// Objects returns a client of the environment's objects.
+func (f *Fleet) Objects() (mulberrybeam.ObjectClient, func()) {
+	return objectcaller.New(f.PlatformURL(), Environment, objectcaller.WithName("operator"))
+}
+
+// PlatformURL returns the base of the object API.
+func (f *Fleet) PlatformURL() string { return "http://" + f.Platform.Address() }
+
+func (f *Fleet) apply() error {
+	f.Document = f.document()
+	objects, closer := f.Objects()
+	defer closer()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := objects.Create(ctx, mulberrybeam.Object{
+		Kind: mulberrybeam.ObjectEnvironment,
+		Name: string(Environment),
+		Data: []byte(f.Document),
+	})
+	return err
+}
+
+func (f *Fleet) startEntries() error {
+	for _, zone := range f.Layout.Zones {
+		for i := range f.Layout.EntriesPerZone {
+			if _, err := f.StartEntry(zone, fmt.Sprintf("entry-%s%d", zone, i+1)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// StartEntry starts one more entry process.
+func (f *Fleet) StartEntry(zone mulberrybeam.ZoneName, host string) (*Entry, error) {
+	anyPort := launcher.ListenerSettings{Address: "127.0.0.1:0"}
+	process, shutdown, err := launcher.Start(launcher.Settings{
+		Environment:       Environment,
+		Host:              host,
+		Zone:              zone,
+		Platform:          launcher.PlatformSettings{URL: f.PlatformURL()},
+		Caller:            anyPort,
+		Peer:              anyPort,
+		Operator:          anyPort,
+		ContextSecretFile: filepath.Join(f.directory, "context-secret"),
+		Shutdown:          launcher.ShutdownSettings{BalancerDelay: f.Layout.BalancerDelay},
+		ResumeGrace:       5 * time.Second,
+	})
+	if err != nil {
+		return nil, err
+	}
+	entry := &Entry{Process: process, Zone: zone, shutdown: shutdown}
+	f.Entries = append(f.Entries, entry)
+	return entry, nil
+}
+
+// document writes the configuration of the fleet.
+func (f *Fleet) document() string {
+	var text strings.Builder
+	write := func(format string, values ...any) { _, _ = fmt.Fprintf(&text, format, values...) }
+	write("// Written for a fleet on loopback.\n{\n  \"name\": %q, \"revision\": 1,\n  \"regions\": [{\"name\": \"local\", \"zones\": [", Environment)
+	for _, zone := range f.Layout.Zones {
+		write("{\"name\": %q, \"state\": \"in\"}, ", zone)
+	}
+	write("]}],\n  \"models\": [{\"name\": %q, \"version\": \"v1\"}],\n", Model)
+	write("  \"services\": [{\"name\": %q, \"calls\": [{\"name\": %q, \"repeatable\": true}, {\"name\": %q}]}],\n", Service, RepeatableCall, OrderCall)
+	write("  \"engine-groups\": [\n")
+	for _, zone := range f.Layout.Zones {
+		write("    {\"name\": \"engines-%s\", \"zone\": %q, \"models\": [%q], \"cold-limit\": %d, \"targets\": [", zone, zone, Model, f.Layout.ColdLimit)
+		for i := range f.Layout.EnginesPerZone {
+			id := mulberrybeam.TargetID(fmt.Sprintf("engine-%s%d", zone, i+1))
+			write("{\"id\": %q, \"address\": %q}, ", id, f.Engines[id].Address())
+		}
+		write("]},\n")
+	}
+	write("  ],\n  \"service-groups\": [\n")
+	for _, zone := range f.Layout.Zones {
+		write("    {\"name\": \"services-%s\", \"zone\": %q, \"service\": %q, \"cold-limit\": 4, \"targets\": [", zone, zone, Service)
+		for i := range f.Layout.ServicesPerZone {
+			id := mulberrybeam.TargetID(fmt.Sprintf("%s-%s%d", Service, zone, i+1))
+			write("{\"id\": %q, \"address\": %q}, ", id, f.Services[id].Address())
+		}
+		write("]},\n")
+	}
+	write("  ],\n  \"stores\": [")
+	for i := range f.Layout.Stores {
+		id := mulberrybeam.StoreID(fmt.Sprintf("store-%d", i+1))
+		zone := f.Layout.Zones[i%len(f.Layout.Zones)]
+		write("{\"id\": %q, \"zone\": %q, \"address\": %q, \"link-rate\": %g}, ", id, zone, f.Stores[id].Address(), f.Layout.StoreLinkRate)
+	}
+	write("],\n  \"workspaces\": [\n")
+	for _, workspace := range []mulberrybeam.WorkspaceName{FirstWorkspace, SecondWorkspace} {
+		hash := sha256.Sum256([]byte(Key(workspace)))
+		write("    {\"name\": %q, \"key-hashes\": [%q], \"requests-per-second\": 500},\n", workspace, hex.EncodeToString(hash[:]))
+	}
+	write("  ],\n}\n")
+	return text.String()
+}
--- /dev/null
+++ b/process/suspecter/suspecter.go
@@ -0,0 +1,119 @@
+// Package suspecter is the control machine that states which requests were in
+// flight when a target crashed, and clears those that proved harmless.
+package suspecter
+
+import (
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/request/quarantiner"
+)
+
+// sweepInterval is the time between two removals of expired facts.
+const sweepInterval = time.Minute
+
+// Suspecter is the machine. Only the control goroutine may use it.
+type Suspecter struct {
+	facts     map[string]held
+	nextSweep time.Duration
+}
+
+// held is a crash fact and the local time at which it was last stated.
+type held struct {
+	fact mulberrybeam.Fact
+	at   time.Duration
+}
+
+// New returns a machine without facts.
+func New() *Suspecter { return &Suspecter{facts: map[string]held{}} }
+
+// Step implements mulberrybeam.Machine.
+func (s *Suspecter) Step(turn mulberrybeam.Turn, event mulberrybeam.Event) []mulberrybeam.Action {
+	switch event := event.(type) {
+	case mulberrybeam.TrafficSign:
+		return s.sign(event)
+	case mulberrybeam.TargetObserved:
+		if event.Err == nil {
+			return state(quarantiner.Survived(event.Target, event.Report.Instance, s.list()))
+		}
+	case mulberrybeam.FactChanged:
+		s.keep(turn, event.Fact)
+	case mulberrybeam.Tick:
+		s.sweep(turn)
+	}
+	return nil
+}
+
+// Fill implements mulberrybeam.Machine. The gossiper fills in the crashes.
+func (*Suspecter) Fill(*mulberrybeam.Snapshot) {}
+
+func (s *Suspecter) sign(sign mulberrybeam.TrafficSign) []mulberrybeam.Action {
+	if sign.Cleared != nil {
+		return state(quarantiner.Completed(*sign.Cleared, s.list()))
+	}
+	if sign.Kind != mulberrybeam.SignBroken || len(sign.InFlight) == 0 {
+		return nil
+	}
+	return state(s.unknown(quarantiner.Crashed(sign.Target, sign.Instance, sign.InFlight)))
+}
+
+// unknown leaves out facts that were stated before. Each request in flight
+// reports the same broken connection, and a report that comes after the
+// request was cleared must not make it a suspect again.
+func (s *Suspecter) unknown(facts []mulberrybeam.Fact) []mulberrybeam.Fact {
+	fresh := facts[:0]
+	for _, fact := range facts {
+		if _, known := s.facts[fact.Key]; !known {
+			fresh = append(fresh, fact)
+		}
+	}
+	return fresh
+}
+
+func state(facts []mulberrybeam.Fact) []mulberrybeam.Action {
+	actions := make([]mulberrybeam.Action, 0, len(facts))
+	for _, fact := range facts {
+		actions = append(actions,
+			mulberrybeam.Raise{Event: mulberrybeam.FactChanged{Fact: fact, Local: true}},
+			mulberrybeam.Note{Entry: mulberrybeam.Entry{
+				Kind:    mulberrybeam.EntryCrash,
+				Subject: string(fact.Crash.Target),
+				Text:    describe(fact.Crash),
+			}},
+		)
+	}
+	return actions
+}
+
+func describe(crash *mulberrybeam.CrashFact) string {
+	if crash.Count == 0 {
+		return "request is no longer suspected of the crash"
+	}
+	return "connection broke with the request in flight"
+}
+
+func (s *Suspecter) keep(turn mulberrybeam.Turn, fact mulberrybeam.Fact) {
+	if fact.Kind == mulberrybeam.FactCrash && fact.Crash != nil {
+		s.facts[fact.Key] = held{fact: fact, at: turn.Now}
+	}
+}
+
+func (s *Suspecter) list() []mulberrybeam.Fact {
+	facts := make([]mulberrybeam.Fact, 0, len(s.facts))
+	for _, held := range s.facts {
+		facts = append(facts, held.fact)
+	}
+	return facts
+}
+
+func (s *Suspecter) sweep(turn mulberrybeam.Turn) {
+	if turn.Now < s.nextSweep {
+		return
+	}
+	s.nextSweep = turn.Now + sweepInterval
+	for key, held := range s.facts {
+		if turn.Now-held.at > held.fact.TTL {
+			delete(s.facts, key)
+		}
+	}
+}
--- /dev/null
+++ b/process/suspecter/suspecter_test.go
@@ -0,0 +1,63 @@
+package suspecter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/suspecter"
+)
+
+// driver feeds raised events back, as the control goroutine does.
+type driver struct {
+	machine *suspecter.Suspecter
+	now     time.Duration
+}
+
+// post returns the counts of the crash facts that the event led to.
+func (d *driver) post(event mulberrybeam.Event) []int {
+	counts := []int{}
+	for _, action := range d.machine.Step(mulberrybeam.Turn{Now: d.now}, event) {
+		if raise, ok := action.(mulberrybeam.Raise); ok {
+			changed := raise.Event.(mulberrybeam.FactChanged)
+			counts = append(counts, changed.Fact.Crash.Count)
+			d.post(changed)
+		}
+	}
+	return counts
+}
+
+func broken(requests ...mulberrybeam.Fingerprint) mulberrybeam.TrafficSign {
+	return mulberrybeam.TrafficSign{Kind: mulberrybeam.SignBroken, Target: "e1", Instance: "i1", InFlight: requests}
+}
+
+// Guards against one crash that counts once for each request that reports it,
+// and against a request that is suspected again after it was cleared.
+func TestACrashIsStatedOnceAndClearedForGood(t *testing.T) {
+	is := is.New(t)
+	d := &driver{machine: suspecter.New()}
+	first, second := mulberrybeam.Fingerprint{1}, mulberrybeam.Fingerprint{2}
+	is.Equal(d.post(broken(first, second)), []int{1, 1})
+	is.Equal(d.post(broken(first)), []int{})
+
+	is.Equal(d.post(mulberrybeam.TrafficSign{Kind: mulberrybeam.SignCompleted, Cleared: &first}), []int{0})
+	is.Equal(d.post(broken(first)), []int{})
+
+	d.now = 10 * time.Hour
+	d.post(mulberrybeam.Tick{})
+	is.Equal(d.post(broken(second)), []int{1}) // the expired facts were dropped
+}
+
+// Guards against suspects that a broken network path made.
+func TestSameInstanceClearsItsRequests(t *testing.T) {
+	is := is.New(t)
+	d := &driver{machine: suspecter.New()}
+	d.post(broken(mulberrybeam.Fingerprint{1}))
+	report := func(instance mulberrybeam.InstanceID) mulberrybeam.TargetObserved {
+		return mulberrybeam.TargetObserved{Target: "e1", Report: mulberrybeam.LoadReport{Instance: instance}}
+	}
+	is.Equal(d.post(report("i2")), []int{})
+	is.Equal(d.post(report("i1")), []int{0})
+}
