--- /dev/null
+++ b/cmd/mulberrybeamd/command/command.go
@@ -0,0 +1,107 @@
+// Package command parses the arguments of the entry process and runs it.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/sirupsen/logrus"
+
+	"mulberrybeam/process/launcher"
+)
+
+// Exit codes.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	ExitUsage   = 2
+)
+
+// Options are the dependencies and arguments of the entry process.
+type Options struct {
+	Settings string `help:"Settings file, JSON with comments." required:"" placeholder:"FILE"`
+	Check    bool   `help:"Check the settings and exit."`
+
+	log *logrus.Logger
+	out io.Writer
+	run RunFunc
+}
+
+// RunFunc runs an entry process until the context ends, then shuts it down.
+type RunFunc func(ctx context.Context, settings launcher.Settings, log *logrus.Logger) error
+
+// exit unwinds the parser after it printed help.
+type exit struct{ code int }
+
+// Run parses the arguments and runs the entry process. It returns the exit
+// code. A nil run stands for the real one.
+func Run(ctx context.Context, arguments []string, out, errors io.Writer, run RunFunc) (code int) {
+	defer func() {
+		switch cause := recover().(type) {
+		case nil:
+		case exit:
+			code = cause.code
+		default:
+			panic(cause)
+		}
+	}()
+	log := logrus.New()
+	log.SetOutput(errors)
+	if run == nil {
+		run = serve
+	}
+	options := &Options{log: log, out: out, run: run}
+	parser := kong.Must(options,
+		kong.Name("mulberrybeamd"),
+		kong.Description("Entry process of a mulberrybeam fleet."),
+		kong.Writers(out, errors),
+		kong.Exit(func(code int) { panic(exit{code}) }),
+	)
+	if _, err := parser.Parse(arguments); err != nil {
+		_, _ = fmt.Fprintf(errors, "mulberrybeamd: %v\nRun \"mulberrybeamd --help\" for the flags.\n", err)
+		return ExitUsage
+	}
+	if err := options.start(ctx); err != nil {
+		_, _ = fmt.Fprintln(errors, err)
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+func (o *Options) start(ctx context.Context) error {
+	data, err := os.ReadFile(o.Settings)
+	if err != nil {
+		return err
+	}
+	settings, err := launcher.ParseSettings(data)
+	if err != nil {
+		return fmt.Errorf("%s:\n%w", o.Settings, err)
+	}
+	if o.Check {
+		_, err = fmt.Fprintf(o.out, "%s is valid\n", o.Settings)
+		return err
+	}
+	return o.run(ctx, settings, o.log)
+}
+
+func serve(ctx context.Context, settings launcher.Settings, log *logrus.Logger) error {
+	process, shutdown, err := launcher.Start(settings)
+	if err != nil {
+		return err
+	}
+	log.WithFields(logrus.Fields{
+		"process":  process.ID,
+		"zone":     settings.Zone,
+		"caller":   process.CallerAddress,
+		"peer":     process.PeerAddress,
+		"operator": process.OperatorAddress,
+	}).Info("started")
+	<-ctx.Done()
+	log.WithField("process", process.ID).Info("shutting down")
+	err = shutdown(context.Background())
+	log.WithField("process", process.ID).Info("stopped")
+	return err
+}
