--- a/connection/enginecaller/caller_test.go
+++ b/connection/enginecaller/caller_test.go
@@ -5,7 +5,10 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net"
+	"net/http/httptrace"
+	"strings"
 	"testing"
 	"time"
 
@@ -87,12 +90,37 @@
 			is.True(json.Valid(body))
 		})
 	}
-	for _, raw := range []string{``, `[]`, `{"a":`, `{"a" 1}`, `{"a":1`} {
+	for _, raw := range []string{``, `[]`, `{} {}`, `{"a":`, `{"a" 1}`, `{"a":1`} {
 		_, err := enginecaller.Body(mulberrybeam.EngineCall{Request: &mulberrybeam.Request{Body: []byte(raw)}})
 		is.New(t).True(err != nil) // not a JSON object
 	}
 }
 
+// Guards against bodies for which the added fields are not what an engine
+// reads, or a caller's field is lost.
+func FuzzBody(f *testing.F) {
+	for _, raw := range []string{`{}`, chat, `{"context":1,"a":{"context":[]}}`, `{"\u0063ontext":{"salt":"x"}}`, `{"a":"\ud800"}`} {
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw string) {
+		is := is.New(t)
+		body, err := enginecaller.Body(mulberrybeam.EngineCall{Request: &mulberrybeam.Request{Body: []byte(raw), Version: "v1"}})
+		var before, after map[string]any
+		if json.Unmarshal([]byte(raw), &before) != nil || before == nil {
+			is.True(err != nil)
+			return
+		}
+		is.NoErr(err)
+		is.NoErr(json.Unmarshal(body, &after))
+		is.Equal(after["context"].(map[string]any)["version"], "v1")
+		for _, name := range []string{"stream", "priority", "context"} {
+			maps.DeleteFunc(before, func(field string, _ any) bool { return strings.EqualFold(field, name) })
+			delete(after, name)
+		}
+		is.Equal(after, before)
+	})
+}
+
 // Guards against an answer that is incomplete, altered or out of order.
 func TestGenerateGivesTheWholeAnswer(t *testing.T) {
 	is := is.New(t)
@@ -112,6 +140,28 @@
 	is.Equal(tokens[6], mulberrybeam.Token{Request: "r1", Sequence: 7, End: true, FinishReason: "stop"})
 }
 
+// Guards against a connection that is lost with each whole answer.
+func TestWholeAnswersReuseTheConnection(t *testing.T) {
+	is := is.New(t)
+	_, caller, target := setUp(t)
+	var made int
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if !info.Reused {
+			made++
+		}
+	}}
+	for range 5 {
+		stream, err := caller.Generate(httptrace.WithClientTrace(t.Context(), trace), callOf(target, "r1"))
+		is.NoErr(err)
+		for token := (mulberrybeam.Token{}); !token.End; {
+			token, err = stream.Next()
+			is.NoErr(err)
+		}
+		is.NoErr(stream.Close())
+	}
+	is.Equal(made, 1)
+}
+
 // Guards against a resumed stream that repeats or skips tokens.
 func TestGenerateResumesAfterASequence(t *testing.T) {
 	is := is.New(t)
@@ -312,6 +362,10 @@
 			is.Equal(manifest.Store, place.ID)
 			is.Equal(manifest.Blocks, 2)
 			is.NoErr(fake.Restart())
+			// The pool of the first caller may still have a connection
+			// to the ended instance.
+			caller, closeCaller := enginecaller.New()
+			defer closeCaller()
 			kept.SetFaults(func(f *store.Faults) { *f = test.faults })
 			manifest.Generation = test.generation
 			tokens, err := caller.ImportContext(t.Context(), target, place, manifest, append(keys, mulberrybeam.BlockKey{3}))
