Order the end of the forwarder after its last run

A shutdown that was cut short returned before its cancelled runs had ended, so the forwarder's clean-up raced with their last calls. The adaptive limit now compares the wait beyond the prompt's own time, a cancelled call no longer reports its target as broken, and a slow service call does not turn its target cold.

--- a/process/server/accept.go
+++ b/process/server/accept.go
@@ -30,8 +30,8 @@
 	refused := &mulberrybeam.Failure{
 		Code: mulberrybeam.CodeUnauthorized, Step: mulberrybeam.StepAccept, Message: "the workspace key is missing or unknown", NotRun: true,
 	}
-	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !found || key == "" {
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
 		return "", refused
 	}
 	sum := sha256.Sum256([]byte(key))
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -31,6 +31,9 @@
 	// maxHints bounds the hints that are worked on at once. Further ones
 	// are dropped, since a hint only saves time.
 	maxHints = 16
+	// cancelTimeout bounds the wait for cancelled runs at a shutdown that
+	// was cut short.
+	cancelTimeout = 2 * time.Second
 	// unreadTimeout cancels an answer that is not streamed, and so cannot
 	// be resumed, when its caller leaves.
 	unreadTimeout = time.Millisecond
@@ -113,8 +116,8 @@
 }
 
 // New returns a server and the function that shuts it down: it refuses new
-// requests, waits until running ones have ended or ctx ends, and closes all
-// connections.
+// requests, waits until running ones have ended, and closes all connections.
+// When ctx ends first, it cancels the streams.
 func New(options ...Option) (*Server, func(ctx context.Context) error, error) {
 	settings := Settings{
 		Proxy: func(mulberrybeam.ProcessID, http.ResponseWriter, *http.Request) bool { return false },
@@ -167,6 +170,10 @@
 	case <-ended:
 	case <-ctx.Done():
 		s.streams.cancelAll()
+		select {
+		case <-ended:
+		case <-time.After(cancelTimeout):
+		}
 	}
 	s.streams.close()
 	if err := s.http.Shutdown(ctx); err != nil {
--- a/process/server/server_test.go
+++ b/process/server/server_test.go
@@ -213,7 +213,7 @@
 	connection, err := net.Dial("tcp", e.address)
 	is.NoErr(err)
 	defer connection.Close()
-	_, err = io.WriteString(connection, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\nContent-Length: "+
+	_, err = io.WriteString(connection, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\nConnection: close\r\nContent-Length: "+
 		"74\r\n\r\n"+prompt)
 	is.NoErr(err)
 	is.Equal(len(prompt), 74)
@@ -227,6 +227,9 @@
 	}
 	close(e.engine.texts)
 	is.NoErr(<-e.engine.ended) // the whole answer was taken from the engine
+	is.NoErr(connection.SetReadDeadline(time.Now().Add(10 * time.Second)))
+	got, _ := io.Copy(io.Discard, connection)
+	is.True(got < size*count/2) // the reader was cut off instead of waited for
 }
 
 // Guards against a shutdown that cuts a running stream or takes a new request.
--- a/request/admitter/admitter_test.go
+++ b/request/admitter/admitter_test.go
@@ -190,6 +190,8 @@
 		slow = admitter.Next(slow, now, admitter.Outcome{FirstToken: 500 * time.Millisecond, InFlight: int(slow.Current)})
 	}
 	is.True(slow.Current < 8)
+	long := admitter.Next(limit, now, admitter.Outcome{FirstToken: time.Second, Expected: 950 * time.Millisecond, InFlight: 16})
+	is.Equal(long.Current, limit.Current) // a long prompt is no sign of load
 	idle := admitter.Next(limit, now, admitter.Outcome{FirstToken: 500 * time.Millisecond, InFlight: 1})
 	is.Equal(idle.Current, limit.Current) // one request alone cannot be the cause
 }
--- a/request/admitter/limit.go
+++ b/request/admitter/limit.go
@@ -6,6 +6,11 @@
 const (
 	// slowFactor is how far above the baseline a first token counts as slow.
 	slowFactor = 2.0
+	// minSlow is the wait below which a first token never counts as slow,
+	// since the variation of short waits says nothing about load.
+	minSlow = 100 * time.Millisecond
+	// minWait bounds the baseline from below for the same reason.
+	minWait = 10 * time.Millisecond
 	// baselineDrift lets the baseline follow a target that became slower
 	// for good: after about 470 requests a target that is five times slower
 	// no longer counts as slow.
@@ -22,7 +27,8 @@
 	// Current bounds the process's requests in flight at the target.
 	Current float64
 	Max     float64
-	// Baseline is the time to first token of the target without queueing.
+	// Baseline is the wait for the first token at the target without
+	// queueing, beyond the time that the prompt itself needs.
 	Baseline time.Duration
 	// ShrunkAt is when the limit last shrank.
 	ShrunkAt time.Duration
@@ -35,6 +41,9 @@
 	Refused bool
 	// FirstToken is the time to first token, 0 when none came.
 	FirstToken time.Duration
+	// Expected is the part of FirstToken that the request needs at an idle
+	// target. Without it long prompts would count as slow.
+	Expected time.Duration
 	// InFlight counts the process's requests at the target, this one
 	// included.
 	InFlight int
@@ -56,11 +65,12 @@
 	if outcome.FirstToken <= 0 {
 		return limit
 	}
-	if limit.Baseline == 0 || outcome.FirstToken < limit.Baseline {
-		limit.Baseline = outcome.FirstToken
+	wait := max(minWait, outcome.FirstToken-outcome.Expected)
+	if limit.Baseline == 0 || wait < limit.Baseline {
+		limit.Baseline = wait
 	}
-	slow := float64(outcome.FirstToken) > slowFactor*float64(limit.Baseline)
-	limit.Baseline += time.Duration(baselineDrift * float64(outcome.FirstToken-limit.Baseline))
+	slow := wait > minSlow && float64(wait) > slowFactor*float64(limit.Baseline)
+	limit.Baseline += time.Duration(baselineDrift * float64(wait-limit.Baseline))
 	used := float64(outcome.InFlight) >= limit.Current/2
 	switch {
 	case slow && used:
--- a/request/forwarder/attempt.go
+++ b/request/forwarder/attempt.go
@@ -187,7 +187,7 @@
 func (f *Forwarder) leave(ctx context.Context, r *run, a *attempt, failure *mulberrybeam.Failure) {
 	flight := f.flights.at(a.target.ID)
 	sign := mulberrybeam.TrafficSign{Target: a.target.ID, Instance: a.instance, FirstToken: a.firstToken}
-	outcome := admitter.Outcome{FirstToken: a.firstToken, InFlight: a.inFlight}
+	outcome := admitter.Outcome{FirstToken: a.firstToken, Expected: expected(r, a), InFlight: a.inFlight}
 	crashed := false
 	switch {
 	case failure == nil:
@@ -195,19 +195,23 @@
 		if r.isolated {
 			sign.Cleared = &r.request.Fingerprint
 		}
+	case ctx.Err() != nil || a.misdelivered:
+		// The caller left or the deadline passed, or the connection holds
+		// and its tokens were wrong.
 	case failure.Step == mulberrybeam.StepConnect:
 		// Without a connection the other requests there are no suspects.
 		sign.Kind = mulberrybeam.SignBroken
 	case failure.NotRun:
 		sign.Kind = mulberrybeam.SignRefused
 		outcome.Refused = failure.Code == mulberrybeam.CodeOverloaded
-	case a.misdelivered || ctx.Err() != nil:
 	case isBroken(failure):
 		sign.Kind = mulberrybeam.SignBroken
 		sign.InFlight = flight.list()
 		crashed = true
 		r.broken++
-	case failure.Code == mulberrybeam.CodeTimeout:
+	case failure.Code == mulberrybeam.CodeTimeout && r.request.Model != "":
+		// An engine that sends nothing hangs. A slow service call may be
+		// slow by itself.
 		sign.Kind = mulberrybeam.SignBroken
 	}
 	flight.leave(r.request)
@@ -218,6 +222,18 @@
 	}
 }
 
+// expected is the part of the time to first token that the request itself
+// needs. For a service call it is unknown, so that only refusals count.
+func expected(r *run, a *attempt) time.Duration {
+	if r.request.Model == "" {
+		return a.firstToken
+	}
+	if a.target.PrefillRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(a.route.RecomputedTokens) / a.target.PrefillRate * float64(time.Second))
+}
+
 // isBroken tells a broken connection from an answer that reports a fault.
 func isBroken(failure *mulberrybeam.Failure) bool {
 	return failure.Code == mulberrybeam.CodeStreamBroken ||
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -117,8 +117,11 @@
 	budget  budget
 	copies  copies
 	exports chan export
-	// background are goroutines that outlive their request.
+	// background are goroutines that outlive their request. ending orders
+	// their start before the wait for their end.
 	background sync.WaitGroup
+	ending     sync.RWMutex
+	stopped    bool
 }
 
 // New returns a Forwarder and the function that stops its background work and
@@ -147,6 +150,9 @@
 	f.background.Go(func() { f.exportLoop(ctx) })
 	f.background.Go(func() { f.measureLoop(ctx) })
 	return f, func() {
+		f.ending.Lock()
+		f.stopped = true
+		f.ending.Unlock()
 		cancel()
 		f.background.Wait()
 	}
@@ -223,14 +229,24 @@
 	return context.WithTimeout(ctx, request.Deadline-f.Clock())
 }
 
-// later runs a short call that goes on after its request.
+// later runs a short call that goes on after its request. A request that
+// outlives the Forwarder waits for the call itself.
 func (f *Forwarder) later(ctx context.Context, call func(context.Context)) {
 	detached := context.WithoutCancel(ctx)
-	f.background.Go(func() {
-		bounded, cancel := context.WithTimeout(detached, signalTimeout)
+	bounded := func() {
+		ctx, cancel := context.WithTimeout(detached, signalTimeout)
 		defer cancel()
-		call(bounded)
-	})
+		call(ctx)
+	}
+	f.ending.RLock()
+	stopped := f.stopped
+	if !stopped {
+		f.background.Go(bounded)
+	}
+	f.ending.RUnlock()
+	if stopped {
+		bounded()
+	}
 }
 
 func (f *Forwarder) note(kind mulberrybeam.EntryKind, request *mulberrybeam.Request, subject, text string) {
