Measure control cost per process in virtual time

The revision figures are not valid: every process holds a watch, since each takes itself for a relay at start.

--- /dev/null
+++ b/process/configurer/fleet_bench_test.go
@@ -0,0 +1,177 @@
+package configurer_test
+
+import (
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/directoryencoder"
+	"mulberrybeam/process/configurer"
+	"mulberrybeam/process/controller/controllertest"
+	"mulberrybeam/process/gossiper"
+)
+
+// reporter states the load reports of its share of a zone's targets.
+type reporter struct {
+	targets []mulberrybeam.TargetID
+	next    time.Duration
+	count   uint64
+}
+
+// reportInterval is the design's interval between two polls of a target.
+const reportInterval = 500 * time.Millisecond
+
+func (r *reporter) Step(turn mulberrybeam.Turn, event mulberrybeam.Event) []mulberrybeam.Action {
+	if _, ticks := event.(mulberrybeam.Tick); !ticks || turn.Now < r.next {
+		return nil
+	}
+	r.next = turn.Now + reportInterval
+	r.count++
+	var actions []mulberrybeam.Action
+	for _, target := range r.targets {
+		actions = append(actions, mulberrybeam.Raise{Event: mulberrybeam.FactChanged{Local: true, Fact: mulberrybeam.Fact{
+			Kind: mulberrybeam.FactLoad, Key: string(target), TTL: 3 * time.Second,
+			Load: &mulberrybeam.LoadReport{
+				Target: target, Instance: "4f1c09aa", Sequence: r.count, Lag: 300 * time.Millisecond, Running: 12, Waiting: 3,
+				WeightVersions: map[mulberrybeam.ModelName]mulberrybeam.WeightVersion{"summary": "v12"},
+			},
+		}}})
+	}
+	return actions
+}
+
+func (r *reporter) Fill(*mulberrybeam.Snapshot) {}
+
+// fleetSize is a number of processes and targets per zone.
+type fleetSize struct {
+	processes, zones, targets int
+}
+
+func (size fleetSize) hosts() []controllertest.Host {
+	perZone := (size.processes + size.zones - 1) / size.zones
+	return controllertest.Hosts(size.zones, perZone)[:size.processes]
+}
+
+func (size fleetSize) build(seed uint64) *controllertest.Fleet {
+	perZone := (size.processes + size.zones - 1) / size.zones
+	started := map[mulberrybeam.ZoneName]int{}
+	fleet := controllertest.New(controllertest.WithSeed(seed), controllertest.WithBuild(
+		func(start controllertest.Start) []mulberrybeam.Machine {
+			self := gossiper.Self{ID: start.ID, Zone: start.Zone, Address: start.Address}
+			reporting := &reporter{}
+			for i := started[start.Zone]; i < size.targets/size.zones; i += perZone {
+				reporting.targets = append(reporting.targets, mulberrybeam.TargetID(fmt.Sprintf("%s-engine-%03d", start.Zone, i)))
+			}
+			started[start.Zone]++
+			return []mulberrybeam.Machine{
+				reporting,
+				gossiper.New(self, gossiper.WithDirectory(directoryencoder.Encode, directoryencoder.Decode)),
+				configurer.New(self, environmentName, parse),
+			}
+		}))
+	fleet.Platform.Put(mulberrybeam.ObjectEnvironment, environmentName, document(1))
+	fleet.Start(size.hosts()...)
+	return fleet
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heap() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// BenchmarkFleet prints what control costs per process in virtual time: bytes
+// and messages sent and received, of the mean and of the busiest process, the
+// object API's bytes, processor time including the encoder, and memory. Run it
+// with -benchtime 1x.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []fleetSize{{9, 3, 0}, {9, 3, 20}, {54, 1, 0}, {54, 1, 91}, {380, 7, 0}, {380, 7, 640}} {
+		b.Run(fmt.Sprintf("processes=%d/targets=%d", size.processes, size.targets), func(b *testing.B) {
+			for b.Loop() {
+				measure(b, size)
+			}
+		})
+	}
+}
+
+func measure(b *testing.B, size fleetSize) {
+	const (
+		warmUp = 30 * time.Second
+		period = 30 * time.Second
+	)
+	before := heap()
+	fleet := size.build(1)
+	fleet.Run(warmUp)
+	start := totals(fleet)
+	used := processorTime()
+	fleet.Run(period)
+	used = processorTime() - used
+	var sum, busiest, messages, object float64
+	for i, traffic := range totals(fleet) {
+		bytes := float64(traffic.SentBytes + traffic.ReceivedBytes - start[i].SentBytes - start[i].ReceivedBytes)
+		sum += bytes
+		busiest = max(busiest, bytes)
+		messages += float64(traffic.Sent + traffic.Received - start[i].Sent - start[i].Received)
+		object += float64(traffic.ObjectBytes - start[i].ObjectBytes)
+	}
+	each := period.Seconds() * float64(size.processes)
+	b.ReportMetric(sum/each, "B/s")
+	b.ReportMetric(busiest/period.Seconds(), "busiest-B/s")
+	b.ReportMetric(messages/each, "messages/s")
+	b.ReportMetric(object/each, "object-B/s")
+	b.ReportMetric(100*used.Seconds()/each, "%core")
+	b.ReportMetric((heap()-before)/float64(size.processes)/1e6, "MB")
+	b.ReportMetric(0, "ns/op")
+	runtime.KeepAlive(fleet)
+}
+
+func totals(fleet *controllertest.Fleet) []controllertest.Traffic {
+	var list []controllertest.Traffic
+	for _, process := range fleet.Processes() {
+		list = append(list, process.Traffic)
+	}
+	return list
+}
+
+// BenchmarkRevision prints the seconds until a revision is in force at all
+// processes, of the slowest of several revisions.
+func BenchmarkRevision(b *testing.B) {
+	for _, size := range []fleetSize{{9, 3, 20}, {380, 7, 640}} {
+		b.Run(fmt.Sprintf("processes=%d", size.processes), func(b *testing.B) {
+			for b.Loop() {
+				fleet := size.build(2)
+				fleet.Run(30 * time.Second)
+				var slowest time.Duration
+				for revision := 2; revision <= 6; revision++ {
+					began := fleet.Now()
+					fleet.Platform.Put(mulberrybeam.ObjectEnvironment, environmentName, document(revision))
+					if !fleet.RunUntil(inForceWithin, func() bool { return inForce(fleet, mulberrybeam.Revision(revision)) }) {
+						b.Fatalf("revision %d is not in force after %v", revision, inForceWithin)
+					}
+					slowest = max(slowest, fleet.Now()-began)
+				}
+				b.ReportMetric(slowest.Seconds(), "slowest-s")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+func inForce(fleet *controllertest.Fleet, revision mulberrybeam.Revision) bool {
+	for _, process := range fleet.Processes() {
+		if revisionOf(process) != revision {
+			return false
+		}
+	}
+	return true
+}
