--- a/process/permitter/target.go
+++ b/process/permitter/target.go
@@ -176,9 +176,10 @@
 }
 
 // distrust makes the target cold for this process, and for all when it owns
-// the target.
+// the target. The account also restarts while the right has lapsed, since it
+// may come back in the same epoch.
 func (p *Permitter) distrust(turn mulberrybeam.Turn, t *target, reason string) []mulberrybeam.Action {
-	if p.owns(turn.Now, t) {
+	if t.owned != nil {
 		t.owned.restart(turn.Now, p.timing, t.instance)
 	}
 	return p.tell(turn, t, reason)
--- /dev/null
+++ b/version/swapper/swapper.go
@@ -0,0 +1,304 @@
+// Package swapper is the control state machine that brings engines to the
+// declared weight versions. The holder of slot 0 of a zone orders the loads of
+// the zone's engines in waves.
+package swapper
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"mulberrybeam"
+)
+
+// Send is the action that sends an order to an engine. Its result is a Sent
+// with the same ticket.
+type Send struct {
+	mulberrybeam.Action
+	Target mulberrybeam.Target
+	Order  mulberrybeam.Order
+	Ticket mulberrybeam.Ticket
+	// Until is the local monotonic time from which the order must no
+	// longer be sent, since the right may have gone to another process.
+	Until time.Duration
+	// Timeout bounds the order at the engine.
+	Timeout time.Duration
+}
+
+// Sent is the result of a Send.
+type Sent struct {
+	mulberrybeam.Event
+	Ticket mulberrybeam.Ticket
+	Err    error
+}
+
+// Timing has the durations and bounds of a swap.
+type Timing struct {
+	// Plan is the time between two decisions.
+	Plan time.Duration
+	// Order bounds one order. A new holder waits for it, since an order of
+	// the old one may still run.
+	Order time.Duration
+	// DriftShare is the part by which the old holder's clock may be off.
+	DriftShare float64
+	// AtOnce bounds the loads at once in the zone; more slow each other.
+	AtOnce int
+	// Headroom is the part of the remaining engines' capacity that the
+	// present load may take.
+	Headroom float64
+	// Fresh is the age up to which a load report counts.
+	Fresh time.Duration
+	// Retry is the pause after a failed order. It doubles up to RetryMost.
+	Retry, RetryMost time.Duration
+}
+
+// DefaultTiming returns the bounds of the design page.
+func DefaultTiming() Timing {
+	return Timing{
+		Plan: 500 * time.Millisecond, Order: 10 * time.Second, DriftShare: 0.05,
+		AtOnce: 2, Headroom: 0.8, Fresh: 3 * time.Second,
+		Retry: 5 * time.Second, RetryMost: time.Minute,
+	}
+}
+
+// Option changes a Swapper at construction.
+type Option func(*Swapper)
+
+// WithTiming replaces the values of DefaultTiming.
+func WithTiming(timing Timing) Option { return func(s *Swapper) { s.timing = timing } }
+
+// Swapper orders loads in one zone. Only the control goroutine may use it.
+type Swapper struct {
+	zone    mulberrybeam.ZoneName
+	timing  Timing
+	models  map[mulberrybeam.ModelName]mulberrybeam.Model
+	engines map[mulberrybeam.TargetID]*engine
+	// order makes the steps of a run depend on its seed only.
+	order   []*engine
+	right   mulberrybeam.SlotRight
+	startAt time.Duration
+	planAt  time.Duration
+	loads   map[mulberrybeam.Ticket]*engine
+}
+
+var _ mulberrybeam.Machine = (*Swapper)(nil)
+
+// engine is what is known of one engine of the zone.
+type engine struct {
+	declared   mulberrybeam.Target
+	report     mulberrybeam.LoadReport
+	reportedAt time.Duration
+	warm       bool
+	loading    bool
+	failures   int
+	retryAt    time.Duration
+	// loaded is the version that an order loaded, until a report shows it.
+	loaded map[mulberrybeam.ModelName]mulberrybeam.WeightVersion
+	// loadedAt is when the last order was answered.
+	loadedAt time.Duration
+	sending  mulberrybeam.Order
+}
+
+// New returns the machine for the engines of one zone.
+func New(zone mulberrybeam.ZoneName, options ...Option) *Swapper {
+	s := &Swapper{
+		zone: zone, timing: DefaultTiming(),
+		engines: map[mulberrybeam.TargetID]*engine{},
+		loads:   map[mulberrybeam.Ticket]*engine{},
+	}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
+
+// Fill writes nothing.
+func (*Swapper) Fill(*mulberrybeam.Snapshot) {}
+
+// Step takes one event.
+func (s *Swapper) Step(turn mulberrybeam.Turn, event mulberrybeam.Event) []mulberrybeam.Action {
+	switch event := event.(type) {
+	case mulberrybeam.ConfigurationChanged:
+		s.configure(event.Tables)
+	case mulberrybeam.RightChanged:
+		s.learnRight(turn, event.Right)
+	case mulberrybeam.FactChanged:
+		s.learnFact(turn, event.Fact)
+	case Sent:
+		return s.sent(turn, event)
+	case mulberrybeam.Tick:
+		if turn.Now >= s.planAt {
+			s.planAt = turn.Now + s.timing.Plan
+			return s.plan(turn)
+		}
+	}
+	return nil
+}
+
+func (s *Swapper) configure(tables *mulberrybeam.Tables) {
+	s.models = tables.Models
+	old := s.engines
+	s.engines = map[mulberrybeam.TargetID]*engine{}
+	s.order = s.order[:0]
+	ids := slices.Clone(tables.TargetsByZone[s.zone])
+	slices.Sort(ids)
+	for _, id := range ids {
+		if tables.Targets[id].Kind != mulberrybeam.KindEngine {
+			continue
+		}
+		e := old[id]
+		if e == nil {
+			e = &engine{loaded: map[mulberrybeam.ModelName]mulberrybeam.WeightVersion{}}
+		}
+		e.declared = tables.Targets[id]
+		s.engines[id] = e
+		s.order = append(s.order, e)
+	}
+}
+
+// learnRight follows the right to slot 0. An order of the old holder may run
+// for a whole order time after its right ended. Engines that check the
+// fencing number refuse a late one, but what they accepted still counts
+// towards the loads at once, so that the wait applies to all.
+func (s *Swapper) learnRight(turn mulberrybeam.Turn, right mulberrybeam.SlotRight) {
+	if right.Slot != (mulberrybeam.Slot{Zone: s.zone}) {
+		return
+	}
+	if right.Epoch != s.right.Epoch {
+		s.startAt = turn.Now
+		if right.Fresh {
+			s.startAt += s.timing.Order + time.Duration(float64(s.timing.Order)*s.timing.DriftShare)
+		}
+	}
+	s.right = right
+}
+
+func (s *Swapper) learnFact(turn mulberrybeam.Turn, fact mulberrybeam.Fact) {
+	switch {
+	case fact.Load != nil:
+		e := s.engines[fact.Load.Target]
+		if e == nil {
+			return
+		}
+		e.report, e.reportedAt = *fact.Load, turn.Now
+		if turn.Now-e.loadedAt >= s.timing.Fresh {
+			// Reports lag, so that an early one may still show the old
+			// version.
+			clear(e.loaded)
+		}
+	case fact.Phase != nil:
+		if e := s.engines[fact.Phase.Target]; e != nil {
+			e.warm = fact.Phase.Phase == mulberrybeam.PhaseWarm
+		}
+	}
+}
+
+// sent takes the result of an order.
+func (s *Swapper) sent(turn mulberrybeam.Turn, event Sent) []mulberrybeam.Action {
+	e := s.loads[event.Ticket]
+	if e == nil {
+		return nil
+	}
+	delete(s.loads, event.Ticket)
+	e.loading = false
+	if event.Err != nil {
+		e.retryAt = turn.Now + min(s.timing.Retry<<min(e.failures, 8), s.timing.RetryMost)
+		e.failures++
+		return []mulberrybeam.Action{note(e, "order failed: "+event.Err.Error())}
+	}
+	e.failures = 0
+	e.loadedAt = turn.Now
+	e.loaded[e.sending.Model] = e.sending.Version
+	s.planAt = turn.Now
+	return []mulberrybeam.Action{note(e, "loaded "+string(e.sending.Model)+" "+string(e.sending.Version))}
+}
+
+// plan sends the next orders of the wave.
+func (s *Swapper) plan(turn mulberrybeam.Turn) []mulberrybeam.Action {
+	if turn.Now >= s.right.Until || turn.Now < s.startAt {
+		return nil
+	}
+	var actions []mulberrybeam.Action
+	for _, e := range s.order {
+		if len(s.loads) >= s.timing.AtOnce {
+			break
+		}
+		model, wanted := s.wanted(turn.Now, e)
+		if !wanted || !s.spares(turn.Now, e) {
+			continue
+		}
+		e.loading = true
+		e.sending = mulberrybeam.Order{
+			Kind: mulberrybeam.OrderLoadWeights, Model: model.Name, Version: model.Version, Fencing: s.right.Epoch,
+		}
+		ticket := mulberrybeam.Ticket(turn.Rand.Uint64())
+		s.loads[ticket] = e
+		actions = append(actions, Send{
+			Target: e.declared, Order: e.sending, Ticket: ticket, Until: s.right.Until, Timeout: s.timing.Order,
+		})
+	}
+	return actions
+}
+
+// wanted returns a model whose declared version the engine lacks.
+func (s *Swapper) wanted(now time.Duration, e *engine) (mulberrybeam.Model, bool) {
+	if e.loading || now < e.retryAt || !s.reports(now, e) {
+		return mulberrybeam.Model{}, false
+	}
+	for _, name := range e.declared.Models {
+		model, known := s.models[name]
+		loaded, ok := e.loaded[name]
+		if !ok {
+			loaded = e.report.WeightVersions[name]
+		}
+		if known && loaded != model.Version {
+			return model, true
+		}
+	}
+	return mulberrybeam.Model{}, false
+}
+
+func (s *Swapper) reports(now time.Duration, e *engine) bool {
+	return e.reportedAt > 0 && now-e.reportedAt < s.timing.Fresh && !e.report.Leaving
+}
+
+// spares says whether the engines that remain carry the present load of each
+// model that the engine serves.
+func (s *Swapper) spares(now time.Duration, candidate *engine) bool {
+	for _, model := range candidate.declared.Models {
+		load, capacity := 0, 0
+		for _, e := range s.order {
+			if !slices.Contains(e.declared.Models, model) || !s.reports(now, e) {
+				continue
+			}
+			load += e.report.Running + e.report.Waiting
+			switch {
+			case e == candidate || e.loading:
+			case e.warm:
+				capacity += e.declared.WarmLimit
+			default:
+				capacity += e.declared.ColdLimit
+			}
+		}
+		if float64(load) > float64(capacity)*s.timing.Headroom {
+			return false
+		}
+	}
+	return true
+}
+
+func note(e *engine, text string) mulberrybeam.Action {
+	return mulberrybeam.Note{Entry: mulberrybeam.Entry{
+		Kind: mulberrybeam.EntryConfiguration, Subject: string(e.declared.ID), Text: text,
+	}}
+}
+
+// Loading returns the engines with an order in flight.
+func (s *Swapper) Loading() []mulberrybeam.TargetID {
+	var ids []mulberrybeam.TargetID
+	for e := range maps.Values(s.loads) {
+		ids = append(ids, e.declared.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
