--- /dev/null
+++ b/cmd/mulberrybeam/command/demo/acts.go
@@ -0,0 +1,190 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"mulberrybeam"
+	"mulberrybeam/cmd/mulberrybeam/editor"
+	"mulberrybeam/process/standin/fleet"
+)
+
+const (
+	customers = 6
+	// answerTokens is the length of each answer.
+	answerTokens = 16
+	// historyRepeats makes a history of about 3,000 tokens.
+	historyRepeats = 400
+	// exportTime is the wait for contexts to reach the stores, which has
+	// the lowest priority.
+	exportTime = 2 * time.Second
+	// takeOutLimit is when a zone that was taken out must get no new work.
+	takeOutLimit = 5 * time.Second
+)
+
+func history(customer int) string {
+	return fmt.Sprintf("customer %d: ", customer) + strings.Repeat("a dive, a clip and a trail; ", historyRepeats)
+}
+
+// returns lets each customer come back twice: once while the context is in
+// an engine's cache, and once after all engines have lost it.
+func returns(ctx context.Context, s *show) error {
+	first := func(customer int) string { return history(customer) + "tell me the story" }
+	again := func(customer int) string { return first(customer) + " of last week" }
+	later := func(customer int) string { return again(customer) + " once more" }
+	if err := s.round(ctx, "first visit", first); err != nil {
+		return err
+	}
+	if err := s.round(ctx, "back soon", again); err != nil {
+		return err
+	}
+	if err := sleep(ctx, exportTime); err != nil {
+		return err
+	}
+	for _, engine := range s.fleet.Engines {
+		engine.Crash()
+		if err := engine.Restart(); err != nil {
+			return err
+		}
+	}
+	if err := sleep(ctx, time.Second); err != nil {
+		return err
+	}
+	before := time.Now().UnixMilli()
+	if err := s.round(ctx, "back after all engines restarted", later); err != nil {
+		return err
+	}
+	if s.sum(before).ImportedTokens == 0 {
+		return errors.New("no context was imported from a store")
+	}
+	return nil
+}
+
+// round asks one prompt for each customer and prints the figures.
+func (s *show) round(ctx context.Context, name string, prompt func(int) string) error {
+	since := time.Now().UnixMilli()
+	var slowest, total time.Duration
+	for customer := range customers {
+		body := fleet.Prompt(prompt(customer), answerTokens)
+		entry := s.fleet.Entries[customer%len(s.fleet.Entries)]
+		answer, err := fleet.Ask(ctx, entry, fleet.FirstWorkspace, body)
+		if err != nil {
+			return err
+		}
+		if err := answer.Check(body, answerTokens); err != nil {
+			return fmt.Errorf("customer %d: %w", customer, err)
+		}
+		slowest = max(slowest, answer.FirstToken)
+		total += answer.FirstToken
+	}
+	tokens := s.sum(since)
+	s.say("%-33s first token %4d ms on average, %4d ms at most; prompt tokens: %5d from cache, %5d imported, %5d computed",
+		name, (total / customers).Milliseconds(), slowest.Milliseconds(),
+		tokens.CachedTokens, tokens.ImportedTokens, tokens.RecomputedTokens)
+	return nil
+}
+
+// orders sends one order through two entry processes at once.
+func orders(ctx context.Context, s *show) error {
+	key := uuid.Must(uuid.NewV7()).String()
+	body := []byte(`{"blank": "ash 2.9 m", "club":  "river"}`)
+	path := "/v1/services/" + fleet.Service + "/" + fleet.OrderCall
+	var group sync.WaitGroup
+	for _, entry := range s.fleet.Entries[:2] {
+		group.Go(func() {
+			response, err := fleet.Post(ctx, entry, fleet.FirstWorkspace, path, body, http.Header{"Idempotency-Key": {key}})
+			if err != nil {
+				s.say("%s: %v", entry.ID, err)
+				return
+			}
+			defer func() { _ = response.Body.Close() }()
+			text, _ := io.ReadAll(response.Body)
+			s.say("%s answers %d %s", entry.ID, response.StatusCode, strings.TrimSpace(string(text)))
+		})
+	}
+	group.Wait()
+	runs := 0
+	for _, service := range s.fleet.Services {
+		runs += service.RunsByKey(key)
+	}
+	s.say("the services ran the order %d time(s)", runs)
+	if runs != 1 {
+		return fmt.Errorf("the order ran %d times", runs)
+	}
+	return nil
+}
+
+// moveZone takes a zone out under steady prompts and brings it back.
+func moveZone(ctx context.Context, s *show) error {
+	zone := s.fleet.Layout.Zones[1]
+	load := newLoad(ctx, s)
+	err := load.watch(ctx, zone)
+	failed, asked := load.stop()
+	s.say("%d prompts were asked meanwhile, %d failed", asked, failed)
+	if err == nil && failed > 0 {
+		err = fmt.Errorf("%d prompts failed", failed)
+	}
+	return err
+}
+
+func (l *load) watch(ctx context.Context, zone mulberrybeam.ZoneName) error {
+	if err := l.show.setZone(ctx, zone, mulberrybeam.ZoneOut); err != nil {
+		return err
+	}
+	quiet, err := l.waitQuiet(ctx, zone)
+	if err != nil {
+		return err
+	}
+	l.show.say("zone %s got no new work %d ms after it was taken out", zone, quiet.Milliseconds())
+	if quiet > takeOutLimit {
+		return fmt.Errorf("zone %s got work for %s after it was taken out", zone, quiet)
+	}
+	if err := l.show.setZone(ctx, zone, mulberrybeam.ZoneIn); err != nil {
+		return err
+	}
+	back, err := l.waitWork(ctx, zone)
+	if err != nil {
+		return err
+	}
+	l.show.say("zone %s got work again %d ms after it was brought back", zone, back.Milliseconds())
+	return nil
+}
+
+// setZone changes the environment document as an operator does.
+func (s *show) setZone(ctx context.Context, zone mulberrybeam.ZoneName, state mulberrybeam.ZoneState) error {
+	objects, cleanup := s.fleet.Objects()
+	defer cleanup()
+	current, err := editor.Load(ctx, objects, fleet.Environment)
+	if err != nil {
+		return err
+	}
+	pointer, err := editor.ZonePointer(current.Environment, zone)
+	if err != nil {
+		return err
+	}
+	document, err := editor.Set(current.Object.Data, pointer, fmt.Sprintf("%q", state))
+	if err != nil {
+		return err
+	}
+	_, err = editor.Replace(ctx, objects, current, document)
+	return err
+}
+
+func sleep(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/cmd/mulberrybeam/command/demo/demo.go
+++ b/cmd/mulberrybeam/command/demo/demo.go
@@ -1,18 +1,108 @@
-// Package demo runs entry processes and stand-ins in one process.
+// Package demo runs entry processes and stand-ins in one process and shows
+// what they do. It fails when a promise is broken.
 package demo
 
-import "mulberrybeam/cmd/mulberrybeam/factory"
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/cmd/mulberrybeam/factory"
+	"mulberrybeam/process/standin/engine"
+	"mulberrybeam/process/standin/fleet"
+)
+
+// limit bounds the whole demo.
+const limit = 28 * time.Second
 
 // Options are the dependencies and arguments of the command.
 type Options struct {
-	factory *factory.Factory
-	run     func(*Options) error
+	out io.Writer
+	run func(*Options) error
 }
 
 // New returns the command. A nil run stands for the real one.
 func New(f *factory.Factory, run func(*Options) error) Options {
-	return Options{factory: f, run: run}
+	if run == nil {
+		run = demo
+	}
+	return Options{out: f.Streams.Out, run: run}
 }
 
 // Run runs the command.
 func (o *Options) Run() error { return o.run(o) }
+
+// act is one part of the demo. It returns an error when a promise is broken.
+type act struct {
+	title string
+	play  func(context.Context, *show) error
+}
+
+// show is the running demo.
+type show struct {
+	out   io.Writer
+	fleet *fleet.Fleet
+}
+
+func (s *show) say(format string, values ...any) {
+	_, _ = fmt.Fprintf(s.out, "  "+format+"\n", values...)
+}
+
+func demo(o *Options) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	begin := time.Now()
+	_, _ = fmt.Fprintln(o.out, "starting 3 zones with 2 entry processes, 2 engines and 1 service each, 2 context stores and the platform")
+	running, stop, err := fleet.Start(layout())
+	if err != nil {
+		return err
+	}
+	defer stop()
+	if err := running.WaitReady(ctx); err != nil {
+		return err
+	}
+	s := &show{out: o.out, fleet: running}
+	s.say("ready after %s", time.Since(begin).Round(time.Millisecond))
+	var broken error
+	for _, act := range []act{
+		{"prompts that return after their engines restarted", returns},
+		{"one order, sent twice with the same key", orders},
+		{"a zone is taken out and brought back", moveZone},
+	} {
+		_, _ = fmt.Fprintln(o.out, act.title)
+		if err := act.play(ctx, s); err != nil {
+			s.say("BROKEN: %v", err)
+			broken = errors.Join(broken, fmt.Errorf("%s: %w", act.title, err))
+		}
+	}
+	_, _ = fmt.Fprintf(o.out, "done in %s\n", time.Since(begin).Round(time.Millisecond))
+	return broken
+}
+
+func layout() fleet.Layout {
+	layout := fleet.DefaultLayout()
+	layout.Engine = func(s *engine.Settings) {
+		s.PrefillRate = 8000
+		s.TokenTime = 5 * time.Millisecond
+	}
+	return layout
+}
+
+// sum adds up the figures of all completed prompts since a time.
+func (s *show) sum(since int64) mulberrybeam.Measure {
+	var total mulberrybeam.Measure
+	for _, entry := range s.fleet.Entries {
+		for _, event := range entry.TimeLine.Entries() {
+			if event.Kind != mulberrybeam.EntryCompletion || event.Measure == nil || event.Stamp.Wall < since {
+				continue
+			}
+			total.CachedTokens += event.Measure.CachedTokens
+			total.ImportedTokens += event.Measure.ImportedTokens
+			total.RecomputedTokens += event.Measure.RecomputedTokens
+		}
+	}
+	return total
+}
--- a/connection/encoder/wire.go
+++ b/connection/encoder/wire.go
@@ -37,9 +37,35 @@
 	Object  string        `json:"object"`
 	Model   string        `json:"model"`
 	Choices []Choice      `json:"choices"`
+	Usage   *Usage        `json:"usage,omitempty"`
 	Error   *RefusalError `json:"error,omitempty"`
 }
 
+// Usage is the OpenAI count of the tokens of one run.
+type Usage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	Details          *UsageDetails `json:"prompt_tokens_details,omitempty"`
+}
+
+// UsageDetails split the prompt's tokens.
+type UsageDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// Plain returns the root form, nil for nil.
+func (u *Usage) Plain() *mulberrybeam.Usage {
+	if u == nil {
+		return nil
+	}
+	plain := &mulberrybeam.Usage{PromptTokens: u.PromptTokens}
+	if u.Details != nil {
+		plain.CachedTokens = u.Details.CachedTokens
+	}
+	return plain
+}
+
 // Choice is the one choice of a chunk.
 type Choice struct {
 	Index        int     `json:"index"`
--- a/connection/enginecaller/caller_test.go
+++ b/connection/enginecaller/caller_test.go
@@ -137,7 +137,11 @@
 	for n, text := range want {
 		is.Equal(tokens[n], mulberrybeam.Token{Request: "r1", Sequence: uint64(n + 1), Text: text})
 	}
-	is.Equal(tokens[6], mulberrybeam.Token{Request: "r1", Sequence: 7, End: true, FinishReason: "stop"})
+	end := tokens[6]
+	is.True(end.Usage != nil && end.Usage.PromptTokens > 0)
+	is.Equal(end.Usage.CachedTokens, 0) // the first run of the prompt
+	end.Usage = nil
+	is.Equal(end, mulberrybeam.Token{Request: "r1", Sequence: 7, End: true, FinishReason: "stop"})
 }
 
 // Guards against a connection that is lost with each whole answer.
--- a/connection/enginecaller/stream.go
+++ b/connection/enginecaller/stream.go
@@ -127,6 +127,7 @@
 	}
 	s.finish = &mulberrybeam.Token{
 		Request: token.Request, Sequence: sequence, End: true, FinishReason: *reason,
+		Usage: chunk.Usage.Plain(),
 	}
 	return token, token.Text != "", nil
 }
--- a/process/standin/engine/completion.go
+++ b/process/standin/engine/completion.go
@@ -207,7 +207,7 @@
 				continue
 			}
 		}
-		writeChunk(w, run.id, run.model, sequence, TokenText(run.prompt, sequence), "")
+		writeChunk(w, run.id, run.model, sequence, TokenText(run.prompt, sequence))
 		_ = flusher.Flush()
 		sent++
 	}
@@ -225,9 +225,9 @@
 	case "broken":
 		fixture.Break()
 	case "duplicated":
-		writeChunk(w, run.id, run.model, sequence, text, "")
+		writeChunk(w, run.id, run.model, sequence, text)
 	case "misdelivered":
-		writeChunk(w, "other-request", run.model, sequence, "foreign ", "")
+		writeChunk(w, "other-request", run.model, sequence, "foreign ")
 	case "lost":
 		return true
 	case "stalled":
@@ -242,19 +242,29 @@
 		e.Add(fault.kind)
 		return
 	}
-	writeChunk(w, run.id, run.model, run.last+1, "", "stop")
+	reason := "stop"
+	generated := int(run.last)
+	writeEvent(w, run.last+1, encoder.Chunk{
+		ID: run.id, Object: "chat.completion.chunk", Model: run.model,
+		Choices: []encoder.Choice{{FinishReason: &reason}},
+		Usage: &encoder.Usage{
+			PromptTokens: run.tokens, CompletionTokens: generated, TotalTokens: run.tokens + generated,
+			Details: &encoder.UsageDetails{CachedTokens: run.cached},
+		},
+	})
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 	_ = http.NewResponseController(w).Flush()
 }
 
-func writeChunk(w http.ResponseWriter, id, model string, sequence uint64, text, reason string) {
-	choice := encoder.Choice{Delta: encoder.Delta{Content: text}}
-	if reason != "" {
-		choice.FinishReason = &reason
-	}
-	data, _ := json.Marshal(encoder.Chunk{
-		ID: id, Object: "chat.completion.chunk", Model: model, Choices: []encoder.Choice{choice},
+func writeChunk(w http.ResponseWriter, id, model string, sequence uint64, text string) {
+	writeEvent(w, sequence, encoder.Chunk{
+		ID: id, Object: "chat.completion.chunk", Model: model,
+		Choices: []encoder.Choice{{Delta: encoder.Delta{Content: text}}},
 	})
+}
+
+func writeEvent(w http.ResponseWriter, sequence uint64, chunk encoder.Chunk) {
+	data, _ := json.Marshal(chunk)
 	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", sequence, data)
 }
 
--- a/process/standin/engine/engine.go
+++ b/process/standin/engine/engine.go
@@ -199,8 +199,9 @@
 				e.Add("wrong-version-hits")
 			}
 		}
-		r.left = max(r.tokens-cached*BlockTokens, 1)
-		e.AddN("cached-tokens", min(cached*BlockTokens, r.tokens))
+		r.cached = min(cached*BlockTokens, r.tokens)
+		r.left = max(r.tokens-r.cached, 1)
+		e.AddN("cached-tokens", r.cached)
 		e.AddN("computed-tokens", r.left)
 		e.Raise("max-running", len(i.running))
 		if mark != "" && strings.Contains(r.body, mark) {
--- a/process/standin/engine/instance.go
+++ b/process/standin/engine/instance.go
@@ -22,6 +22,8 @@
 	// what is still to be computed of it.
 	tokens int
 	left   int
+	// cached are the prompt's tokens found in the cache.
+	cached int
 	// next and last are sequence numbers of the answer.
 	next uint64
 	last uint64
--- a/request.go
+++ b/request.go
@@ -54,6 +54,16 @@
 	End bool
 	// FinishReason is set with End.
 	FinishReason string
+	// Usage is set with End when the engine reports it.
+	Usage *Usage
+}
+
+// Usage is an engine's count of the tokens of one run.
+type Usage struct {
+	// PromptTokens has the whole prompt, CachedTokens the part whose
+	// context the engine did not compute for the run.
+	PromptTokens int
+	CachedTokens int
 }
 
 // Source is where the context of a prompt comes from.
--- a/request/forwarder/attempt.go
+++ b/request/forwarder/attempt.go
@@ -26,6 +26,10 @@
 	sentAt     time.Duration
 	firstToken time.Duration
 	inFlight   int
+	// imported are the tokens of context that the engine loaded for this
+	// attempt, and usage what it reported at the end.
+	imported int
+	usage    *mulberrybeam.Usage
 	// misdelivered says that the tokens were wrong, not the connection.
 	misdelivered bool
 }
--- a/request/forwarder/context.go
+++ b/request/forwarder/context.go
@@ -81,7 +81,9 @@
 	defer cancel()
 	if reason := f.fetch(ctx, snapshot, r.request, a.target, store, a.route.Import, r.request.Priority); reason != "" {
 		f.note(mulberrybeam.EntryRoute, r.request, string(store.ID), "context is recomputed: "+reason)
+		return
 	}
+	a.imported = a.route.ImportedTokens
 }
 
 // fetch loads a kept context into an engine when its link allows it. It
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -175,6 +175,7 @@
 	// attempts of this request that ended with a broken connection.
 	crashesBefore, broken int
 	isolated              bool
+	times                 times
 	// sendBefore bounds the send of a non-repeatable call.
 	sendBefore time.Duration
 }
@@ -220,7 +221,10 @@
 }
 
 func (f *Forwarder) refused(request *mulberrybeam.Request, failure *mulberrybeam.Failure) *mulberrybeam.Failure {
-	f.note(mulberrybeam.EntryRefusal, request, failure.Peer, failure.Error())
+	f.record(mulberrybeam.Entry{
+		Kind: mulberrybeam.EntryRefusal, Request: request.ID, Subject: failure.Peer,
+		Text: failure.Error(), Code: failure.Code,
+	})
 	return failure
 }
 
@@ -250,11 +254,14 @@
 }
 
 func (f *Forwarder) note(kind mulberrybeam.EntryKind, request *mulberrybeam.Request, subject, text string) {
-	entry := mulberrybeam.Entry{Kind: kind, Request: request.ID, Subject: subject, Text: text}
+	f.record(mulberrybeam.Entry{Kind: kind, Request: request.ID, Subject: subject, Text: text})
+}
+
+// record adds an entry with the process's id. The recorder adds the stamp.
+func (f *Forwarder) record(entry mulberrybeam.Entry) {
 	if snapshot := f.Snapshot(); snapshot != nil {
 		entry.Process = snapshot.Self
 	}
-	entry.Stamp = mulberrybeam.Stamp{Wall: f.Wall().UnixMilli(), Process: entry.Process}
 	f.Recorder.Record(entry)
 }
 
--- a/request/forwarder/prompt.go
+++ b/request/forwarder/prompt.go
@@ -53,15 +53,15 @@
 	failure = f.versionOf(r, a, stream)
 	if failure == nil {
 		f.Index.Sent(a.target.ID, stream.Instance(), r.request.Keys)
-		failure = f.receive(a, state, stream, deliver)
+		failure = f.receive(r, a, state, stream, deliver)
 		r.history.LastSequence, r.history.Ended = state.Last, state.Complete
 	}
 	if failure != nil {
 		f.cancelRun(ctx, r, a)
 		return failure
 	}
-	f.note(mulberrybeam.EntryCompletion, r.request, string(a.target.ID),
-		fmt.Sprintf("attempt %d, first token after %v, %d tokens", a.number, a.firstToken, len(state.Generated)))
+	f.completed(r, a, fmt.Sprintf("attempt %d, first token after %v, %d tokens", a.number, a.firstToken, len(state.Generated)),
+		promptMeasure(r, a, len(state.Generated)))
 	f.exportLater(r, a)
 	return nil
 }
@@ -80,7 +80,7 @@
 }
 
 // receive passes tokens on until the end of the answer or a fault.
-func (f *Forwarder) receive(a *attempt, state *assembler.State, stream mulberrybeam.EngineStream, deliver func(mulberrybeam.Token) error) *mulberrybeam.Failure {
+func (f *Forwarder) receive(r *run, a *attempt, state *assembler.State, stream mulberrybeam.EngineStream, deliver func(mulberrybeam.Token) error) *mulberrybeam.Failure {
 	for {
 		token, err := stream.Next()
 		if errors.Is(err, io.EOF) {
@@ -97,9 +97,12 @@
 			a.misdelivered = true
 			return wrongStream(a, fmt.Sprintf("token %d of request %s after token %d: %s", token.Sequence, token.Request, state.Last, verdict))
 		}
+		now := f.Clock()
 		if a.firstToken == 0 {
-			a.firstToken = max(1, f.Clock()-a.sentAt)
+			a.firstToken = max(1, now-a.sentAt)
 		}
+		r.times.token(now)
+		a.usage = token.Usage
 		if err := deliver(token); err != nil {
 			a.misdelivered = true
 			return &mulberrybeam.Failure{
--- a/request/forwarder/service.go
+++ b/request/forwarder/service.go
@@ -101,7 +101,7 @@
 		}
 		a.firstToken = max(1, f.Clock()-a.sentAt)
 		f.sawInstance(a, given.Instance)
-		f.note(mulberrybeam.EntryCompletion, r.request, string(a.target.ID), "service answered")
+		f.completed(r, a, "service answered", mulberrybeam.Measure{})
 		answer = given
 		return nil
 	})
