--- a/process/leaser/holder.go
+++ b/process/leaser/holder.go
@@ -113,7 +113,8 @@
 	for _, s := range l.slots {
 		if s.mine() && s.releaseAt == 0 {
 			own++
-			if s.active {
+			// While the object API is down nobody could take the slot.
+			if s.active && !s.verify && turn.Now-s.confirmed < 2*l.timing.Renewal {
 				last = s
 			}
 		}
--- a/version/swapper/swapper.go
+++ b/version/swapper/swapper.go
@@ -4,7 +4,6 @@
 package swapper
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -292,13 +291,3 @@
 		Kind: mulberrybeam.EntryConfiguration, Subject: string(e.declared.ID), Text: text,
 	}}
 }
-
-// Loading returns the engines with an order in flight.
-func (s *Swapper) Loading() []mulberrybeam.TargetID {
-	var ids []mulberrybeam.TargetID
-	for e := range maps.Values(s.loads) {
-		ids = append(ids, e.declared.ID)
-	}
-	slices.Sort(ids)
-	return ids
-}
