Stop former relays from spreading and watching

A relay record that was dropped came back by the next full comparison, as new, and was sent on three times again. Relays that do not count now stay in the roster with their heartbeats. A process watches only after 5 s as a relay.

--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -33,6 +33,10 @@
 	fetchGap     = 200 * time.Millisecond
 	// maxSources bounds the peers remembered as having a newer revision.
 	maxSources = 4
+	// watchDelay is how long a process must have been a relay before it
+	// watches. A process that has just started knows no members and takes
+	// itself for a relay.
+	watchDelay = 5 * time.Second
 	// refusedFor is how long a revision whose document is invalid is not
 	// fetched again.
 	refusedFor = 30 * time.Second
@@ -108,7 +112,7 @@
 	case mulberrybeam.Tick:
 		c.tick()
 	case mulberrybeam.MembersChanged:
-		c.relay = slices.Contains(gossiper.RelaysOf(c.self.Zone, event.Members), c.self.ID)
+		c.setRelay(slices.Contains(gossiper.RelaysOf(c.self.Zone, event.Members), c.self.ID))
 	case mulberrybeam.RevisionSeen:
 		c.seen(event)
 	case mulberrybeam.MessageReceived:
@@ -138,6 +142,13 @@
 	snapshot.Ready = c.tables != nil
 }
 
+func (c *Configurer) setRelay(relay bool) {
+	if relay && !c.relay {
+		c.watch.next = max(c.watch.next, c.turn.Now+watchDelay)
+	}
+	c.relay = relay
+}
+
 func (c *Configurer) tick() {
 	if c.poll.due(c.turn.Now) {
 		c.poll.begin(c.turn)
--- a/process/configurer/configurer_test.go
+++ b/process/configurer/configurer_test.go
@@ -169,17 +169,29 @@
 					test.heal(s)
 					is.True(s.RunUntil(inForceWithin, func() bool { return s.everywhere(2) }))
 				}
+				s.Run(time.Minute)
+				is.True(s.everywhere(2))
 				for _, fault := range test.faults {
 					is.True(s.Hits(fault) > 0)
 				}
-				s.Run(time.Minute)
-				is.True(s.everywhere(2))
 				is.Equal(s.reverts, nil)
 			})
 		}
 	}
 }
 
+// Guards against processes that all watch the object API: two per zone may.
+func TestOnlyRelaysWatch(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(6)
+	s.Run(10 * time.Minute)
+	watches := 0
+	for _, process := range s.Processes() {
+		watches += process.Traffic.ObjectCalls[mulberrybeam.OpWatch]
+	}
+	is.Equal(watches, 3*2)
+}
+
 // Guards against a revision that nobody saw before an outage and that is not
 // picked up when the outage ends.
 func TestWriteDuringOutage(t *testing.T) {
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -135,7 +135,7 @@
 // are new.
 func (g *Gossiper) relayRows(full bool) []mulberrybeam.Member {
 	var list []mulberrybeam.Member
-	for _, relay := range g.relays.all() {
+	for _, relay := range g.active.all() {
 		if full || relay.sends > 0 {
 			list = append(list, relay.Member)
 			relay.sends = max(0, relay.sends-1)
--- a/process/gossiper/facts.go
+++ b/process/gossiper/facts.go
@@ -152,7 +152,7 @@
 		}
 	}
 	zones := map[mulberrybeam.ZoneName]bool{g.self.Zone: true}
-	for _, relay := range g.relays.byID {
+	for _, relay := range g.active.byID {
 		zones[relay.Zone] = true
 	}
 	return 1 / float64(max(1, live)*len(zones))
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -63,9 +63,13 @@
 	encode        func([]mulberrybeam.Member) []byte
 	decode        func([]byte) ([]mulberrybeam.Member, error)
 
-	stamps    *stamper.Stamper
-	members   roster
-	relays    roster
+	stamps  *stamper.Stamper
+	members roster
+	relays  roster
+	// active are the relays of other zones that count now.
+	active roster
+	// changed asks for a review before the next second.
+	changed   bool
 	seeds     map[mulberrybeam.ZoneName][]mulberrybeam.Member
 	facts     store
 	directory directory
@@ -127,6 +131,7 @@
 		stamps:        stamper.New(self.ID),
 		members:       newRoster(),
 		relays:        newRoster(),
+		active:        newRoster(),
 		seeds:         map[mulberrybeam.ZoneName][]mulberrybeam.Member{},
 		facts:         newStore(),
 		uses:          newUses(),
@@ -168,7 +173,10 @@
 	case mulberrybeam.ShutdownAsked:
 		g.leave()
 	}
-	g.announce()
+	if g.changed {
+		g.changed = false
+		g.announce()
+	}
 	return g.out
 }
 
@@ -206,6 +214,7 @@
 	g.directoryTick()
 	if now-g.lastReview >= ExchangeInterval {
 		g.lastReview = now
+		g.changed = true
 		g.expire()
 		g.recompute()
 	}
@@ -226,7 +235,7 @@
 		g.self.State = mulberrybeam.MemberLeft
 	}
 	g.self.Heartbeat++
-	g.nextRound = g.turn.Now
+	g.changed = true
 	g.exchangeRound()
 }
 
@@ -239,7 +248,7 @@
 	}
 	g.self.Revision = event.Environment.Revision
 	g.self.Heartbeat++
-	g.urgent = true
+	g.changed, g.urgent = true, true
 }
 
 func (g *Gossiper) emit(action mulberrybeam.Action) { g.out = append(g.out, action) }
--- a/process/gossiper/remote.go
+++ b/process/gossiper/remote.go
@@ -103,7 +103,7 @@
 	for zone := range g.seeds {
 		zones = append(zones, zone)
 	}
-	for _, relay := range g.relays.byID {
+	for _, relay := range g.active.byID {
 		zones = append(zones, relay.Zone)
 	}
 	slices.Sort(zones)
@@ -114,7 +114,7 @@
 // directory when no relay is known or all failed to answer.
 func (g *Gossiper) pickRemote(zone mulberrybeam.ZoneName) (mulberrybeam.Member, bool) {
 	var candidates []mulberrybeam.Member
-	for _, relay := range g.relays.all() {
+	for _, relay := range g.active.all() {
 		if relay.Zone == zone && relay.avoidUntil <= g.turn.Now {
 			candidates = append(candidates, relay.Member)
 		}
@@ -123,7 +123,7 @@
 		candidates = g.seeds[zone]
 	}
 	if len(candidates) == 0 {
-		for _, relay := range g.relays.all() {
+		for _, relay := range g.active.all() {
 			if relay.Zone == zone {
 				candidates = append(candidates, relay.Member)
 			}
--- a/process/gossiper/roster.go
+++ b/process/gossiper/roster.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -51,10 +52,14 @@
 
 func (r *roster) add(member mulberrybeam.Member, now time.Duration) *known {
 	added := &known{Member: member, risenAt: now, sends: transmitBudget}
-	r.byID[member.ID] = added
+	r.insert(added)
+	return added
+}
+
+func (r *roster) insert(member *known) {
+	r.byID[member.ID] = member
 	at, _ := slices.BinarySearch(r.order, member.ID)
 	r.order = slices.Insert(r.order, at, member.ID)
-	return added
 }
 
 func (r *roster) remove(id mulberrybeam.ProcessID) {
@@ -110,6 +115,7 @@
 	if row.State != existing.State && row.State != mulberrybeam.MemberAlive {
 		existing.sends = transmitBudget
 	}
+	g.changed = g.changed || row.State != existing.State || row.Revision != existing.Revision
 	existing.Heartbeat, existing.Revision, existing.risenAt = row.Heartbeat, row.Revision, g.turn.Now
 	existing.State = row.State
 	return true
@@ -123,6 +129,7 @@
 		row.Zone = g.self.Zone
 	}
 	roster.add(row, g.turn.Now)
+	g.changed = true
 	return true
 }
 
@@ -137,12 +144,12 @@
 		g.judge(member)
 	}
 	for _, relay := range g.relays.all() {
-		if g.turn.Now-relay.risenAt > relayHolds || relay.State == mulberrybeam.MemberLeft {
+		if g.turn.Now-relay.risenAt > forgetLeft {
 			g.relays.remove(relay.ID)
 			g.addSeed(relay.Member)
 		}
 	}
-	g.trimRelays()
+	g.active = g.activeRelays()
 }
 
 func (g *Gossiper) judge(member *known) {
@@ -174,18 +181,24 @@
 	g.seeds[relay.Zone] = append(g.seeds[relay.Zone], relay)
 }
 
-// trimRelays keeps the relays of each zone that were heard of last.
-func (g *Gossiper) trimRelays() {
+// activeRelays returns the relays of each zone that were heard of last. The
+// others stay in the roster for a while: without the memory of their
+// heartbeats, processes would pass the record of a former relay round for ever.
+func (g *Gossiper) activeRelays() roster {
 	byZone := map[mulberrybeam.ZoneName][]*known{}
 	for _, relay := range g.relays.all() {
-		byZone[relay.Zone] = append(byZone[relay.Zone], relay)
+		if g.turn.Now-relay.risenAt <= relayHolds && relay.State != mulberrybeam.MemberLeft {
+			byZone[relay.Zone] = append(byZone[relay.Zone], relay)
+		}
 	}
+	active := newRoster()
 	for _, relays := range byZone {
-		slices.SortStableFunc(relays, func(a, b *known) int { return int(b.risenAt - a.risenAt) })
-		for _, old := range relays[min(len(relays), relayCount):] {
-			g.relays.remove(old.ID)
+		slices.SortStableFunc(relays, func(a, b *known) int { return cmp.Compare(b.risenAt, a.risenAt) })
+		for _, relay := range relays[:min(len(relays), relayCount)] {
+			active.insert(relay)
 		}
 	}
+	return active
 }
 
 // announcement is what MembersChanged said last.
@@ -199,7 +212,7 @@
 func (g *Gossiper) announce() {
 	g.review()
 	members := append([]mulberrybeam.Member{g.self}, rows(g.members)...)
-	relays := rows(g.relays)
+	relays := rows(g.active)
 	sameMembers, sameRevisions := same(members, g.announced.members)
 	sameRelays, _ := same(relays, g.announced.relays)
 	if sameMembers && sameRelays && sameRevisions {
