--- a/connection/peerencoder/peerencoder.go
+++ b/connection/peerencoder/peerencoder.go
@@ -1,7 +1,8 @@
 // Package peerencoder turns messages between entry processes into bytes and
 // back. It uses msgpack with structs as arrays, so the data needs no tags and
 // fields are only ever appended: a decoder skips the fields it does not know
-// and leaves those that a sender of an earlier version lacks at zero.
+// and leaves those that a sender of an earlier version lacks at zero. A string
+// that occurs again is sent as its position among the strings before.
 package peerencoder
 
 import (
@@ -59,7 +60,7 @@
 	encoder := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(encoder)
 	encoder.Reset(buffer)
-	if err := encodeValue(encoder, reflect.ValueOf(message)); err != nil {
+	if err := encodeValue(&target{encoder, map[string]uint64{}}, reflect.ValueOf(message)); err != nil {
 		return nil, fmt.Errorf("encode %T: %w", message, err)
 	}
 	if buffer.Len() > MaxSize {
@@ -84,7 +85,7 @@
 	decoder := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(decoder)
 	decoder.Reset(reader)
-	if err := decodeValue(source{decoder, reader}, value.Elem()); err != nil {
+	if err := decodeValue(&source{Decoder: decoder, reader: reader}, value.Elem()); err != nil {
 		return nil, fmt.Errorf("decode %s: %w", value.Type().Elem().Name(), err)
 	}
 	if reader.Len() > 0 {
--- a/connection/peerencoder/skip.go
+++ b/connection/peerencoder/skip.go
@@ -11,7 +11,7 @@
 // maximum size could overflow the stack.
 const maxSkipDepth = 16
 
-func skip(from source, depth int) error {
+func skip(from *source, depth int) error {
 	if depth > maxSkipDepth {
 		return fmt.Errorf("unknown field is nested deeper than %d", maxSkipDepth)
 	}
@@ -26,6 +26,10 @@
 	case msgpcode.IsFixedMap(code), code == msgpcode.Map16, code == msgpcode.Map32:
 		elements, err = from.length(from.DecodeMapLen())
 		elements *= 2
+	case msgpcode.IsString(code):
+		// Strings of unknown fields count for the positions of later ones.
+		_, err = from.decodeString()
+		return err
 	default:
 		return from.Skip()
 	}
--- a/connection/peerencoder/value.go
+++ b/connection/peerencoder/value.go
@@ -15,29 +15,51 @@
 // sender. The functions below walk the values themselves for that reason and
 // use the library for the format.
 
-func encodeValue(encoder *msgpack.Encoder, value reflect.Value) error {
+// internFrom is the length from which a string is sent only once in a message.
+// Facts repeat the ids of processes and targets.
+const internFrom = 3
+
+// target is the message to write, with the positions of its strings.
+type target struct {
+	*msgpack.Encoder
+	strings map[string]uint64
+}
+
+// encodeString writes a string, or the position of an equal one.
+func (t *target) encodeString(text string) error {
+	if len(text) < internFrom {
+		return t.EncodeString(text)
+	}
+	if position, sent := t.strings[text]; sent {
+		return t.EncodeUint(position)
+	}
+	t.strings[text] = uint64(len(t.strings))
+	return t.EncodeString(text)
+}
+
+func encodeValue(to *target, value reflect.Value) error {
 	switch value.Kind() {
 	case reflect.String:
-		return encoder.EncodeString(value.String())
+		return to.encodeString(value.String())
 	case reflect.Bool:
-		return encoder.EncodeBool(value.Bool())
+		return to.EncodeBool(value.Bool())
 	case reflect.Int, reflect.Int64:
-		return encoder.EncodeInt(value.Int())
+		return to.EncodeInt(value.Int())
 	case reflect.Uint32, reflect.Uint64:
-		return encoder.EncodeUint(value.Uint())
+		return to.EncodeUint(value.Uint())
 	case reflect.Float64:
-		return encoder.EncodeFloat64(value.Float())
+		return to.EncodeFloat64(value.Float())
 	case reflect.Pointer:
 		if value.IsNil() {
-			return encoder.EncodeNil()
+			return to.EncodeNil()
 		}
-		return encodeValue(encoder, value.Elem())
+		return encodeValue(to, value.Elem())
 	case reflect.Struct:
-		return encodeStruct(encoder, value)
+		return encodeStruct(to, value)
 	case reflect.Slice, reflect.Array:
-		return encodeList(encoder, value)
+		return encodeList(to, value)
 	case reflect.Map:
-		return encodeMap(encoder, value)
+		return encodeMap(to, value)
 	default:
 		return fmt.Errorf("type %s has no encoding", value.Type())
 	}
@@ -45,36 +67,36 @@
 
 // encodeStruct leaves out the zero fields at the end, which is what a decoder
 // assumes of missing fields.
-func encodeStruct(encoder *msgpack.Encoder, value reflect.Value) error {
+func encodeStruct(to *target, value reflect.Value) error {
 	count := value.NumField()
 	for count > 0 && value.Field(count-1).IsZero() {
 		count--
 	}
-	if err := encoder.EncodeArrayLen(count); err != nil {
+	if err := to.EncodeArrayLen(count); err != nil {
 		return err
 	}
 	for i := range count {
-		if err := encodeValue(encoder, value.Field(i)); err != nil {
+		if err := encodeValue(to, value.Field(i)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func encodeList(encoder *msgpack.Encoder, value reflect.Value) error {
+func encodeList(to *target, value reflect.Value) error {
 	if value.Kind() == reflect.Slice && value.IsNil() {
-		return encoder.EncodeNil()
+		return to.EncodeNil()
 	}
 	if value.Type().Elem().Kind() == reflect.Uint8 {
 		data := make([]byte, value.Len())
 		reflect.Copy(reflect.ValueOf(data), value)
-		return encoder.EncodeBytes(data)
+		return to.EncodeBytes(data)
 	}
-	if err := encoder.EncodeArrayLen(value.Len()); err != nil {
+	if err := to.EncodeArrayLen(value.Len()); err != nil {
 		return err
 	}
 	for i := range value.Len() {
-		if err := encodeValue(encoder, value.Index(i)); err != nil {
+		if err := encodeValue(to, value.Index(i)); err != nil {
 			return err
 		}
 	}
@@ -83,23 +105,23 @@
 
 // encodeMap writes the entries in the order of their keys, so that equal
 // messages have equal bytes.
-func encodeMap(encoder *msgpack.Encoder, value reflect.Value) error {
+func encodeMap(to *target, value reflect.Value) error {
 	if value.IsNil() {
-		return encoder.EncodeNil()
+		return to.EncodeNil()
 	}
 	if value.Type().Key().Kind() != reflect.String {
 		return fmt.Errorf("type %s has no encoding", value.Type())
 	}
-	if err := encoder.EncodeMapLen(value.Len()); err != nil {
+	if err := to.EncodeMapLen(value.Len()); err != nil {
 		return err
 	}
 	keys := value.MapKeys()
 	slices.SortFunc(keys, func(a, b reflect.Value) int { return bytes.Compare([]byte(a.String()), []byte(b.String())) })
 	for _, key := range keys {
-		if err := encodeValue(encoder, key); err != nil {
+		if err := encodeValue(to, key); err != nil {
 			return err
 		}
-		if err := encodeValue(encoder, value.MapIndex(key)); err != nil {
+		if err := encodeValue(to, value.MapIndex(key)); err != nil {
 			return err
 		}
 	}
@@ -110,13 +132,37 @@
 // allocation, since each element has one byte at least.
 type source struct {
 	*msgpack.Decoder
-	reader *bytes.Reader
+	reader  *bytes.Reader
+	strings []string
+}
+
+// decodeString reads a string or the position of an earlier one.
+func (s *source) decodeString() (string, error) {
+	code, err := s.PeekCode()
+	if err != nil {
+		return "", err
+	}
+	if code >= msgpcode.Uint8 && code <= msgpcode.Uint64 || code <= msgpcode.PosFixedNumHigh {
+		position, err := s.DecodeUint64()
+		if err == nil && position >= uint64(len(s.strings)) {
+			err = fmt.Errorf("string %d of %d", position, len(s.strings))
+		}
+		if err != nil {
+			return "", err
+		}
+		return s.strings[position], nil
+	}
+	text, err := s.DecodeString()
+	if len(text) >= internFrom {
+		s.strings = append(s.strings, text)
+	}
+	return text, err
 }
 
-func decodeValue(from source, value reflect.Value) error {
+func decodeValue(from *source, value reflect.Value) error {
 	switch value.Kind() {
 	case reflect.String:
-		text, err := from.DecodeString()
+		text, err := from.decodeString()
 		value.SetString(text)
 		return err
 	case reflect.Bool:
@@ -146,7 +192,7 @@
 	}
 }
 
-func decodeUint(from source, value reflect.Value) error {
+func decodeUint(from *source, value reflect.Value) error {
 	number, err := from.DecodeUint64()
 	if err != nil {
 		return err
@@ -158,7 +204,7 @@
 	return nil
 }
 
-func decodePointer(from source, value reflect.Value) error {
+func decodePointer(from *source, value reflect.Value) error {
 	code, err := from.PeekCode()
 	if err != nil {
 		return err
@@ -170,7 +216,7 @@
 	return decodeValue(from, value.Elem())
 }
 
-func decodeStruct(from source, value reflect.Value) error {
+func decodeStruct(from *source, value reflect.Value) error {
 	count, err := from.length(from.DecodeArrayLen())
 	if err != nil {
 		return err
@@ -188,7 +234,7 @@
 	return nil
 }
 
-func decodeList(from source, value reflect.Value) error {
+func decodeList(from *source, value reflect.Value) error {
 	if value.Type().Elem().Kind() == reflect.Uint8 {
 		return decodeBytes(from, value)
 	}
@@ -211,7 +257,7 @@
 	return nil
 }
 
-func decodeBytes(from source, value reflect.Value) error {
+func decodeBytes(from *source, value reflect.Value) error {
 	data, err := from.DecodeBytes()
 	if err != nil {
 		return err
@@ -227,7 +273,7 @@
 	return nil
 }
 
-func decodeMap(from source, value reflect.Value) error {
+func decodeMap(from *source, value reflect.Value) error {
 	count, err := from.DecodeMapLen()
 	if err == nil && count < 0 {
 		return nil
@@ -254,7 +300,7 @@
 const maxPreallocated = 64
 
 // length checks a count of elements against the bytes that are left.
-func (s source) length(count int, err error) (int, error) {
+func (s *source) length(count int, err error) (int, error) {
 	if err != nil {
 		return 0, err
 	}
