--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -101,7 +101,7 @@
 }
 
 // memberRows returns the members with a recent sign of life. Rows have only
-// what changes, unless full is set or the member is new: id, heartbeat, state
+// what changes, unless full is set or the member is new: short id, heartbeat, state
 // when not alive, and revision.
 func (g *Gossiper) memberRows(full bool) []mulberrybeam.Member {
 	list := []mulberrybeam.Member{row(g.self, true)}
@@ -109,7 +109,7 @@
 		if !g.spreads(member) {
 			continue
 		}
-		list = append(list, row(member.Member, full || member.sends > 0))
+		list = append(list, g.rowOf(member, full || member.sends > 0))
 		member.sends = max(0, member.sends-1)
 	}
 	return list
@@ -120,6 +120,16 @@
 	return g.turn.Now-member.risenAt <= SuspectAfter && !member.superseded
 }
 
+// rowOf is the row of a member, by its short id unless whole is set or another
+// member shares it.
+func (g *Gossiper) rowOf(member *known, whole bool) mulberrybeam.Member {
+	list := row(member.Member, whole)
+	if !whole && g.members.byShort[member.short] == member.ID {
+		list.ID = member.short
+	}
+	return list
+}
+
 func row(member mulberrybeam.Member, whole bool) mulberrybeam.Member {
 	short := mulberrybeam.Member{ID: member.ID, Heartbeat: member.Heartbeat, Revision: member.Revision}
 	if member.State != mulberrybeam.MemberAlive {
@@ -150,6 +160,7 @@
 		g.answerRemote(ticket, message)
 		return
 	}
+	message.Members = g.expand(message.Members)
 	g.mergeAll(message.Members, message.Relays)
 	g.sawRevision(message.From, message.Revision)
 	g.acceptAll(message.Facts, g.self.Zone)
@@ -177,7 +188,7 @@
 	for _, member := range g.members.all() {
 		heartbeat, listed := heartbeats[member.ID]
 		if g.spreads(member) && heartbeat < member.Heartbeat {
-			list = append(list, row(member.Member, !listed))
+			list = append(list, g.rowOf(member, !listed))
 		}
 	}
 	return list
@@ -195,7 +206,7 @@
 		g.failed(sent)
 		return
 	}
-	g.mergeAll(reply.Members, reply.Relays)
+	g.mergeAll(g.expand(reply.Members), reply.Relays)
 	g.sawRevision(sent.to, reply.Revision)
 	g.acceptAll(reply.Facts, sent.zone)
 	if sent.zone != g.self.Zone {
--- a/process/gossiper/roster.go
+++ b/process/gossiper/roster.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mulberrybeam"
 	"mulberrybeam/version/ranker"
 )
@@ -31,6 +34,8 @@
 // known is a member with the time of its last sign of life.
 type known struct {
 	mulberrybeam.Member
+	// short is its short id.
+	short mulberrybeam.ProcessID
 	// risenAt is when its heartbeat last rose, in local time.
 	risenAt time.Duration
 	// sends is the number of exchanges that still carry the whole record.
@@ -46,9 +51,16 @@
 type roster struct {
 	byID  map[mulberrybeam.ProcessID]*known
 	order []mulberrybeam.ProcessID
+	// byShort has the empty id where two members share a short id.
+	byShort map[mulberrybeam.ProcessID]mulberrybeam.ProcessID
 }
 
-func newRoster() roster { return roster{byID: map[mulberrybeam.ProcessID]*known{}} }
+func newRoster() roster {
+	return roster{
+		byID:    map[mulberrybeam.ProcessID]*known{},
+		byShort: map[mulberrybeam.ProcessID]mulberrybeam.ProcessID{},
+	}
+}
 
 func (r *roster) add(member mulberrybeam.Member, now time.Duration) *known {
 	added := &known{Member: member, risenAt: now, sends: transmitBudget}
@@ -58,12 +70,21 @@
 
 func (r *roster) insert(member *known) {
 	r.byID[member.ID] = member
+	member.short = shortID(member.ID)
+	if _, taken := r.byShort[member.short]; taken {
+		r.byShort[member.short] = ""
+	} else {
+		r.byShort[member.short] = member.ID
+	}
 	at, _ := slices.BinarySearch(r.order, member.ID)
 	r.order = slices.Insert(r.order, at, member.ID)
 }
 
 func (r *roster) remove(id mulberrybeam.ProcessID) {
 	delete(r.byID, id)
+	if short := shortID(id); r.byShort[short] == id {
+		delete(r.byShort, short)
+	}
 	at, found := slices.BinarySearch(r.order, id)
 	if found {
 		r.order = slices.Delete(r.order, at, at+1)
@@ -79,6 +100,31 @@
 	return list
 }
 
+// shortMark starts a short id. Process ids start with a host name.
+const shortMark = "\x00"
+
+// shortID is a hash of an id. Rows about members that the other side knows
+// carry it, since ids of 20 to 40 bytes would make up most of an exchange.
+func shortID(id mulberrybeam.ProcessID) mulberrybeam.ProcessID {
+	short := binary.BigEndian.AppendUint32([]byte(shortMark), uint32(xxhash.Sum64String(string(id))))
+	return mulberrybeam.ProcessID(short)
+}
+
+// expand replaces the short ids of rows and leaves out the rows whose short id
+// is unknown or shared. Full comparisons carry whole ids.
+func (g *Gossiper) expand(rows []mulberrybeam.Member) []mulberrybeam.Member {
+	expanded := make([]mulberrybeam.Member, 0, len(rows))
+	for _, row := range rows {
+		if strings.HasPrefix(string(row.ID), shortMark) {
+			row.ID = g.members.byShort[row.ID]
+		}
+		if row.ID != "" {
+			expanded = append(expanded, row)
+		}
+	}
+	return expanded
+}
+
 // RelaysOf returns the ids of a zone's relays, given its members: the two
 // with the first rendezvous rank among those alive.
 func RelaysOf(zone mulberrybeam.ZoneName, members []mulberrybeam.Member) []mulberrybeam.ProcessID {
