Exchange between two zones once a second in total

Both sides of each pair of zones started an exchange every second, which made the relays the busiest processes. Facts across zones get half the bytes.

--- a/process/configurer/fleet_bench_test.go
+++ b/process/configurer/fleet_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -19,12 +20,18 @@
 	targets []mulberrybeam.TargetID
 	next    time.Duration
 	count   uint64
+	// heard is when a report of a target of the own zone came last.
+	zone  mulberrybeam.ZoneName
+	heard map[string]time.Duration
 }
 
 // reportInterval is the design's interval between two polls of a target.
 const reportInterval = 500 * time.Millisecond
 
 func (r *reporter) Step(turn mulberrybeam.Turn, event mulberrybeam.Event) []mulberrybeam.Action {
+	if changed, matches := event.(mulberrybeam.FactChanged); matches && strings.HasPrefix(changed.Fact.Key, string(r.zone)+"-") {
+		r.heard[changed.Fact.Key] = turn.Now
+	}
 	if _, ticks := event.(mulberrybeam.Tick); !ticks || turn.Now < r.next {
 		return nil
 	}
@@ -61,7 +68,7 @@
 	fleet := controllertest.New(controllertest.WithSeed(seed), controllertest.WithBuild(
 		func(start controllertest.Start) []mulberrybeam.Machine {
 			self := gossiper.Self{ID: start.ID, Zone: start.Zone, Address: start.Address}
-			reporting := &reporter{}
+			reporting := &reporter{zone: start.Zone, heard: map[string]time.Duration{}}
 			for i := started[start.Zone]; i < size.targets/size.zones; i += perZone {
 				reporting.targets = append(reporting.targets, mulberrybeam.TargetID(fmt.Sprintf("%s-engine-%03d", start.Zone, i)))
 			}
@@ -125,6 +132,9 @@
 		object += float64(traffic.ObjectBytes - start[i].ObjectBytes)
 	}
 	each := period.Seconds() * float64(size.processes)
+	if size.targets > 0 {
+		b.ReportMetric(100*freshReports(fleet, size), "%fresh-reports")
+	}
 	b.ReportMetric(sum/each, "B/s")
 	b.ReportMetric(busiest/period.Seconds(), "busiest-B/s")
 	b.ReportMetric(messages/each, "messages/s")
@@ -135,6 +145,20 @@
 	runtime.KeepAlive(fleet)
 }
 
+// freshReports is the share of the targets of its zone of which a process heard
+// within the 3 s after which a target counts as cold.
+func freshReports(fleet *controllertest.Fleet, size fleetSize) float64 {
+	fresh := 0
+	for _, process := range fleet.Processes() {
+		for _, heard := range process.Machines[0].(*reporter).heard {
+			if process.Now()-heard <= 3*time.Second {
+				fresh++
+			}
+		}
+	}
+	return float64(fresh) / float64(size.processes) / float64(size.targets/size.zones)
+}
+
 func totals(fleet *controllertest.Fleet) []controllertest.Traffic {
 	var list []controllertest.Traffic
 	for _, process := range fleet.Processes() {
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -21,7 +21,7 @@
 			g.send(lost, g.offer(true))
 		}
 	}
-	g.remoteRound(full)
+	g.remoteRound()
 }
 
 // pushRound sends news without waiting for the next round. It leaves out the
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -116,6 +116,8 @@
 }
 
 // WithExchangeBytes bounds the estimated bytes of facts in one exchange.
+// Exchanges across zones carry half of it: a relay takes part in up to 12 of
+// them a second besides those within its zone.
 func WithExchangeBytes(limit int) Option {
 	return func(g *Gossiper) { g.exchangeBytes = limit }
 }
--- a/process/gossiper/remote.go
+++ b/process/gossiper/remote.go
@@ -10,10 +10,14 @@
 // avoidFor is how long a relay that did not answer is passed over.
 const avoidFor = 5 * time.Second
 
+// remoteRounds is the number of rounds in which the relays of a zone together
+// exchange once with each other zone. Each of two zones starts an exchange
+// every 2 s, so that the pair exchanges once a second.
+const remoteRounds = 2
+
 // remoteRound exchanges with one relay of each other zone, if this process is
-// a relay. The two relays of a zone take turns, so that each pair of zones
-// exchanges once a second from each side.
-func (g *Gossiper) remoteRound(full bool) {
+// a relay and it is its turn.
+func (g *Gossiper) remoteRound() {
 	turn, relays := g.relayTurn()
 	if turn < 0 {
 		g.facts.stopRemote()
@@ -21,13 +25,12 @@
 	}
 	for i, zone := range g.otherZones() {
 		g.facts.startRemote(zone)
-		if relays > 1 && (g.round+i+turn)%relays != 0 {
+		period := remoteRounds * relays
+		if (g.round+i+turn*remoteRounds)%period != 0 {
 			continue
 		}
 		if peer, found := g.pickRemote(zone); found {
-			// Turns alternate between two rounds, so that a zone would
-			// get either all full comparisons of a relay or none.
-			g.sendRemote(peer, full || (g.round+1)%fullEvery == 0)
+			g.sendRemote(peer, g.round%fullEvery < period)
 		}
 	}
 }
@@ -45,7 +48,7 @@
 	message := mulberrybeam.Exchange{
 		From: g.self.ID, Zone: g.self.Zone, Revision: g.self.Revision,
 		Relays: g.ownRelayRows(),
-		Facts:  g.facts.remote(g.turn.Now, peer.Zone, g.exchangeBytes),
+		Facts:  g.facts.remote(g.turn.Now, peer.Zone, g.exchangeBytes/2),
 	}
 	if full {
 		message.Digest = g.facts.digest(g.turn.Now)
@@ -60,7 +63,7 @@
 	reply := mulberrybeam.ExchangeReply{
 		Revision: g.self.Revision,
 		Relays:   g.ownRelayRows(),
-		Facts:    g.facts.remote(g.turn.Now, message.Zone, g.exchangeBytes),
+		Facts:    g.facts.remote(g.turn.Now, message.Zone, g.exchangeBytes/2),
 	}
 	g.facts.deliveredRemote(message.Zone, reply.Facts)
 	if len(message.Digest) > 0 {
