--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -65,9 +65,13 @@
 	encode        func([]mulberrybeam.Member) []byte
 	decode        func([]byte) ([]mulberrybeam.Member, error)
 
-	stamps    *stamper.Stamper
-	members   roster
-	relays    roster
+	stamps  *stamper.Stamper
+	members roster
+	relays  roster
+	// active are the relays of other zones that count now.
+	active roster
+	// changed asks for a review before the next second.
+	changed   bool
 	seeds     map[mulberrybeam.ZoneName][]mulberrybeam.Member
 	facts     store
 	directory directory
@@ -114,6 +118,8 @@
 }
 
 // WithExchangeBytes bounds the estimated bytes of facts in one exchange.
+// Exchanges across zones carry half of it: a relay takes part in up to 12 of
+// them a second besides those within its zone.
 func WithExchangeBytes(limit int) Option {
 	return func(g *Gossiper) { g.exchangeBytes = limit }
 }
@@ -129,6 +135,7 @@
 		stamps:        stamper.New(self.ID),
 		members:       newRoster(),
 		relays:        newRoster(),
+		active:        newRoster(),
 		seeds:         map[mulberrybeam.ZoneName][]mulberrybeam.Member{},
 		facts:         newStore(),
 		uses:          newUses(),
@@ -170,7 +177,10 @@
 	case mulberrybeam.ShutdownAsked:
 		g.leave()
 	}
-	g.announce()
+	if g.changed {
+		g.changed = false
+		g.announce()
+	}
 	return g.out
 }
 
@@ -208,6 +218,7 @@
 	g.directoryTick()
 	if now-g.lastReview >= ExchangeInterval {
 		g.lastReview = now
+		g.changed = true
 		g.expire()
 		g.recompute()
 	}
@@ -228,7 +239,7 @@
 		g.self.State = mulberrybeam.MemberLeft
 	}
 	g.self.Heartbeat++
-	g.nextRound = g.turn.Now
+	g.changed = true
 	g.exchangeRound()
 }
 
@@ -241,7 +252,7 @@
 	}
 	g.self.Revision = event.Environment.Revision
 	g.self.Heartbeat++
-	g.urgent = true
+	g.changed, g.urgent = true, true
 }
 
 func (g *Gossiper) emit(action mulberrybeam.Action) { g.out = append(g.out, action) }
--- a/process/gossiper/roster.go
+++ b/process/gossiper/roster.go
@@ -1,10 +1,14 @@
 package gossiper
 
 import (
+	"cmp"
+	"encoding/binary"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mulberrybeam"
 	"mulberrybeam/version/ranker"
 )
@@ -30,6 +34,8 @@
 // known is a member with the time of its last sign of life.
 type known struct {
 	mulberrybeam.Member
+	// short is its short id.
+	short mulberrybeam.ProcessID
 	// risenAt is when its heartbeat last rose, in local time.
 	risenAt time.Duration
 	// sends is the number of exchanges that still carry the whole record.
@@ -45,20 +51,40 @@
 type roster struct {
 	byID  map[mulberrybeam.ProcessID]*known
 	order []mulberrybeam.ProcessID
+	// byShort has the empty id where two members share a short id.
+	byShort map[mulberrybeam.ProcessID]mulberrybeam.ProcessID
 }
 
-func newRoster() roster { return roster{byID: map[mulberrybeam.ProcessID]*known{}} }
+func newRoster() roster {
+	return roster{
+		byID:    map[mulberrybeam.ProcessID]*known{},
+		byShort: map[mulberrybeam.ProcessID]mulberrybeam.ProcessID{},
+	}
+}
 
 func (r *roster) add(member mulberrybeam.Member, now time.Duration) *known {
 	added := &known{Member: member, risenAt: now, sends: transmitBudget}
-	r.byID[member.ID] = added
+	r.insert(added)
+	return added
+}
+
+func (r *roster) insert(member *known) {
+	r.byID[member.ID] = member
+	member.short = shortID(member.ID)
+	if _, taken := r.byShort[member.short]; taken {
+		r.byShort[member.short] = ""
+	} else {
+		r.byShort[member.short] = member.ID
+	}
 	at, _ := slices.BinarySearch(r.order, member.ID)
 	r.order = slices.Insert(r.order, at, member.ID)
-	return added
 }
 
 func (r *roster) remove(id mulberrybeam.ProcessID) {
 	delete(r.byID, id)
+	if short := shortID(id); r.byShort[short] == id {
+		delete(r.byShort, short)
+	}
 	at, found := slices.BinarySearch(r.order, id)
 	if found {
 		r.order = slices.Delete(r.order, at, at+1)
@@ -74,6 +100,31 @@
 	return list
 }
 
+// shortMark starts a short id. Process ids start with a host name.
+const shortMark = "\x00"
+
+// shortID is a hash of an id. Rows about members that the other side knows
+// carry it, since ids of 20 to 40 bytes would make up most of an exchange.
+func shortID(id mulberrybeam.ProcessID) mulberrybeam.ProcessID {
+	short := binary.BigEndian.AppendUint32([]byte(shortMark), uint32(xxhash.Sum64String(string(id))))
+	return mulberrybeam.ProcessID(short)
+}
+
+// expand replaces the short ids of rows and leaves out the rows whose short id
+// is unknown or shared. Full comparisons carry whole ids.
+func (g *Gossiper) expand(rows []mulberrybeam.Member) []mulberrybeam.Member {
+	expanded := make([]mulberrybeam.Member, 0, len(rows))
+	for _, row := range rows {
+		if strings.HasPrefix(string(row.ID), shortMark) {
+			row.ID = g.members.byShort[row.ID]
+		}
+		if row.ID != "" {
+			expanded = append(expanded, row)
+		}
+	}
+	return expanded
+}
+
 // RelaysOf returns the ids of a zone's relays, given its members: the two
 // with the first rendezvous rank among those alive.
 func RelaysOf(zone mulberrybeam.ZoneName, members []mulberrybeam.Member) []mulberrybeam.ProcessID {
@@ -110,6 +161,7 @@
 	if row.State != existing.State && row.State != mulberrybeam.MemberAlive {
 		existing.sends = transmitBudget
 	}
+	g.changed = g.changed || row.State != existing.State || row.Revision != existing.Revision
 	existing.Heartbeat, existing.Revision, existing.risenAt = row.Heartbeat, row.Revision, g.turn.Now
 	existing.State = row.State
 	if row.CallerAddress != "" {
@@ -126,6 +178,7 @@
 		row.Zone = g.self.Zone
 	}
 	roster.add(row, g.turn.Now)
+	g.changed = true
 	return true
 }
 
@@ -140,12 +193,12 @@
 		g.judge(member)
 	}
 	for _, relay := range g.relays.all() {
-		if g.turn.Now-relay.risenAt > relayHolds || relay.State == mulberrybeam.MemberLeft {
+		if g.turn.Now-relay.risenAt > forgetLeft {
 			g.relays.remove(relay.ID)
 			g.addSeed(relay.Member)
 		}
 	}
-	g.trimRelays()
+	g.active = g.activeRelays()
 }
 
 func (g *Gossiper) judge(member *known) {
@@ -177,18 +230,24 @@
 	g.seeds[relay.Zone] = append(g.seeds[relay.Zone], relay)
 }
 
-// trimRelays keeps the relays of each zone that were heard of last.
-func (g *Gossiper) trimRelays() {
+// activeRelays returns the relays of each zone that were heard of last. The
+// others stay in the roster for a while: without the memory of their
+// heartbeats, processes would pass the record of a former relay round for ever.
+func (g *Gossiper) activeRelays() roster {
 	byZone := map[mulberrybeam.ZoneName][]*known{}
 	for _, relay := range g.relays.all() {
-		byZone[relay.Zone] = append(byZone[relay.Zone], relay)
+		if g.turn.Now-relay.risenAt <= relayHolds && relay.State != mulberrybeam.MemberLeft {
+			byZone[relay.Zone] = append(byZone[relay.Zone], relay)
+		}
 	}
+	active := newRoster()
 	for _, relays := range byZone {
-		slices.SortStableFunc(relays, func(a, b *known) int { return int(b.risenAt - a.risenAt) })
-		for _, old := range relays[min(len(relays), relayCount):] {
-			g.relays.remove(old.ID)
+		slices.SortStableFunc(relays, func(a, b *known) int { return cmp.Compare(b.risenAt, a.risenAt) })
+		for _, relay := range relays[:min(len(relays), relayCount)] {
+			active.insert(relay)
 		}
 	}
+	return active
 }
 
 // announcement is what MembersChanged said last.
@@ -202,7 +261,7 @@
 func (g *Gossiper) announce() {
 	g.review()
 	members := append([]mulberrybeam.Member{g.self}, rows(g.members)...)
-	relays := rows(g.relays)
+	relays := rows(g.active)
 	sameMembers, sameRevisions := same(members, g.announced.members)
 	sameRelays, _ := same(relays, g.announced.relays)
 	if sameMembers && sameRelays && sameRevisions {
