Remove intent records of calls that were never sent

A create whose answer and read were both lost left an open record, so a retry with the same key was answered with outcome-unknown although nothing ran. The record is now removed later, at one call a second.

--- a/request/forwarder/attempt.go
+++ b/request/forwarder/attempt.go
@@ -75,8 +75,9 @@
 		return nil, &failure
 	}
 	r.history.Attempts = append(r.history.Attempts, retrier.Attempt{Target: route.Target})
+	r.number++
 	a := &attempt{
-		number: len(r.history.Attempts), route: route, target: snapshot.Tables.Targets[route.Target],
+		number: r.number, route: route, target: snapshot.Tables.Targets[route.Target],
 		instance: snapshot.Targets[route.Target].Instance,
 	}
 	f.note(mulberrybeam.EntryRoute, r.request, string(route.Target), route.Reason)
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -117,6 +117,8 @@
 	budget  budget
 	copies  copies
 	exports chan export
+	// leftovers are intent records that block their key for no reason.
+	leftovers chan leftover
 	// background are goroutines that outlive their request. ending orders
 	// their start before the wait for their end.
 	background sync.WaitGroup
@@ -139,16 +141,18 @@
 		option(&settings)
 	}
 	f := &Forwarder{
-		Settings: settings,
-		gate:     admitter.New(settings.Clock),
-		moves:    moves{links: map[mulberrybeam.StoreID]placer.Link{}, fetches: placer.Flights{}},
-		budget:   budget{value: retrier.NewBudget(settings.Clock())},
-		copies:   copies{running: map[mulberrybeam.Fingerprint]int{}},
-		exports:  make(chan export, exportQueue),
+		Settings:  settings,
+		gate:      admitter.New(settings.Clock),
+		moves:     moves{links: map[mulberrybeam.StoreID]placer.Link{}, fetches: placer.Flights{}},
+		budget:    budget{value: retrier.NewBudget(settings.Clock())},
+		copies:    copies{running: map[mulberrybeam.Fingerprint]int{}},
+		exports:   make(chan export, exportQueue),
+		leftovers: make(chan leftover, leftoverQueue),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.background.Go(func() { f.exportLoop(ctx) })
 	f.background.Go(func() { f.measureLoop(ctx) })
+	f.background.Go(func() { f.removeLoop(ctx) })
 	return f, func() {
 		f.ending.Lock()
 		f.stopped = true
@@ -167,6 +171,8 @@
 	random  *rand.Rand
 	kept    []mulberrybeam.Manifest
 	history retrier.History
+	// number counts the attempts, also those that were not sent.
+	number int
 	// tried are the targets that the next route must leave out.
 	tried []mulberrybeam.TargetID
 	// reached is true once an attempt may have run at a target.
--- a/request/forwarder/service.go
+++ b/request/forwarder/service.go
@@ -10,6 +10,13 @@
 	"mulberrybeam/request/intender"
 )
 
+const (
+	// leftoverQueue bounds the intent records that wait for their removal.
+	leftoverQueue  = 256
+	removeInterval = time.Second
+	maxRemovals    = 60
+)
+
 // Result is the answer of a service call.
 type Result struct {
 	Answer mulberrybeam.ServiceAnswer
@@ -54,8 +61,7 @@
 			Code: mulberrybeam.CodeInternal, Step: mulberrybeam.StepIntent, Message: "no attempt id", NotRun: true, Cause: err,
 		})
 	}
-	driver := intender.Driver{Objects: f.Objects, Codec: f.Codec, Clock: f.Clock, Wall: f.Wall, Live: f.live}
-	finish := driver.Run(ctx, intender.Call{
+	finish := f.driver().Run(ctx, intender.Call{
 		Workspace: r.request.Workspace, Service: r.request.Service, Name: r.request.Call,
 		Key: r.request.IdempotencyKey, BodyHash: bodyHash(r.request), Attempt: attempt.String(),
 		Process: snapshot.Self, Timeout: call.Timeout, Retention: snapshot.Tables.Environment.Limits.IdempotencyRetention,
@@ -67,6 +73,9 @@
 		}
 		return answer, nil
 	})
+	if finish.Leftover != nil {
+		f.removeLater(leftover{record: *finish.Leftover})
+	}
 	switch {
 	case finish.Answer != nil:
 		return Result{Answer: *finish.Answer}, nil
@@ -82,6 +91,43 @@
 	return Result{}, finish.Failure
 }
 
+func (f *Forwarder) driver() intender.Driver {
+	return intender.Driver{Objects: f.Objects, Codec: f.Codec, Clock: f.Clock, Wall: f.Wall, Live: f.live}
+}
+
+// leftover is an intent record to remove.
+type leftover struct {
+	record intender.Leftover
+	tries  int
+}
+
+// removeLater drops work when the queue is full: the key then stays blocked,
+// which is safe.
+func (f *Forwarder) removeLater(work leftover) {
+	select {
+	case f.leftovers <- work:
+	default:
+	}
+}
+
+// removeLoop removes leftover records, at most one each second, so that an
+// outage of the platform does not end with a burst of calls.
+func (f *Forwarder) removeLoop(ctx context.Context) {
+	for {
+		select {
+		case work := <-f.leftovers:
+			if !pause(ctx, removeInterval) {
+				return
+			}
+			if work.tries++; f.driver().Remove(ctx, work.record) != nil && work.tries < maxRemovals {
+				f.removeLater(work)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // callService tries targets until one answers.
 func (f *Forwarder) callService(ctx context.Context, r *run, call mulberrybeam.ServiceCall) (mulberrybeam.ServiceAnswer, *mulberrybeam.Failure) {
 	var answer mulberrybeam.ServiceAnswer
--- a/request/intender/driver.go
+++ b/request/intender/driver.go
@@ -56,6 +56,30 @@
 	}
 }
 
+// Remove deletes the record of an attempt that never sent. It leaves records of
+// other attempts and finished ones alone. It returns nil when there is nothing
+// left to do.
+func (d Driver) Remove(ctx context.Context, leftover Leftover) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	object, err := d.Objects.Get(ctx, mulberrybeam.ObjectIntent, leftover.Name)
+	if codeOf(err) == mulberrybeam.CodeNotFound {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	record, err := d.Codec.Decode(object.Data)
+	if err != nil || record.Attempt != leftover.Attempt || record.Progress != Open {
+		return nil
+	}
+	err = d.Objects.Delete(ctx, mulberrybeam.Object{Kind: mulberrybeam.ObjectIntent, Name: leftover.Name, Version: object.Version})
+	if code := codeOf(err); code == mulberrybeam.CodeNotFound || code == mulberrybeam.CodeConflict {
+		return nil
+	}
+	return err
+}
+
 // ServiceSender returns a Sender that calls one target.
 func ServiceSender(client mulberrybeam.ServiceClient, request mulberrybeam.ServiceRequest) Sender {
 	return func(ctx context.Context, _ time.Duration) (mulberrybeam.ServiceAnswer, error) {
--- a/request/intender/intender_test.go
+++ b/request/intender/intender_test.go
@@ -159,6 +159,7 @@
 	is.Equal(resultOf(finish), mulberrybeam.CodePlatformDown)
 	is.True(finish.Failure.NotRun)
 	down = false
+	is.NoErr(p.driver().Remove(t.Context(), *finish.Leftover)) // there is none
 
 	// A process that crashes between the send and the outcome leaves an
 	// open record: the machine is not stepped on after its send.
@@ -181,6 +182,28 @@
 	is.Equal(target.runs, 0)
 }
 
+// Guards against a key that stays blocked by an attempt that never sent, and
+// against the removal of a record that is not such an attempt's.
+func TestLeftoverIsRemoved(t *testing.T) {
+	is := is.New(t)
+	calls := 0
+	p := &process{id: "p", platform: newPlatform(), wall: wall, fault: func(mulberrybeam.ObjectOp) string {
+		calls++
+		return []string{downAfter, downBefore, ""}[min(calls, 3)-1]
+	}}
+	target := &service{fault: none}
+	key := keyAt(wall, rand.New(rand.NewPCG(6, 6)))
+	send := intender.ServiceSender(target, mulberrybeam.ServiceRequest{Request: &mulberrybeam.Request{}})
+	finish := p.driver().Run(t.Context(), callWith(key, "b", "a1"), send)
+	is.True(finish.Failure.NotRun)
+	is.Equal(len(p.platform.objects), 1) // the fault occurred
+	is.NoErr(p.driver().Remove(t.Context(), *finish.Leftover))
+	is.True(p.driver().Run(t.Context(), callWith(key, "b", "a2"), send).Answer != nil)
+	is.NoErr(p.driver().Remove(t.Context(), *finish.Leftover))
+	is.Equal(resultOf(p.driver().Run(t.Context(), callWith(key, "b", "a3"), send)), replay)
+	is.Equal(target.runs, 1)
+}
+
 // Guards against outcomes that do not fit an object of the platform.
 func TestLargeOutcomeIsStoredWithoutItsBody(t *testing.T) {
 	is := is.New(t)
--- a/request/intender/machine.go
+++ b/request/intender/machine.go
@@ -73,6 +73,15 @@
 	Answer   *mulberrybeam.ServiceAnswer
 	Replayed *Outcome
 	Failure  *mulberrybeam.Failure
+	// Leftover is set when a record of the attempt may exist although the
+	// attempt never sent and never will.
+	Leftover *Leftover
+}
+
+// Leftover is a record that keeps its key from being used again for no reason.
+type Leftover struct {
+	Name    string
+	Attempt string
 }
 
 func (Created) event()       {}
@@ -98,6 +107,8 @@
 	// NotAfter ends the send window.
 	NotAfter time.Duration
 	Creates  int
+	// Unclear says that the answer to a create was lost.
+	Unclear bool
 	// Sent is true from the action that sends the call on. The machine
 	// never sends twice.
 	Sent bool
@@ -153,7 +164,10 @@
 			return ReadRecord{Name: s.Name}
 		}
 		return s.send(turn, event.Version)
-	case mulberrybeam.CodeExists, mulberrybeam.CodeConflict, mulberrybeam.CodePlatformDown:
+	case mulberrybeam.CodePlatformDown:
+		s.Unclear = true
+		return ReadRecord{Name: s.Name}
+	case mulberrybeam.CodeExists, mulberrybeam.CodeConflict:
 		// The record may be the attempt's own, created by a request whose
 		// answer was lost.
 		return ReadRecord{Name: s.Name}
@@ -248,10 +262,14 @@
 			code = failure.Code
 		}
 	}
-	return Finish{Failure: &mulberrybeam.Failure{
+	finish := Finish{Failure: &mulberrybeam.Failure{
 		Code: code, Step: mulberrybeam.StepIntent, Peer: "platform", NotRun: true, RetryAfter: wait, Cause: err,
 		Message: "the intent of the call could not be recorded",
 	}}
+	if s.Unclear {
+		finish.Leftover = &Leftover{Name: s.Name, Attempt: s.Call.Attempt}
+	}
+	return finish
 }
 
 func describe(text string, record Record) string {
