Let a shutdown wait for callers that may resume a finished stream

A run that ended while its caller's connection was broken left nothing to resume once the host had stopped. The run now counts as running until a reader has got the end or the grace time has passed. Time line entries get their stamps from the recorder, whose stamps rise.

--- a/process/server/handler.go
+++ b/process/server/handler.go
@@ -62,6 +62,8 @@
 		})
 		stream.Finish(failureOf(err))
 		s.streams.finish(stream)
+		// A shutdown waits for a caller that may still resume the stream.
+		stream.AwaitRead(running)
 	}()
 	return stream
 }
@@ -80,6 +82,7 @@
 		}
 		if !begun && batch.Failure != nil && len(batch.Tokens) == 0 {
 			s.refuse(ctx, batch.Failure)
+			stream.MarkRead()
 			return
 		}
 		if !begun && (resumed || len(batch.Tokens) > 0 || batch.Done) {
@@ -108,7 +111,11 @@
 			}
 			writer.Flush()
 		}
-		if batch.Done || !more(ctx, batch) {
+		if batch.Done {
+			stream.MarkRead()
+			return
+		}
+		if !more(ctx, batch) {
 			return
 		}
 	}
@@ -145,6 +152,7 @@
 // collect writes a whole answer once it is complete.
 func (s *Server) collect(ctx iris.Context, stream *replayer.Stream, request *mulberrybeam.Request) {
 	defer stream.Detach()
+	defer stream.MarkRead()
 	var text strings.Builder
 	var after uint64
 	reason := ""
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -256,11 +256,11 @@
 }
 
 func (f *Forwarder) note(kind mulberrybeam.EntryKind, request *mulberrybeam.Request, subject, text string) {
+	// The recorder stamps entries, so that stamps of one process rise.
 	entry := mulberrybeam.Entry{Kind: kind, Request: request.ID, Subject: subject, Text: text}
 	if snapshot := f.Snapshot(); snapshot != nil {
 		entry.Process = snapshot.Self
 	}
-	entry.Stamp = mulberrybeam.Stamp{Wall: f.Wall().UnixMilli(), Process: entry.Process}
 	f.Recorder.Record(entry)
 }
 
--- a/request/replayer/replayer.go
+++ b/request/replayer/replayer.go
@@ -3,6 +3,7 @@
 package replayer
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -40,6 +41,9 @@
 	idle    *time.Timer
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// read is closed when a reader has got the end.
+	read     chan struct{}
+	readOnce sync.Once
 }
 
 // Batch is what a reader gets at once.
@@ -57,7 +61,7 @@
 
 // New returns a stream without tokens and readers.
 func New(settings Settings) *Stream {
-	return &Stream{Settings: settings, changed: make(chan struct{})}
+	return &Stream{Settings: settings, changed: make(chan struct{}), read: make(chan struct{})}
 }
 
 // Append adds the next token. It never blocks.
@@ -122,6 +126,21 @@
 	}
 }
 
+// MarkRead says that a reader has got the end of the stream.
+func (s *Stream) MarkRead() { s.readOnce.Do(func() { close(s.read) }) }
+
+// AwaitRead waits after the end of the run until a reader has got the end, the
+// grace time has passed or ctx has ended.
+func (s *Stream) AwaitRead(ctx context.Context) {
+	timer := time.NewTimer(s.Grace)
+	defer timer.Stop()
+	select {
+	case <-s.read:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Bytes returns the memory of the kept tokens.
 func (s *Stream) Bytes() int {
 	s.mutex.Lock()
--- a/request/replayer/replayer_test.go
+++ b/request/replayer/replayer_test.go
@@ -1,6 +1,7 @@
 package replayer_test
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
@@ -49,3 +50,20 @@
 	time.Sleep(2 * settings.Grace)
 	is.Equal(len(cancelled), 0) // only the third
 }
+
+// Guards against a shutdown that ends before the caller of a broken stream
+// could resume it, or that waits for a caller that has the whole answer.
+func TestEndWaitsForAReader(t *testing.T) {
+	is := is.New(t)
+	const grace = 50 * time.Millisecond
+	unread := replayer.New(replayer.Settings{Grace: grace})
+	begin := time.Now()
+	unread.AwaitRead(t.Context())
+	is.True(time.Since(begin) >= grace)
+	read := replayer.New(replayer.Settings{Grace: time.Hour})
+	go func() { read.MarkRead(); read.MarkRead() }()
+	read.AwaitRead(t.Context())
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	replayer.New(replayer.Settings{Grace: time.Hour}).AwaitRead(cancelled)
+}
