Test non-repeatable calls over the real clients and two processes

Concurrent callers send the same keys to two processes while the object API loses answers and the service breaks and refuses calls: no key runs twice and no refusal with not-run belongs to a call that ran.

--- a/process/server/path_test.go
+++ b/process/server/path_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/matryer/is"
@@ -12,8 +16,11 @@
 	"mulberrybeam"
 	"mulberrybeam/connection/enginecaller"
 	"mulberrybeam/connection/intentencoder"
+	"mulberrybeam/connection/objectcaller"
+	"mulberrybeam/connection/pacer"
 	"mulberrybeam/connection/servicecaller"
 	enginefake "mulberrybeam/process/standin/engine"
+	platformfake "mulberrybeam/process/standin/platform"
 	servicefake "mulberrybeam/process/standin/service"
 	"mulberrybeam/request/forwarder"
 )
@@ -21,9 +28,9 @@
 // inOrder picks "e1" and then "e2".
 type inOrder struct{}
 
-func (inOrder) Pick(_ mulberrybeam.Turn, _ mulberrybeam.RouteView, query mulberrybeam.RouteQuery) (mulberrybeam.Route, error) {
+func (inOrder) Pick(_ mulberrybeam.Turn, view mulberrybeam.RouteView, query mulberrybeam.RouteQuery) (mulberrybeam.Route, error) {
 	for _, id := range []mulberrybeam.TargetID{"e1", "e2"} {
-		if !slices.Contains(query.Tried, id) {
+		if _, known := view.Tables().Targets[id]; known && !slices.Contains(query.Tried, id) {
 			return mulberrybeam.Route{Target: id}, nil
 		}
 	}
@@ -39,31 +46,26 @@
 
 func (granting) Release(context.Context, mulberrybeam.TargetID, mulberrybeam.ReleasePermit) {}
 
-// accepting is an object API that accepts every write.
-type accepting struct{ mulberrybeam.ObjectClient }
-
-func (accepting) Create(_ context.Context, object mulberrybeam.Object) (mulberrybeam.Object, error) {
-	object.Version = "1"
-	return object, nil
-}
-
-func (accepting) Update(_ context.Context, object mulberrybeam.Object) (mulberrybeam.Object, error) {
-	return object, nil
-}
-
-// startOver starts a server over two targets at addresses.
-func startOver(t *testing.T, addresses ...string) *entry {
+// startOver starts a process over an object API and two targets at addresses.
+func startOver(t *testing.T, self mulberrybeam.ProcessID, platform string, addresses ...string) *entry {
 	t.Helper()
+	objects, closeObjects := objectcaller.New("http://"+platform, "e", objectcaller.WithPacer(func(s *pacer.Settings) {
+		s.BackoffBase, s.BackoffCap, s.WriteRate = time.Millisecond, 10*time.Millisecond, 20000
+	}))
+	t.Cleanup(closeObjects)
 	engines, closeEngines := enginecaller.New()
 	services, closeServices := servicecaller.New()
 	t.Cleanup(closeEngines)
 	t.Cleanup(closeServices)
-	e := startWith(t, "h/1", []forwarder.Option{
+	e := startWith(t, self, []forwarder.Option{
 		forwarder.WithRouting(inOrder{}, nil), forwarder.WithTargets(engines, services, nil), forwarder.WithPermits(granting{}),
-		forwarder.WithObjects(accepting{}, intentencoder.Codec()),
+		forwarder.WithObjects(objects, intentencoder.Codec()),
 	})
 	changed := *e.snapshot.Load()
 	tables := *changed.Tables
+	environment := *tables.Environment
+	environment.Limits.QueueTimeout = time.Minute
+	tables.Environment, tables.TargetsByService = &environment, map[mulberrybeam.ServiceName][]mulberrybeam.TargetID{"orders": {"e1", "e2"}}
 	changed.Tables, tables.Targets = &tables, map[mulberrybeam.TargetID]mulberrybeam.Target{}
 	changed.Targets = map[mulberrybeam.TargetID]mulberrybeam.TargetState{}
 	for i, address := range addresses {
@@ -102,7 +104,7 @@
 			good, stopGood, err := enginefake.New(enginefake.WithVersion("m", "v1"))
 			is.NoErr(err)
 			t.Cleanup(stopGood)
-			e := startOver(t, faulty.Address(), good.Address())
+			e := startOver(t, "h/1", "127.0.0.1:1", faulty.Address(), good.Address())
 			faulty.SetFaults(c.set)
 			stream := eventsOf(e.send("POST", "/v1/chat/completions", strings.Replace(prompt, `"stream"`, `"max_tokens":6,"stream"`, 1)))
 			got := ""
@@ -130,7 +132,10 @@
 	second, stopSecond, err := servicefake.New()
 	is.NoErr(err)
 	t.Cleanup(stopSecond)
-	e := startOver(t, first.Address(), second.Address())
+	platform, stopPlatform, err := platformfake.New()
+	is.NoErr(err)
+	t.Cleanup(stopPlatform)
+	e := startOver(t, "h/1", platform.Address(), first.Address(), second.Address())
 	place := func() (int, string, string) {
 		key := uuid.Must(uuid.NewV7()).String()
 		response := e.send("POST", "/v1/services/orders/place", `{"oars":2}`, "Idempotency-Key", key)
@@ -151,3 +156,55 @@
 	status, _, key = place()
 	is.Equal([]int{status, first.RunsByKey(key), second.RunsByKey(key)}, []int{200, 0, 1})
 }
+
+// Guards against a second run of a key, or a not-run that is untrue, when
+// callers send the same keys to two processes while the object API loses
+// answers and the services break connections.
+func TestConcurrentCallersRunEachKeyOnce(t *testing.T) {
+	is := is.New(t)
+	platform, stopPlatform, err := platformfake.New()
+	is.NoErr(err)
+	t.Cleanup(stopPlatform)
+	target, stop, err := servicefake.New()
+	is.NoErr(err)
+	t.Cleanup(stop)
+	entries := []*entry{
+		startOver(t, "h/1", platform.Address(), target.Address()),
+		startOver(t, "h/2", platform.Address(), target.Address()),
+	}
+	var keys []string
+	for range 20 {
+		keys = append(keys, uuid.Must(uuid.NewV7()).String())
+	}
+	var callers sync.WaitGroup
+	var answered, refusedCalls atomic.Int64
+	for caller := range 8 {
+		callers.Go(func() {
+			for i, key := range keys {
+				switch (5*caller + i) % 12 {
+				case 0:
+					platform.SetFaults(func(f *platformfake.Faults) { f.LoseAnswersNext++ })
+				case 1:
+					target.SetFaults(func(f *servicefake.Faults) { f.BreakAfterNext++ })
+				case 2:
+					target.SetFaults(func(f *servicefake.Faults) { f.RefuseNext++ })
+				}
+				response := entries[(caller+i)%2].send("POST", "/v1/services/orders/place", "{}", "Idempotency-Key", key)
+				if response.StatusCode == http.StatusOK {
+					answered.Add(1)
+					continue
+				}
+				refusedCalls.Add(1)
+				if *readRefusal(t, response).Error.NotRun && target.RunsByID(response.Header.Get("X-Request-Id")) > 0 {
+					t.Errorf("a call ran although its refusal says not-run")
+				}
+			}
+		})
+	}
+	callers.Wait()
+	for _, key := range keys {
+		is.True(target.RunsByKey(key) <= 1)
+	}
+	is.True(platform.Faults().LoseAnswersNext == 0 && target.Count("broken-after-run") > 0 && target.Count("refused") > 0) // the faults occurred
+	is.True(answered.Load() > 0 && refusedCalls.Load() > 0)
+}
--- a/process/server/proxy.go
+++ b/process/server/proxy.go
@@ -11,17 +11,17 @@
 // flushAtOnce passes each event on as it comes.
 const flushAtOnce = -1
 
-// ProxyTo returns a Proxy over HTTP. addressOf returns the caller-facing
-// "ip:port" of a live entry process of the zone, and false for others.
-func ProxyTo(addressOf func(mulberrybeam.ProcessID) (string, bool), transport http.RoundTripper) Proxy {
+// ProxyTo returns a Proxy over HTTP. baseOf returns the caller-facing URL of a
+// live entry process of the zone, and false for others.
+func ProxyTo(baseOf func(mulberrybeam.ProcessID) (*url.URL, bool), transport http.RoundTripper) Proxy {
 	return func(process mulberrybeam.ProcessID, response http.ResponseWriter, request *http.Request) bool {
-		address, found := addressOf(process)
+		base, found := baseOf(process)
 		if !found {
 			return false
 		}
 		reached := true
 		proxy := &httputil.ReverseProxy{
-			Rewrite:       func(r *httputil.ProxyRequest) { r.SetURL(&url.URL{Scheme: "http", Host: address}) },
+			Rewrite:       func(r *httputil.ProxyRequest) { r.SetURL(base) },
 			Transport:     transport,
 			FlushInterval: flushAtOnce,
 			// The caller gets the same refusal as for an unknown process.
--- a/process/server/server_test.go
+++ b/process/server/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -150,8 +151,8 @@
 func TestResume(t *testing.T) {
 	is := is.New(t)
 	running := start(t, "h/1")
-	other := start(t, "h/2", server.WithProxy(server.ProxyTo(func(id mulberrybeam.ProcessID) (string, bool) {
-		return running.address, id == "h/1"
+	other := start(t, "h/2", server.WithProxy(server.ProxyTo(func(id mulberrybeam.ProcessID) (*url.URL, bool) {
+		return &url.URL{Scheme: "http", Host: running.address}, id == "h/1"
 	}, http.DefaultTransport)))
 	go func() { running.engine.texts <- "a"; running.engine.texts <- "b" }()
 	broken := running.send("POST", "/v1/chat/completions", prompt)
