Bound the reading of every request

A refusal that did not need the body waited for it without a bound, because net/http reads the rest of a body before it answers. The read bound now covers the whole request and is taken off once the body has arrived.

--- a/process/server/accept.go
+++ b/process/server/accept.go
@@ -48,16 +48,18 @@
 	return workspace, nil
 }
 
-// readBody reads a body within its size and time. The deadline is taken off
-// afterwards, because it would end the stream that follows.
+// readBody reads a body within its size. The connection's read deadline bounds
+// the time. It is taken off after the body, because it would end the stream
+// that follows, and stays after an error, because net/http reads the rest of a
+// body before it answers.
 func (s *Server) readBody(ctx iris.Context) ([]byte, *mulberrybeam.Failure) {
 	raw := ctx.ResponseWriter().Naive()
-	control := http.NewResponseController(raw)
-	// A writer without deadlines, as in tests without a connection, reads
-	// without one.
-	_ = control.SetReadDeadline(time.Now().Add(s.ReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(raw, ctx.Request().Body, maxBody))
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		// A writer without deadlines, as in tests without a connection,
+		// needs none taken off.
+		_ = http.NewResponseController(raw).SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/process/server/handler.go
+++ b/process/server/handler.go
@@ -222,6 +222,9 @@
 		return nil, true
 	}
 	workspace, failure := s.authenticate(ctx.Request(), snapshot.Tables)
+	if failure == nil {
+		_, failure = s.readBody(ctx)
+	}
 	if failure != nil {
 		s.refuse(ctx, failure)
 		return nil, true
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -55,8 +55,8 @@
 	Grace time.Duration
 	// Retention is how long a finished stream can be resumed.
 	Retention time.Duration
-	// ReadTimeout bounds the reading of a body, WriteTimeout each write to
-	// a slow reader.
+	// ReadTimeout bounds the reading of a whole request, WriteTimeout each
+	// write to a slow reader.
 	ReadTimeout  time.Duration
 	WriteTimeout time.Duration
 	// StreamBytes bounds the tokens kept of one stream, FinishedBytes those
@@ -92,7 +92,7 @@
 	return func(s *Settings) { s.Retention = retention }
 }
 
-// WithTimeouts sets the bounds of reading a body and of each write.
+// WithTimeouts sets the bounds of reading a request and of each write.
 func WithTimeouts(read, write time.Duration) Option {
 	return func(s *Settings) { s.ReadTimeout, s.WriteTimeout = read, write }
 }
@@ -136,9 +136,10 @@
 	if err := s.route(); err != nil {
 		return nil, nil, err
 	}
-	// A ReadTimeout of the http.Server would end streams too: its deadline
-	// stays on the connection while the handler writes.
-	s.http = &http.Server{Handler: s.app, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	s.http = &http.Server{
+		Handler: s.app, ReadHeaderTimeout: headerTimeout, ReadTimeout: settings.ReadTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
 	return s, s.shutdown, nil
 }
 
--- a/process/server/server_test.go
+++ b/process/server/server_test.go
@@ -1,6 +1,7 @@
 package server_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -233,6 +234,27 @@
 	is.True(got < size*count/2) // the reader was cut off instead of waited for
 }
 
+// Guards against callers that hold a connection by sending their body slowly,
+// also where the body is not needed for the answer.
+func TestSlowBodyIsRefused(t *testing.T) {
+	e := start(t, "h/1", server.WithTimeouts(30*time.Millisecond, time.Second))
+	for key, status := range map[string]int{"secret": 400, "unknown": 401} {
+		t.Run(key, func(t *testing.T) {
+			is := is.New(t)
+			connection, err := net.Dial("tcp", e.address)
+			is.NoErr(err)
+			defer connection.Close()
+			_, err = io.WriteString(connection, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+key+"\r\nContent-Length: 74\r\n\r\n{")
+			is.NoErr(err)
+			is.NoErr(connection.SetReadDeadline(time.Now().Add(10 * time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, status)
+			is.True(*readRefusal(t, response).Error.NotRun)
+		})
+	}
+}
+
 // Guards against a shutdown that cuts a running stream or takes a new request.
 func TestShutdownLetsStreamsEnd(t *testing.T) {
 	is := is.New(t)
--- a/request/forwarder/fake_test.go
+++ b/request/forwarder/fake_test.go
@@ -27,6 +27,7 @@
 	generate  func(attempt int, call mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error)
 	call      func(attempt int) (mulberrybeam.ServiceAnswer, error)
 	permit    mulberrybeam.AskPermitReply
+	askErr    error
 	askTakes  time.Duration
 	importErr error
 	source    mulberrybeam.Source
@@ -90,7 +91,7 @@
 	defer f.mutex.Unlock()
 	f.asks++
 	f.now += f.askTakes
-	return f.permit, nil
+	return f.permit, f.askErr
 }
 
 func (f *fleet) Release(_ context.Context, _ mulberrybeam.TargetID, release mulberrybeam.ReleasePermit) {
--- a/request/forwarder/forwarder_test.go
+++ b/request/forwarder/forwarder_test.go
@@ -132,6 +132,9 @@
 			f.snapshot.Crashes = map[mulberrybeam.Fingerprint]mulberrybeam.CrashFact{{7}: {Count: 2}}
 		}, mulberrybeam.CodeCrashesTargets, true, 0, 0},
 		{"no permit", mulberrybeam.PhaseCold, nil, func(f *fleet) { f.askTakes = 400 * time.Millisecond }, mulberrybeam.CodeNoPermit, true, 0, 0},
+		{"owner cannot be asked", mulberrybeam.PhaseCold, nil, func(f *fleet) {
+			f.askErr, f.askTakes = errors.New("no answer"), 400*time.Millisecond
+		}, mulberrybeam.CodeNoPermit, true, 0, 0},
 		{"permit too late", mulberrybeam.PhaseCold, nil, func(f *fleet) {
 			f.permit, f.askTakes = mulberrybeam.AskPermitReply{Granted: true, Permit: 5, Valid: time.Second}, time.Second
 		}, mulberrybeam.CodeNoPermit, true, 0, 3},
--- a/request/intender/intender_test.go
+++ b/request/intender/intender_test.go
@@ -204,6 +204,28 @@
 	is.Equal(target.runs, 1)
 }
 
+// Guards against a process that is paused between its decision to send and the
+// send itself.
+func TestWindowIsCheckedRightBeforeTheSend(t *testing.T) {
+	is := is.New(t)
+	p := &process{id: "p", platform: newPlatform(), wall: wall, fault: clean}
+	target := &service{fault: none}
+	driver, readings := p.driver(), 0
+	driver.Clock = func() time.Duration {
+		if readings++; readings > 2 { // after the readings for Begin and for the answer to the create
+			return intender.SendWindow
+		}
+		return 0
+	}
+	key := keyAt(wall, rand.New(rand.NewPCG(7, 7)))
+	send := intender.ServiceSender(target, mulberrybeam.ServiceRequest{Request: &mulberrybeam.Request{}})
+	finish := driver.Run(t.Context(), callWith(key, "b", "a1"), send)
+	is.Equal(resultOf(finish), mulberrybeam.CodeTimeout)
+	is.True(finish.Failure.NotRun)
+	is.Equal(target.runs, 0)
+	is.True(p.driver().Run(t.Context(), callWith(key, "b", "a2"), send).Answer != nil) // the key is free again
+}
+
 // Guards against outcomes that do not fit an object of the platform.
 func TestLargeOutcomeIsStoredWithoutItsBody(t *testing.T) {
 	is := is.New(t)
