Keep a cold target at its cold limit until its declared warm-up has ended

Cause: the limit doubled after each 4 completions from the first on, while an engine bears only its cold limit until it is warm. The faked target now bears its cold limit until the warm-up has ended. Groups declare the warm-up by warm-requests and warm-time, and long prompts whose first token comes as expected count towards it.

--- a/environment.go
+++ b/environment.go
@@ -72,6 +72,10 @@
 	ColdLimit int
 	// WarmLimit bounds the requests in flight at a warm engine.
 	WarmLimit int
+	// A started engine is cold until it has completed WarmRequests and
+	// WarmTime has passed.
+	WarmRequests int
+	WarmTime     time.Duration
 	// ChecksFencing says that the engines refuse orders with an old
 	// fencing number.
 	ChecksFencing bool
@@ -87,7 +91,10 @@
 	Service   ServiceName
 	ColdLimit int
 	WarmLimit int
-	Targets   []TargetAddress
+	// WarmRequests and WarmTime have the meaning of EngineGroup.
+	WarmRequests int
+	WarmTime     time.Duration
+	Targets      []TargetAddress
 }
 
 // TargetAddress is where a target is reached.
--- a/message.go
+++ b/message.go
@@ -109,8 +109,10 @@
 	Completed bool
 	// Crashed says that the connection broke during the run.
 	Crashed bool
-	// FirstToken is the time to first token seen, 0 when none came.
+	// FirstToken is the time to first token seen, 0 when none came, and
+	// Expected what the route estimated.
 	FirstToken time.Duration
+	Expected   time.Duration
 }
 
 // ReleasePermitReply acknowledges a release.
--- a/process/permitter/owned.go
+++ b/process/permitter/owned.go
@@ -16,9 +16,11 @@
 	proved   bool
 	provedBy time.Duration
 
-	// completions and rampSince measure the ramp-up.
+	// completions and rampSince measure the warm-up. ramped counts the
+	// completions after it, while the limit rises.
 	completions int
 	rampSince   time.Duration
+	ramped      int
 
 	permits map[uint64]permit
 	// unaccounted bounds the requests at the target for which no release
@@ -80,20 +82,32 @@
 	}
 	o.phase = mulberrybeam.PhaseCold
 	o.completions = 0
+	o.ramped = 0
 	o.proved = false
 	o.provedBy = now + timing.Transit
 }
 
-// limit is the number of requests that the target may have in flight.
+// limit is the number of requests that the target may have in flight. It
+// stays at the cold limit until the warm-up has ended: an engine that bears
+// its cold limit only may fall over at twice that.
 func (p *Permitter) limit(t *target) int {
 	limit := max(t.declared.ColdLimit, 0)
-	for range t.owned.completions / p.timing.DoublingAfter {
+	for range t.owned.ramped / p.timing.DoublingAfter {
 		limit *= 2
 	}
-	if t.declared.WarmLimit > 0 {
-		limit = min(limit, max(t.declared.WarmLimit, t.declared.ColdLimit))
+	return min(limit, t.fullLimit())
+}
+
+// fullLimit is where the ramp-up ends.
+func (t *target) fullLimit() int { return max(t.declared.WarmLimit, t.declared.ColdLimit) }
+
+// warmedUp says whether the target's declared warm-up has ended.
+func (p *Permitter) warmedUp(turn mulberrybeam.Turn, t *target) bool {
+	requests, length := t.declared.WarmRequests, t.declared.WarmTime
+	if requests == 0 {
+		requests, length = p.timing.WarmAfter, p.timing.WarmTime
 	}
-	return limit
+	return t.owned.completions >= requests && turn.Now-t.owned.rampSince >= length
 }
 
 // evidence takes a report of the present instance measured at or after since.
@@ -147,11 +161,10 @@
 	}
 }
 
-// rise makes a target warm that has completed its ramp-up.
+// rise makes a target warm whose limit has risen to its full one.
 func (p *Permitter) rise(turn mulberrybeam.Turn, t *target) []mulberrybeam.Action {
 	o := t.owned
-	if !o.proved || o.phase == mulberrybeam.PhaseWarm || o.completions < p.timing.WarmAfter ||
-		turn.Now-o.rampSince < p.timing.WarmTime {
+	if !o.proved || o.phase == mulberrybeam.PhaseWarm || !p.warmedUp(turn, t) || p.limit(t) < t.fullLimit() {
 		return nil
 	}
 	o.phase = mulberrybeam.PhaseWarm
--- a/process/permitter/permit.go
+++ b/process/permitter/permit.go
@@ -88,6 +88,10 @@
 	return mulberrybeam.AskPermitReply{Reason: reason, RetryAfter: p.timing.Retry}
 }
 
+// slowFactor is how much later than expected a first token may come before it
+// counts as a sign of a cold target.
+const slowFactor = 2
+
 // release takes a permit back. It counts even while the right has lapsed,
 // since the right may come back in the same epoch.
 func (p *Permitter) release(turn mulberrybeam.Turn, release mulberrybeam.ReleasePermit) []mulberrybeam.Action {
@@ -107,15 +111,27 @@
 	case o.phase == mulberrybeam.PhaseWarm:
 		return nil
 	case !release.Completed:
-		o.completions, o.rampSince = 0, turn.Now
+		o.completions, o.ramped, o.rampSince = 0, 0, turn.Now
 		return nil
-	case p.limits.FirstTokenTarget > 0 && release.FirstToken > p.limits.FirstTokenTarget:
+	case p.slow(release):
 		// Slow completions show no warmth, but no failure either.
 		return nil
+	case p.warmedUp(turn, t):
+		o.ramped++
+	default:
+		o.completions++
 	}
-	o.completions++
 	if !p.owns(turn.Now, t) {
 		return nil
 	}
 	return p.rise(turn, t)
 }
+
+// slow says whether a first token came late for its prompt. A long prompt may
+// take more than the environment's target on a warm engine too.
+func (p *Permitter) slow(release mulberrybeam.ReleasePermit) bool {
+	if p.limits.FirstTokenTarget == 0 {
+		return false
+	}
+	return release.FirstToken > max(p.limits.FirstTokenTarget, slowFactor*release.Expected)
+}
--- a/process/permitter/permitter_test.go
+++ b/process/permitter/permitter_test.go
@@ -126,13 +126,19 @@
 	for _, step := range []struct {
 		release mulberrybeam.ReleasePermit
 		granted int
-	}{{done, 2}, {slow, 2}, {done, 2}, {done, 4}, {mulberrybeam.ReleasePermit{}, 8}, {done, 2}, {done, 2}, {done, 4}, {done, 8}} {
+	}{{done, 2}, {slow, 2}, {done, 2}, {mulberrybeam.ReleasePermit{}, 2}} {
 		is.Equal(run(100*time.Millisecond, step.release), step.granted)
 	}
-	is.Equal(b.phase(), mulberrybeam.PhaseCold) // 16 completions, but not 2 s
+	for range 10 { // 16 completions and more, but not 2 s
+		is.Equal(run(100*time.Millisecond, done), 2)
+	}
 	b.now += 2 * time.Second
 	b.report("t0", "i1", 0)
-	is.Equal(b.phase(), mulberrybeam.PhaseWarm)
+	for _, granted := range []int{2, 2, 4, 8} {
+		is.Equal(b.phase(), mulberrybeam.PhaseCold)
+		is.Equal(run(100*time.Millisecond, done), granted)
+	}
+	is.Equal(b.phase(), mulberrybeam.PhaseWarm) // the limit has risen to 32
 	is.True(b.ask(askT0).Warm)
 	restarted := askT0
 	restarted.Instance = "i2"
--- a/process/permitter/permittertest/world.go
+++ b/process/permitter/permittertest/world.go
@@ -52,13 +52,13 @@
 	return mulberrybeam.InstanceID(fmt.Sprintf("%s#%d", f.id, f.restarts))
 }
 
-// limit is what the present instance can bear. Permits do not bound the load
-// of a warm one.
+// limit is what the present instance can bear: its cold limit until the
+// warm-up has ended, and any load after it.
 func (f *Target) limit(now time.Duration) int {
 	if f.completed >= 16 && now-f.startedAt >= 2*time.Second {
 		return math.MaxInt
 	}
-	return min(coldLimit<<(f.completed/4), warmLimit)
+	return coldLimit
 }
 
 // World is a fleet with targets, traffic and the checks of its history.
--- a/process/permitter/timing.go
+++ b/process/permitter/timing.go
@@ -11,9 +11,9 @@
 	Transit time.Duration
 	// DriftShare is the part by which another process's clock may be off.
 	DriftShare float64
-	// DoublingAfter is the number of completions after which the limit
-	// doubles, WarmAfter the number after which a target is warm when
-	// WarmTime has passed too.
+	// WarmAfter and WarmTime are the warm-up of targets that declare none.
+	// DoublingAfter is the number of completions after it after which the
+	// limit doubles.
 	DoublingAfter int
 	WarmAfter     int
 	WarmTime      time.Duration
--- a/request/forwarder/attempt.go
+++ b/request/forwarder/attempt.go
@@ -252,6 +252,7 @@
 	release := mulberrybeam.ReleasePermit{
 		From: f.Snapshot().Self, Target: a.target.ID, Permit: a.permit.number, Epoch: a.permit.epoch,
 		Completed: completed, Crashed: crashed, FirstToken: a.firstToken,
+		Expected: a.route.FirstToken,
 	}
 	f.later(ctx, func(ctx context.Context) { f.Permits.Release(ctx, a.target.ID, release) })
 }
--- a/target.go
+++ b/target.go
@@ -32,6 +32,8 @@
 	Service       ServiceName
 	ColdLimit     int
 	WarmLimit     int
+	WarmRequests  int
+	WarmTime      time.Duration
 	ChecksFencing bool
 	// PrefillRate is in prompt tokens per second.
 	PrefillRate float64
--- a/version/compiler/compiler.go
+++ b/version/compiler/compiler.go
@@ -77,6 +77,8 @@
 				Models:        group.Models,
 				ColdLimit:     group.ColdLimit,
 				WarmLimit:     group.WarmLimit,
+				WarmRequests:  group.WarmRequests,
+				WarmTime:      group.WarmTime,
 				ChecksFencing: group.ChecksFencing,
 				PrefillRate:   group.PrefillRate,
 			})
@@ -88,14 +90,16 @@
 	for _, group := range tables.Environment.ServiceGroups {
 		for _, address := range group.Targets {
 			add(tables, mulberrybeam.Target{
-				ID:        address.ID,
-				Kind:      mulberrybeam.KindService,
-				Group:     group.Name,
-				Zone:      group.Zone,
-				Address:   address.Address,
-				Service:   group.Service,
-				ColdLimit: group.ColdLimit,
-				WarmLimit: group.WarmLimit,
+				ID:           address.ID,
+				Kind:         mulberrybeam.KindService,
+				Group:        group.Name,
+				Zone:         group.Zone,
+				Address:      address.Address,
+				Service:      group.Service,
+				ColdLimit:    group.ColdLimit,
+				WarmLimit:    group.WarmLimit,
+				WarmRequests: group.WarmRequests,
+				WarmTime:     group.WarmTime,
 			})
 		}
 	}
--- a/version/parser/check.go
+++ b/version/parser/check.go
@@ -110,7 +110,7 @@
 			c.require(c.models[model], fmt.Sprintf("%s.models[%d]", path, j), "the name of a model")
 		}
 		c.require(group.PrefillRate > 0, path+".prefill-rate", "a number above 0")
-		c.checkColdLimits(path, group.ColdLimit, group.WarmLimit)
+		c.checkColdLimits(path, group.ColdLimit, group.WarmLimit, group.WarmRequests)
 		c.checkTargets(path, group.Targets)
 	}
 }
@@ -121,12 +121,13 @@
 		c.checkName(path+".name", group.Name)
 		c.require(c.zones[group.Zone], path+".zone", "the name of a zone")
 		c.require(c.services[group.Service], path+".service", "the name of a service")
-		c.checkColdLimits(path, group.ColdLimit, group.WarmLimit)
+		c.checkColdLimits(path, group.ColdLimit, group.WarmLimit, group.WarmRequests)
 		c.checkTargets(path, group.Targets)
 	}
 }
 
-func (c *checker) checkColdLimits(path string, cold, warm int) {
+func (c *checker) checkColdLimits(path string, cold, warm, requests int) {
+	c.require(requests > 0, path+".warm-requests", "a whole number from 1")
 	c.require(cold > 0, path+".cold-limit", "a whole number from 1")
 	c.require(warm >= cold, path+".warm-limit", "a whole number from cold-limit")
 }
--- a/version/parser/parser.go
+++ b/version/parser/parser.go
@@ -14,6 +14,8 @@
 	defaultSlots                = 3
 	defaultColdLimit            = 2
 	defaultWarmLimit            = 16
+	defaultWarmRequests         = 16
+	defaultWarmTime             = 2 * time.Second
 	defaultMaxTokens            = 1024
 	defaultCallTimeout          = 10 * time.Second
 	defaultWeight               = 1
@@ -75,12 +77,16 @@
 		group := &environment.EngineGroups[i]
 		setDefault(&group.ColdLimit, defaultColdLimit)
 		setDefault(&group.WarmLimit, defaultWarmLimit)
+		setDefault(&group.WarmRequests, defaultWarmRequests)
+		setDefault(&group.WarmTime, defaultWarmTime)
 		setDefault(&group.PrefillRate, defaultPrefillRate)
 	}
 	for i := range environment.ServiceGroups {
 		group := &environment.ServiceGroups[i]
 		setDefault(&group.ColdLimit, defaultColdLimit)
 		setDefault(&group.WarmLimit, defaultWarmLimit)
+		setDefault(&group.WarmRequests, defaultWarmRequests)
+		setDefault(&group.WarmTime, defaultWarmTime)
 	}
 	for i := range environment.Stores {
 		setDefault(&environment.Stores[i].LinkRate, defaultLinkRate)
