Give the rendezvous pair credit and let beliefs age

A host's index knows only its own sends and the events of the targets that it observes. Without credit for the pair the estimating policy spread contexts over the fleet, and trusted blocks that were removed long ago. The index now learns from removals how long blocks stay, and the pair is preferred until its queue outweighs the context.

--- a/process/indexer/entry.go
+++ b/process/indexer/entry.go
@@ -1,19 +1,23 @@
 package indexer
 
-import "mulberrybeam"
+import (
+	"time"
+
+	"mulberrybeam"
+)
 
 // find returns the place of a tenure among the holders, or -1.
 func (e *entry) find(tenure uint32) int {
 	for i, holder := range e.holders {
-		if holder == tenure {
+		if holder.tenure == tenure {
 			return i
 		}
 	}
 	return -1
 }
 
-// add notes that a tenure holds a block and makes the block the newest.
-func (x *Indexer) add(key mulberrybeam.BlockKey, tenure uint32) {
+// add notes that a target holds a block and makes the block the newest.
+func (x *Indexer) add(key mulberrybeam.BlockKey, by holder) {
 	at, found := x.blocks[key]
 	if found {
 		x.unlink(at)
@@ -24,27 +28,28 @@
 	}
 	x.linkNewest(at)
 	e := &x.entries[at]
-	place := e.find(tenure)
+	place := e.find(by.tenure)
 	if place < 0 {
 		place = x.leastUseful(e)
 	}
 	copy(e.holders[1:place+1], e.holders[:place])
-	e.holders[0] = tenure
+	e.holders[0] = by
 }
 
 // leastUseful returns the place of a holder whose tenure has ended, or else
 // the last, which was noted longest ago.
 func (x *Indexer) leastUseful(e *entry) int {
 	for i, holder := range e.holders {
-		if _, valid := x.targets[holder]; !valid {
+		if _, valid := x.targets[holder.tenure]; !valid {
 			return i
 		}
 	}
 	return MaxHolders - 1
 }
 
-// remove notes that a tenure no longer holds a block.
-func (x *Indexer) remove(key mulberrybeam.BlockKey, tenure uint32) {
+// remove notes that a tenure no longer holds a block, and learns from it how
+// long blocks stay.
+func (x *Indexer) remove(key mulberrybeam.BlockKey, tenure uint32, now time.Duration) {
 	at, found := x.blocks[key]
 	if !found {
 		return
@@ -54,9 +59,14 @@
 	if place < 0 {
 		return
 	}
+	stayed := max(time.Second, age(now, e.holders[place]))
+	if x.residence == 0 {
+		x.residence = stayed
+	}
+	x.residence += time.Duration(residenceWeight * float64(stayed-x.residence))
 	copy(e.holders[place:], e.holders[place+1:])
-	e.holders[MaxHolders-1] = none
-	if e.holders[0] == none {
+	e.holders[MaxHolders-1] = holder{tenure: none}
+	if e.holders[0].tenure == none {
 		x.release(at)
 	}
 }
@@ -75,7 +85,7 @@
 		x.free = x.entries[at].older
 	}
 	for i := range x.entries[at].holders {
-		x.entries[at].holders[i] = none
+		x.entries[at].holders[i] = holder{tenure: none}
 	}
 	return at
 }
--- a/process/indexer/indexer.go
+++ b/process/indexer/indexer.go
@@ -2,12 +2,15 @@
 // targets to hold, from its own sends and from the targets' cache events.
 //
 // A wrong belief costs an estimate, never correctness: the engine looks the
-// keys up in its own cache. The index is shared between traffic goroutines
+// keys up in its own cache. Since a process gets the events of only the targets
+// that it observes, it learns from them how long blocks stay in a cache, and
+// counts older beliefs of any target as gone. The index is shared between traffic goroutines
 // and the goroutines that fetch cache events; control code must not call it.
 package indexer
 
 import (
 	"sync"
+	"time"
 
 	"mulberrybeam"
 )
@@ -19,7 +22,10 @@
 	// MaxHolders is the number of targets remembered for a block. A prefix
 	// that all prompts of a workspace share spreads over more targets; the
 	// latest ones are kept.
-	MaxHolders = 8
+	MaxHolders = 4
+	// residenceWeight is the weight of one removed block in the average
+	// residence, so that a few hundred removals follow a change of load.
+	residenceWeight = 1.0 / 128
 )
 
 // none ends the lists of entries, and no target has it as tenure.
@@ -39,13 +45,23 @@
 	// targets finds the target of a tenure that is still valid.
 	targets    map[uint32]mulberrybeam.TargetID
 	nextTenure uint32
+	// residence is the average time from the last known use of a block to
+	// its removal, 0 before the first removal.
+	residence time.Duration
+}
+
+// holder is a target that holds a block.
+type holder struct {
+	tenure uint32
+	// since is the last known use, in seconds of the process's time.
+	since uint32
 }
 
 // entry is one block. newer and older link the entries by recency; free
 // entries are linked by older.
 type entry struct {
 	key     mulberrybeam.BlockKey
-	holders [MaxHolders]uint32
+	holders [MaxHolders]holder
 	newer   uint32
 	older   uint32
 }
@@ -85,8 +101,9 @@
 }
 
 // Sent notes that a target has computed or imported the context of keys. The
-// instance is the one that answered, or empty when it is not known.
-func (x *Indexer) Sent(target mulberrybeam.TargetID, instance mulberrybeam.InstanceID, keys []mulberrybeam.BlockKey) {
+// instance is the one that answered, or empty when it is not known. Times are
+// monotonic since process start.
+func (x *Indexer) Sent(now time.Duration, target mulberrybeam.TargetID, instance mulberrybeam.InstanceID, keys []mulberrybeam.BlockKey) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	known := x.belief(target)
@@ -96,14 +113,14 @@
 	// The first block becomes the most recent, so that the end of a context
 	// leaves the index before its beginning, without which it is useless.
 	for i := len(keys) - 1; i >= 0; i-- {
-		x.add(keys[i], known.tenure)
+		x.add(keys[i], holder{known.tenure, seconds(now)})
 	}
 }
 
 // Apply takes one cache event. A gap in the sequence or a new instance drops
 // what was believed of the target; an event that is a duplicate, late, or of
 // the instance before is ignored.
-func (x *Indexer) Apply(event mulberrybeam.CacheEvent) {
+func (x *Indexer) Apply(now time.Duration, event mulberrybeam.CacheEvent) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	known := x.belief(event.Target)
@@ -115,10 +132,10 @@
 	}
 	known.sequence = event.Sequence
 	for _, key := range event.Removed {
-		x.remove(key, known.tenure)
+		x.remove(key, known.tenure, now)
 	}
 	for i := len(event.Stored) - 1; i >= 0; i-- {
-		x.add(event.Stored[i], known.tenure)
+		x.add(event.Stored[i], holder{known.tenure, seconds(now)})
 	}
 }
 
@@ -143,7 +160,7 @@
 }
 
 // CachedBlocks counts the leading keys that a target is believed to hold.
-func (x *Indexer) CachedBlocks(target mulberrybeam.TargetID, keys []mulberrybeam.BlockKey) int {
+func (x *Indexer) CachedBlocks(now time.Duration, target mulberrybeam.TargetID, keys []mulberrybeam.BlockKey) int {
 	x.mutex.RLock()
 	defer x.mutex.RUnlock()
 	known := x.beliefs[target]
@@ -152,7 +169,11 @@
 	}
 	for i, key := range keys {
 		at, found := x.blocks[key]
-		if !found || x.entries[at].find(known.tenure) < 0 {
+		if !found {
+			return i
+		}
+		place := x.entries[at].find(known.tenure)
+		if place < 0 || !x.trusted(now, x.entries[at].holders[place]) {
 			return i
 		}
 	}
@@ -161,7 +182,7 @@
 
 // Holders returns up to MaxHolders targets that are believed to hold the
 // longest part of keys that any target holds, the latest first.
-func (x *Indexer) Holders(keys []mulberrybeam.BlockKey) []mulberrybeam.TargetID {
+func (x *Indexer) Holders(now time.Duration, keys []mulberrybeam.BlockKey) []mulberrybeam.TargetID {
 	x.mutex.RLock()
 	defer x.mutex.RUnlock()
 	for i := len(keys) - 1; i >= 0; i-- {
@@ -170,8 +191,8 @@
 			continue
 		}
 		var holders []mulberrybeam.TargetID
-		for _, tenure := range x.entries[at].holders {
-			if target, valid := x.targets[tenure]; valid {
+		for _, holder := range x.entries[at].holders {
+			if target, valid := x.targets[holder.tenure]; valid && x.trusted(now, holder) {
 				holders = append(holders, target)
 			}
 		}
@@ -189,6 +210,14 @@
 	return len(x.blocks)
 }
 
+// Residence returns the average time from the last known use of a block to its
+// removal, or 0 before the first removal.
+func (x *Indexer) Residence() time.Duration {
+	x.mutex.RLock()
+	defer x.mutex.RUnlock()
+	return x.residence
+}
+
 // Sequence returns the sequence number of the last event applied for a
 // target, to ask for the ones after it.
 func (x *Indexer) Sequence(target mulberrybeam.TargetID) uint64 {
@@ -200,6 +229,19 @@
 	return 0
 }
 
+// trusted says whether a block is probably still there.
+func (x *Indexer) trusted(now time.Duration, h holder) bool {
+	return x.residence == 0 || age(now, h) <= x.residence
+}
+
+func age(now time.Duration, h holder) time.Duration {
+	return now - time.Duration(h.since)*time.Second
+}
+
+func seconds(now time.Duration) uint32 {
+	return uint32(now / time.Second)
+}
+
 func (x *Indexer) belief(target mulberrybeam.TargetID) *belief {
 	known := x.beliefs[target]
 	if known == nil {
--- a/request/router/estimate.go
+++ b/request/router/estimate.go
@@ -42,26 +42,44 @@
 // requests out until the next report would send all of them to one target.
 func (s *search) load(c *candidate) float64 {
 	weight := s.weight(c)
-	return weight*s.reported(c) + (1-weight)*s.meanReported + float64(c.own)
+	return weight*s.reported(c) + (1-weight)*s.meanReported + s.OwnWeight*float64(c.own)
 }
 
 // estimate fills the candidate's route and keeps the best candidate.
 func (s *search) estimate(c *candidate) {
 	c.route = mulberrybeam.Route{Target: c.target.ID, NeedsPermit: c.cold, Reason: c.reason, Source: mulberrybeam.SourceRecompute}
 	load := s.load(c)
-	total := s.distance(c.target.Zone)
+	total := s.distance(c.target.Zone) + s.penalty(c)
 	if c.target.Kind == mulberrybeam.KindService {
 		total += time.Duration(load * float64(s.ServiceTime))
 	} else {
-		total += s.prefill(c, load*s.QueueTokens) + s.context(c)
+		context := s.context(c)
+		total += s.prefill(c, load*s.QueueTokens) + context
+		c.rank = -s.credit(c, context)
 	}
-	total += s.penalty(c)
 	c.route.FirstToken = total
-	if !s.chosen || total < s.best.route.FirstToken {
+	c.rank += total
+	if !s.chosen || c.rank < s.best.rank {
 		s.best, s.chosen = *c, true
 	}
 }
 
+// credit is what a member of the rendezvous pair is expected to save: with the
+// probability of the setting it holds all whole blocks of the prompt.
+func (s *search) credit(c *candidate, context time.Duration) time.Duration {
+	probability := s.FirstHolds
+	switch c.target.ID {
+	case s.pairFirst:
+	case s.pairSecond:
+		probability = s.SecondHolds
+	default:
+		return 0
+	}
+	rest := s.query.Request.PromptTokens - len(s.query.Request.Keys)*keyer.BlockTokens
+	saved := context - s.prefill(c, float64(max(0, rest)))
+	return time.Duration(probability * float64(max(0, saved)))
+}
+
 // penalty sums up what speaks against a candidate besides its load.
 func (s *search) penalty(c *candidate) time.Duration {
 	var sum time.Duration
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -26,10 +26,12 @@
 	HalfLife time.Duration
 	// QueueTokens is the prefill that one request ahead stands for.
 	QueueTokens float64
-	// RunningWeight is the part of a request ahead that a running one
-	// counts for. It has mostly finished its prefill and only shares the
-	// batch.
+	// RunningWeight and OwnWeight are the parts of a request ahead that a
+	// reported running one and an own one in flight count for. Running ones
+	// have finished their prefill and only share the batch; own ones may
+	// still wait for it.
 	RunningWeight float64
+	OwnWeight     float64
 	// PrefillRate is used for engines that declare none, in tokens/s.
 	PrefillRate float64
 	// ServiceTime is the time that one call ahead takes a plain service.
@@ -45,6 +47,12 @@
 	// MinLinkShare is the part of a link's rate that one more import gets
 	// at least, however many others use the link.
 	MinLinkShare float64
+	// FirstHolds and SecondHolds are the probabilities that a member of the
+	// rendezvous pair holds a prompt's context although the index does not
+	// know it. All entry hosts prefer the same pair, but a host's index has
+	// only its own sends and the events of the targets it observes.
+	FirstHolds  float64
+	SecondHolds float64
 	// ColdPenalty is added for a cold target, and again for each ColdLimit
 	// of own requests in flight there.
 	ColdPenalty time.Duration
@@ -69,7 +77,7 @@
 		Probes:          32, // today's deployments have fewer engines of a model
 		HalfLife:        2 * time.Second,
 		QueueTokens:     512,
-		RunningWeight:   0.25,
+		RunningWeight:   0.1,
 		PrefillRate:     5000,
 		ServiceTime:     20 * time.Millisecond,
 		ZoneDelay:       time.Millisecond,
@@ -77,6 +85,9 @@
 		MemoryDelay:     time.Millisecond,
 		DiskDelay:       10 * time.Millisecond,
 		MinLinkShare:    0.1,
+		FirstHolds:      0.5,
+		SecondHolds:     0.25,
+		OwnWeight:       0.25,
 		ColdPenalty:     250 * time.Millisecond,
 		ColdShare:       1.0 / 16,
 		VersionPenalty:  500 * time.Millisecond, // an engine loads weights in less
@@ -111,6 +122,18 @@
 	return func(s *Settings) { s.QueueTokens = tokens }
 }
 
+// WithPairHolds sets the probabilities that the first and the second of a
+// prompt's rendezvous pair hold its context.
+func WithPairHolds(first, second float64) Option {
+	return func(s *Settings) { s.FirstHolds, s.SecondHolds = first, second }
+}
+
+// WithQueueWeights sets the parts of a request ahead that a running one and an
+// own one count for.
+func WithQueueWeights(running, own float64) Option {
+	return func(s *Settings) { s.RunningWeight, s.OwnWeight = running, own }
+}
+
 // WithColdPenalty sets the penalty of cold targets and the part of requests
 // for which it is waived.
 func WithColdPenalty(penalty time.Duration, waived float64) Option {
@@ -171,9 +194,9 @@
 		for _, holder := range holders[:min(len(holders), maxHolders)] {
 			s.add(holder, "holds the prefix")
 		}
-		first, second := r.pair(s.tables, query.Request)
-		s.add(first, "first of the context's pair")
-		s.add(second, "second of the context's pair")
+		s.pairFirst, s.pairSecond = r.pair(s.tables, query.Request)
+		s.add(s.pairFirst, "first of the context's pair")
+		s.add(s.pairSecond, "second of the context's pair")
 	}
 	steps := newWalk(turn.Rand, len(s.targets))
 	for range r.Choices {
--- a/request/router/search.go
+++ b/request/router/search.go
@@ -21,7 +21,10 @@
 	cold      bool
 	reason    string
 	penalized bool
-	route     mulberrybeam.Route
+	// rank orders candidates: the estimate less the credit for what the
+	// target probably holds.
+	rank  time.Duration
+	route mulberrybeam.Route
 }
 
 // search is the state of one Pick.
@@ -41,6 +44,9 @@
 	chosen bool
 	// meanReported is the load that is assumed where reports are too old.
 	meanReported float64
+	// pairFirst and pairSecond are the rendezvous pair, empty in policies
+	// that give no credit to it.
+	pairFirst, pairSecond mulberrybeam.TargetID
 	// waiveCold says that cold targets get no penalty this time.
 	waiveCold bool
 }
