Make the tests of keys, budget and router catch seeded faults

Keys of prompts below one block hid a broken chain, and the wrong retry share, the report of an earlier instance and a holder of the wrong kind went unnoticed.

--- a/request/keyer/keyer_test.go
+++ b/request/keyer/keyer_test.go
@@ -1,6 +1,7 @@
 package keyer_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -21,15 +22,36 @@
 	return k
 }
 
-func drawScope(t *rapid.T, label string) keyer.Scope {
-	// A small alphabet makes fields that differ only in where they end.
+// drawScope draws some of the fields anew, so that two scopes often differ in
+// a single one.
+func drawScope(t *rapid.T, scope keyer.Scope, label string) keyer.Scope {
 	name := rapid.StringMatching(`[ab]{0,3}`)
-	return keyer.Scope{
-		Environment: mulberrybeam.EnvironmentName(name.Draw(t, label+" environment")),
-		Workspace:   mulberrybeam.WorkspaceName(name.Draw(t, label+" workspace")),
-		Model:       mulberrybeam.ModelName(name.Draw(t, label+" model")),
-		Version:     mulberrybeam.WeightVersion(name.Draw(t, label+" version")),
+	switch rapid.IntRange(0, 6).Draw(t, label+" field") {
+	case 0:
+		scope.Environment = mulberrybeam.EnvironmentName(name.Draw(t, label))
+	case 1:
+		scope.Workspace = mulberrybeam.WorkspaceName(name.Draw(t, label))
+	case 2:
+		scope.Model = mulberrybeam.ModelName(name.Draw(t, label))
+	case 3:
+		scope.Version = mulberrybeam.WeightVersion(name.Draw(t, label))
+	case 4: // the same bytes, cut elsewhere
+		both := string(scope.Workspace) + string(scope.Model)
+		cut := rapid.IntRange(0, len(both)).Draw(t, label+" cut")
+		scope.Workspace, scope.Model = mulberrybeam.WorkspaceName(both[:cut]), mulberrybeam.ModelName(both[cut:])
+	case 5:
+		return drawScope(t, drawScope(t, scope, label), label)
 	}
+	return scope
+}
+
+// drawPrompt draws a prompt of up to 3 whole blocks and a part of one. Drawing
+// it byte by byte would hardly ever fill a block.
+func drawPrompt(t *rapid.T, label string) []byte {
+	length := rapid.IntRange(0, 3).Draw(t, label+" blocks")*keyer.BlockBytes + rapid.IntRange(0, keyer.BlockBytes-1).Draw(t, label+" rest")
+	prompt := make([]byte, length)
+	_, _ = rand.NewChaCha8([32]byte{rapid.Byte().Draw(t, label+" seed")}).Read(prompt)
+	return prompt
 }
 
 // Guards against context of one workspace, model, weight version or
@@ -37,8 +59,9 @@
 func TestAnotherScopeNeverMatches(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		k := newKeyer(t)
-		one, other := drawScope(t, "one"), drawScope(t, "other")
-		prompt := rapid.SliceOfN(rapid.Byte(), 0, 4*keyer.BlockBytes).Draw(t, "prompt")
+		one := drawScope(t, keyer.Scope{Workspace: "ab", Model: "ba"}, "one")
+		other := drawScope(t, one, "other")
+		prompt := drawPrompt(t, "prompt")
 		seen := map[mulberrybeam.BlockKey]bool{}
 		for _, key := range k.Keys(one, prompt) {
 			seen[key] = true
@@ -62,9 +85,9 @@
 func TestPromptsShareTheKeysOfTheirCommonWholeBlocks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		k := newKeyer(t)
-		scope := drawScope(t, "scope")
-		common := rapid.SliceOfN(rapid.Byte(), 0, 3*keyer.BlockBytes).Draw(t, "common")
-		tail := rapid.SliceOfN(rapid.Byte(), 0, 3*keyer.BlockBytes).Draw(t, "tail")
+		scope := drawScope(t, keyer.Scope{}, "scope")
+		common := drawPrompt(t, "common")
+		tail := drawPrompt(t, "tail")
 		short := k.Keys(scope, common)
 		long := k.Keys(scope, slices.Concat(common, tail))
 		changed := slices.Concat(common, tail)
--- a/request/retrier/retrier_test.go
+++ b/request/retrier/retrier_test.go
@@ -72,41 +72,51 @@
 	}
 }
 
-// Guards against retries that multiply an overload, and against a process with
-// little traffic that may not retry: whatever the arrivals, retries stay below
-// the share of requests and the floor, and three a second are always allowed.
+// fail sends requests at an even rate, each of which fails a number of times,
+// and returns the retries granted and the budget.
+func fail(budget retrier.Budget, from time.Duration, requests int, gap time.Duration, failures int) (retries float64, after retrier.Budget) {
+	request := &mulberrybeam.Request{Repeatable: true, Deadline: time.Hour}
+	for i := range requests {
+		now := from + time.Duration(i)*gap
+		budget = budget.Count(now)
+		for range failures {
+			var decision retrier.Decision
+			decision, budget = retrier.Decide(turn(now), request, retrier.History{}, &mulberrybeam.Failure{Code: mulberrybeam.CodeOverloaded}, budget)
+			if decision.Retry {
+				retries++
+			}
+		}
+	}
+	return retries, budget
+}
+
+// Guards against retries that multiply an overload: whatever the arrivals, the
+// retries of a process stay below the share of its requests and the floor.
 func TestBudgetBoundsRetries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		budget, now := retrier.NewBudget(0), time.Duration(0)
-		requests, retries, peak := 0.0, 0.0, 0.0
-		request := &mulberrybeam.Request{Repeatable: true, Deadline: time.Hour}
+		total, retries, peak := 0, 0.0, 0.0
 		for range rapid.IntRange(1, 20).Draw(t, "phases") {
-			gap := time.Duration(rapid.IntRange(1, 500).Draw(t, "gap in ms")) * time.Millisecond
-			tries := rapid.IntRange(0, 3).Draw(t, "failures of each request")
-			for range rapid.IntRange(1, 100).Draw(t, "requests") {
-				now += gap
-				budget = budget.Count(now)
-				requests++
-				peak = max(peak, budget.PerSecond())
-				for range tries {
-					var decision retrier.Decision
-					decision, budget = retrier.Decide(turn(now), request, retrier.History{}, &mulberrybeam.Failure{Code: mulberrybeam.CodeOverloaded}, budget)
-					if decision.Retry {
-						retries++
-					}
-				}
-			}
+			requests, gap := rapid.IntRange(1, 100).Draw(t, "requests"), time.Duration(rapid.IntRange(1, 500).Draw(t, "gap in ms"))*time.Millisecond
+			granted, after := fail(budget, now, requests, gap, rapid.IntRange(0, 3).Draw(t, "failures of each"))
+			now += time.Duration(requests) * gap
+			budget, retries, total, peak = after, retries+granted, total+requests, max(peak, after.PerSecond())
 		}
-		if limit := retrier.BudgetFloor*now.Seconds() + retrier.BudgetShare*requests + peak; retries > limit {
-			t.Fatalf("%.0f retries of %.0f requests in %v, at most %.1f", retries, requests, now, limit)
+		if limit := retrier.BudgetFloor*now.Seconds() + retrier.BudgetShare*float64(total) + peak; retries > limit {
+			t.Fatalf("%.0f retries of %d requests in %v, at most %.1f", retries, total, now, limit)
 		}
 	})
-	budget := retrier.NewBudget(0)
-	for i := range 30 {
-		decision, after := retrier.Decide(turn(time.Duration(i)*time.Second/3), &mulberrybeam.Request{Repeatable: true, Deadline: time.Hour}, retrier.History{}, &mulberrybeam.Failure{Code: mulberrybeam.CodeOverloaded}, budget)
-		is.New(t).True(decision.Retry)
-		budget = after
-	}
+}
+
+// Guards against a share or a floor other than the stated ones. One second's
+// retries may be saved up.
+func TestBudgetGrantsATenthOrThreeASecond(t *testing.T) {
+	is := is.New(t)
+	retries, _ := fail(retrier.NewBudget(0), 0, 60*100, time.Second/100, 2) // for a minute
+	is.True(retries <= 600+10)
+	is.True(retries >= 600-2*100) // the average rate is reached within some 20 s
+	retries, _ = fail(retrier.NewBudget(0), 0, 60, time.Second, 5)
+	is.Equal(retries, 3.0*60)
 }
 
 func BenchmarkDecide(b *testing.B) {
--- a/request/router/router_test.go
+++ b/request/router/router_test.go
@@ -31,7 +31,7 @@
 		if query.Request.Service != "" {
 			list = f.tables.TargetsByService["orders"]
 		}
-		f.holders = []mulberrybeam.TargetID{"undeclared"}
+		f.holders = []mulberrybeam.TargetID{"undeclared", "e0", "s0"} // one of them is of the wrong kind
 		usable := map[mulberrybeam.TargetID]bool{}
 		for _, id := range list {
 			usable[id] = false
@@ -152,6 +152,12 @@
 	is.True(second != first)
 	f.report(second, 0, 2)
 	is.True(pick() != first && pick() != second)
+
+	f.report(first, 0, 1)
+	f.set(first, func(s *mulberrybeam.TargetState) { s.Phase = mulberrybeam.PhaseCold })
+	route, err := router.New(router.WithColdPenalty(0, 1)).Pick(turn(1, 0), f, prompt(10))
+	is.NoErr(err)
+	is.True(route.Target != first) // a cold target has lost its cache
 }
 
 // Guards against a target that draws all requests because its reports stopped.
@@ -167,6 +173,17 @@
 	is.Equal(route.FirstToken.Round(time.Millisecond), time.Duration((4*512+256)*time.Second/5000).Round(time.Millisecond))
 }
 
+// Guards against the report of an earlier instance as the load of a new one.
+func TestReportOfAnotherInstanceDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	f.report("e0", 0, 4)
+	f.set("e0", func(s *mulberrybeam.TargetState) { s.Instance = "2" })
+	route, err := router.New().Pick(turn(1, 0), f, prompt(1))
+	is.NoErr(err)
+	is.Equal(route.FirstToken, 256*time.Second/5000)
+}
+
 // Guards against cold targets that never turn warm for lack of load.
 func TestSomeRequestsGoToColdTargets(t *testing.T) {
 	f := newFleet(2)
