--- a/process/indexer/indexer.go
+++ b/process/indexer/indexer.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// DefaultBlocks bounds the blocks in the index. At the 108 bytes a block
-	// that BenchmarkEntry measured this is 28 MB.
+	// DefaultBlocks bounds the blocks in the index. At the 103 bytes a block
+	// that BenchmarkIndex measured this is 27 MB.
 	DefaultBlocks = 1 << 18
 	// MaxHolders is the number of targets remembered for a block. A prefix
 	// that all prompts of a workspace share spreads over more targets; the
