--- a/process/gossiper/roster.go
+++ b/process/gossiper/roster.go
@@ -164,6 +164,9 @@
 	g.changed = g.changed || row.State != existing.State || row.Revision != existing.Revision
 	existing.Heartbeat, existing.Revision, existing.risenAt = row.Heartbeat, row.Revision, g.turn.Now
 	existing.State = row.State
+	if row.CallerAddress != "" {
+		existing.CallerAddress = row.CallerAddress
+	}
 	return true
 }
 
