--- a/version/swapper/swapper.go
+++ b/version/swapper/swapper.go
@@ -10,33 +10,13 @@
 	"mulberrybeam"
 )
 
-// Send is the action that sends an order to an engine. Its result is a Sent
-// with the same ticket.
-type Send struct {
-	mulberrybeam.Action
-	Target mulberrybeam.Target
-	Order  mulberrybeam.Order
-	Ticket mulberrybeam.Ticket
-	// Until is the local monotonic time from which the order must no
-	// longer be sent, since the right may have gone to another process.
-	Until time.Duration
-	// Timeout bounds the order at the engine.
-	Timeout time.Duration
-}
-
-// Sent is the result of a Send.
-type Sent struct {
-	mulberrybeam.Event
-	Ticket mulberrybeam.Ticket
-	Err    error
-}
-
 // Timing has the durations and bounds of a swap.
 type Timing struct {
 	// Plan is the time between two decisions.
 	Plan time.Duration
-	// Order bounds one order. A new holder waits for it, since an order of
-	// the old one may still run.
+	// Order is the longest time of an order, as the controller bounds it.
+	// A new holder waits for it, since an order of the old one may still
+	// run.
 	Order time.Duration
 	// DriftShare is the part by which the old holder's clock may be off.
 	DriftShare float64
@@ -54,7 +34,7 @@
 // DefaultTiming returns the bounds of the design page.
 func DefaultTiming() Timing {
 	return Timing{
-		Plan: 500 * time.Millisecond, Order: 10 * time.Second, DriftShare: 0.05,
+		Plan: 500 * time.Millisecond, Order: 30 * time.Second, DriftShare: 0.05,
 		AtOnce: 2, Headroom: 0.8, Fresh: 3 * time.Second,
 		Retry: 5 * time.Second, RetryMost: time.Minute,
 	}
@@ -123,7 +103,7 @@
 		s.learnRight(turn, event.Right)
 	case mulberrybeam.FactChanged:
 		s.learnFact(turn, event.Fact)
-	case Sent:
+	case mulberrybeam.OrderDone:
 		return s.sent(turn, event)
 	case mulberrybeam.Tick:
 		if turn.Now >= s.planAt {
@@ -193,7 +173,7 @@
 }
 
 // sent takes the result of an order.
-func (s *Swapper) sent(turn mulberrybeam.Turn, event Sent) []mulberrybeam.Action {
+func (s *Swapper) sent(turn mulberrybeam.Turn, event mulberrybeam.OrderDone) []mulberrybeam.Action {
 	e := s.loads[event.Ticket]
 	if e == nil {
 		return nil
@@ -232,9 +212,7 @@
 		}
 		ticket := mulberrybeam.Ticket(turn.Rand.Uint64())
 		s.loads[ticket] = e
-		actions = append(actions, Send{
-			Target: e.declared, Order: e.sending, Ticket: ticket, Until: s.right.Until, Timeout: s.timing.Order,
-		})
+		actions = append(actions, mulberrybeam.SendOrder{Target: e.declared, Order: e.sending, Ticket: ticket})
 	}
 	return actions
 }
