Count no cached blocks of a target's earlier instance

Cause: only the process that polls a target drops its beliefs when the target restarts. The others took the prefix for cached and had the context recomputed instead of imported. Ruled out: exports (all contexts were in the stores) and permits (imports were not tried). The fake engine now crashes on a marked prompt only after its headers were sent; before, a contract test saw either of two codes.

--- a/interface.go
+++ b/interface.go
@@ -42,6 +42,17 @@
 	LinkUse(StoreID) float64
 }
 
+// PrefixIndex is what a process believes the prefix caches of targets to hold.
+// Beliefs age, so its methods take the local monotonic time.
+type PrefixIndex interface {
+	// Sent notes that an instance has computed or imported a context.
+	Sent(now time.Duration, target TargetID, instance InstanceID, keys []BlockKey)
+	// Describes says whether the beliefs are about this instance.
+	Describes(target TargetID, instance InstanceID) bool
+	CachedBlocks(now time.Duration, target TargetID, keys []BlockKey) int
+	Holders(now time.Duration, keys []BlockKey) []TargetID
+}
+
 // Picker is a routing policy.
 type Picker interface {
 	// Pick returns the best route, or a Failure with CodeNoTarget.
--- a/process/indexer/indexer.go
+++ b/process/indexer/indexer.go
@@ -159,6 +159,15 @@
 	}
 }
 
+// Describes says whether the beliefs about a target are about this instance.
+// Another process may have seen the target restart first.
+func (x *Indexer) Describes(target mulberrybeam.TargetID, instance mulberrybeam.InstanceID) bool {
+	x.mutex.RLock()
+	defer x.mutex.RUnlock()
+	known := x.beliefs[target]
+	return known != nil && known.instance == instance
+}
+
 // CachedBlocks counts the leading keys that a target is believed to hold.
 func (x *Indexer) CachedBlocks(now time.Duration, target mulberrybeam.TargetID, keys []mulberrybeam.BlockKey) int {
 	x.mutex.RLock()
--- a/process/indexer/indexer_test.go
+++ b/process/indexer/indexer_test.go
@@ -173,3 +173,14 @@
 		})
 	}
 }
+
+// Guards against routing to a restarted target for blocks that its earlier
+// instance held.
+func TestDescribesOnlyTheInstanceThatHeldTheBlocks(t *testing.T) {
+	is := is.New(t)
+	index := indexer.New()
+	is.True(!index.Describes("a", "i1"))
+	index.Sent(0, "a", "i1", chain(0, 2))
+	is.True(index.Describes("a", "i1"))
+	is.True(!index.Describes("a", "i2"))
+}
--- a/process/launcher/listen.go
+++ b/process/launcher/listen.go
@@ -113,7 +113,7 @@
 		return observed
 	}
 	for _, event := range events {
-		p.index.Apply(event)
+		p.index.Apply(p.now(), event)
 	}
 	return observed
 }
--- a/process/standin/engine/completion.go
+++ b/process/standin/engine/completion.go
@@ -115,7 +115,7 @@
 		salt: body.Context.Salt, keys: body.Context.Keys, version: body.Context.Version,
 		body: string(raw), prompt: prompt, priority: body.Priority,
 		tokens: length + len(body.Context.Generated),
-		next:   after + 1, last: uint64(tokens), out: make(chan uint64, tokens+1),
+		next:   after + 1, last: uint64(tokens), out: make(chan uint64, tokens+1), opened: make(chan struct{}),
 	}, true
 }
 
@@ -188,6 +188,7 @@
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, run *run, fault disturbance) {
 	flusher := http.NewResponseController(w)
 	_ = flusher.Flush()
+	close(run.opened)
 	sent := 0
 	for {
 		var sequence uint64
--- a/process/standin/engine/engine.go
+++ b/process/standin/engine/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net/http"
 	"strings"
 	"sync"
@@ -205,12 +206,27 @@
 		e.AddN("computed-tokens", r.left)
 		e.Raise("max-running", len(i.running))
 		if mark != "" && strings.Contains(r.body, mark) {
-			e.crash("marked-crashes")
-			return
+			r.left = math.MaxInt
+			go e.crashOnceOpen(i, r)
 		}
 	}
 }
 
+// crashOnceOpen crashes an instance after the headers of a run were sent, so
+// that the caller always sees a broken stream and not a missing answer.
+func (e *Engine) crashOnceOpen(i *instance, r *run) {
+	select {
+	case <-r.opened:
+	case <-i.ctx.Done():
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.instance == i {
+		e.crash("marked-crashes")
+	}
+}
+
 // finish ends a step, with the lock held.
 func (e *Engine) finish(i *instance) {
 	if i.ctx.Err() != nil {
--- a/process/standin/engine/instance.go
+++ b/process/standin/engine/instance.go
@@ -33,6 +33,8 @@
 	ready bool
 	// stored says that the prompt's blocks are in the cache.
 	stored bool
+	// opened is closed when the response headers have been sent.
+	opened chan struct{}
 }
 
 func (r *run) end() {
--- a/request/forwarder/attempt.go
+++ b/request/forwarder/attempt.go
@@ -98,7 +98,7 @@
 // limit towards the first choice is used up.
 func (f *Forwarder) pick(snapshot *mulberrybeam.Snapshot, r *run) (mulberrybeam.Route, error) {
 	turn := mulberrybeam.Turn{Now: f.Clock(), Wall: f.Wall(), Rand: r.random}
-	sees := view{Index: f.Index, snapshot: snapshot, flights: &f.flights}
+	sees := view{now: turn.Now, index: f.Index, snapshot: snapshot, flights: &f.flights}
 	query := mulberrybeam.RouteQuery{Request: r.request, Zone: snapshot.Zone, Tried: r.tried, Kept: r.kept}
 	first, err := f.Picker.Pick(turn, sees, query)
 	if err != nil || !f.gate.Full(snapshot.Tables.Targets[first.Target], f.InFlight(first.Target)) {
--- a/request/forwarder/context.go
+++ b/request/forwarder/context.go
@@ -219,7 +219,7 @@
 	if work.prefetch != nil {
 		reason := f.fetch(ctx, snapshot, work.request, work.target, work.store, *work.prefetch, mulberrybeam.PriorityPrefetch)
 		if reason == "" {
-			f.Index.Sent(work.target.ID, "", keys[:min(work.prefetch.Blocks, len(keys))])
+			f.Index.Sent(f.Clock(), work.target.ID, "", keys[:min(work.prefetch.Blocks, len(keys))])
 		}
 		return
 	}
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -37,14 +37,6 @@
 	measureInterval = time.Second
 )
 
-// Index is what is known of the prefix caches of targets.
-type Index interface {
-	// Sent notes that an instance has computed or imported a context.
-	Sent(target mulberrybeam.TargetID, instance mulberrybeam.InstanceID, keys []mulberrybeam.BlockKey)
-	CachedBlocks(target mulberrybeam.TargetID, keys []mulberrybeam.BlockKey) int
-	Holders(keys []mulberrybeam.BlockKey) []mulberrybeam.TargetID
-}
-
 // Settings are the dependencies of a Forwarder.
 type Settings struct {
 	// Snapshot returns the current snapshot.
@@ -52,7 +44,7 @@
 	// Post gives an event to control and never blocks.
 	Post     func(mulberrybeam.Event)
 	Picker   mulberrybeam.Picker
-	Index    Index
+	Index    mulberrybeam.PrefixIndex
 	Engines  mulberrybeam.EngineClient
 	Services mulberrybeam.ServiceClient
 	Stores   mulberrybeam.StoreClient
@@ -76,7 +68,7 @@
 
 // WithRouting sets the routing policy and the index of prefix caches, nil for
 // none.
-func WithRouting(picker mulberrybeam.Picker, index Index) Option {
+func WithRouting(picker mulberrybeam.Picker, index mulberrybeam.PrefixIndex) Option {
 	return func(s *Settings) {
 		s.Picker = picker
 		if index != nil {
--- a/request/forwarder/prompt.go
+++ b/request/forwarder/prompt.go
@@ -52,7 +52,7 @@
 	f.sawInstance(a, stream.Instance())
 	failure = f.versionOf(r, a, stream)
 	if failure == nil {
-		f.Index.Sent(a.target.ID, stream.Instance(), r.request.Keys)
+		f.Index.Sent(f.Clock(), a.target.ID, stream.Instance(), r.request.Keys)
 		failure = f.receive(r, a, state, stream, deliver)
 		r.history.LastSequence, r.history.Ended = state.Last, state.Complete
 	}
--- a/request/forwarder/view.go
+++ b/request/forwarder/view.go
@@ -4,6 +4,7 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"mulberrybeam"
 )
@@ -11,7 +12,8 @@
 // view is a snapshot with this process's own counts, as a routing policy sees
 // it.
 type view struct {
-	Index
+	now      time.Duration
+	index    mulberrybeam.PrefixIndex
 	snapshot *mulberrybeam.Snapshot
 	flights  *flights
 }
@@ -22,6 +24,17 @@
 	return v.snapshot.Targets[id]
 }
 
+func (v view) CachedBlocks(id mulberrybeam.TargetID, keys []mulberrybeam.BlockKey) int {
+	if instance := v.snapshot.Targets[id].Instance; instance != "" && !v.index.Describes(id, instance) {
+		return 0
+	}
+	return v.index.CachedBlocks(v.now, id, keys)
+}
+
+func (v view) Holders(keys []mulberrybeam.BlockKey) []mulberrybeam.TargetID {
+	return v.index.Holders(v.now, keys)
+}
+
 func (v view) InFlight(id mulberrybeam.TargetID) int { return v.flights.count(id) }
 
 func (v view) LinkUse(id mulberrybeam.StoreID) float64 { return v.snapshot.LinkUse[id] }
@@ -95,8 +108,13 @@
 
 type noIndex struct{}
 
-func (noIndex) Sent(mulberrybeam.TargetID, mulberrybeam.InstanceID, []mulberrybeam.BlockKey) {}
+func (noIndex) Sent(time.Duration, mulberrybeam.TargetID, mulberrybeam.InstanceID, []mulberrybeam.BlockKey) {
+}
+
+func (noIndex) Describes(mulberrybeam.TargetID, mulberrybeam.InstanceID) bool { return false }
 
-func (noIndex) CachedBlocks(mulberrybeam.TargetID, []mulberrybeam.BlockKey) int { return 0 }
+func (noIndex) CachedBlocks(time.Duration, mulberrybeam.TargetID, []mulberrybeam.BlockKey) int {
+	return 0
+}
 
-func (noIndex) Holders([]mulberrybeam.BlockKey) []mulberrybeam.TargetID { return nil }
+func (noIndex) Holders(time.Duration, []mulberrybeam.BlockKey) []mulberrybeam.TargetID { return nil }
