--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -121,12 +121,18 @@
 	return g.turn.Now-member.risenAt <= SuspectAfter && !member.superseded
 }
 
-// rowOf is the row of a member, by its short id unless whole is set or another
-// member shares it.
+// rowOf is the row of a member. Unless whole is set or another member shares
+// its short id, the row is short: it has the short id, and no revision if that
+// is the sender's. A member without a revision needs a whole row.
 func (g *Gossiper) rowOf(member *known, whole bool) mulberrybeam.Member {
 	list := row(member.Member, whole)
-	if !whole && g.members.byShort[member.short] == member.ID {
-		list.ID = member.short
+	ambiguous := g.members.byShort[member.short] != member.ID || member.Revision == 0 && g.self.Revision != 0
+	if whole || ambiguous {
+		return list
+	}
+	list.ID = member.short
+	if list.Revision == g.self.Revision {
+		list.Revision = 0
 	}
 	return list
 }
@@ -161,7 +167,7 @@
 		g.answerRemote(ticket, message)
 		return
 	}
-	message.Members = g.expand(message.Members)
+	message.Members = g.expand(message.Members, message.Revision)
 	g.mergeAll(message.Members, message.Relays)
 	g.sawRevision(message.From, message.Revision)
 	g.acceptAll(message.Facts, g.self.Zone)
@@ -207,7 +213,7 @@
 		g.failed(sent)
 		return
 	}
-	g.mergeAll(g.expand(reply.Members), reply.Relays)
+	g.mergeAll(g.expand(reply.Members, reply.Revision), reply.Relays)
 	g.sawRevision(sent.to, reply.Revision)
 	g.acceptAll(reply.Facts, sent.zone)
 	if sent.zone != g.self.Zone {
--- a/process/gossiper/roster.go
+++ b/process/gossiper/roster.go
@@ -110,13 +110,16 @@
 	return mulberrybeam.ProcessID(short)
 }
 
-// expand replaces the short ids of rows and leaves out the rows whose short id
-// is unknown or shared. Full comparisons carry whole ids.
-func (g *Gossiper) expand(rows []mulberrybeam.Member) []mulberrybeam.Member {
+// expand completes short rows and leaves out those whose short id is unknown
+// or shared. Full comparisons carry whole rows.
+func (g *Gossiper) expand(rows []mulberrybeam.Member, revision mulberrybeam.Revision) []mulberrybeam.Member {
 	expanded := make([]mulberrybeam.Member, 0, len(rows))
 	for _, row := range rows {
 		if strings.HasPrefix(string(row.ID), shortMark) {
 			row.ID = g.members.byShort[row.ID]
+			if row.Revision == 0 {
+				row.Revision = revision
+			}
 		}
 		if row.ID != "" {
 			expanded = append(expanded, row)
