--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -116,14 +116,15 @@
 	return list
 }
 
-// spreads says whether a member had a sign of life that others may lack.
+// spreads says whether a member had a sign of life that others may lack. What
+// this process heard before it was paused is old.
 func (g *Gossiper) spreads(member *known) bool {
-	return g.turn.Now-member.risenAt <= SuspectAfter && !member.superseded
+	return g.turn.Now-member.heardAt <= SuspectAfter && !member.superseded
 }
 
 // rowOf is the row of a member. Unless whole is set or another member shares
-// its short id, the row is short: it has the short id, and no revision if that
-// is the sender's. A member without a revision needs a whole row.
+// its short id, the row is short: it has the short id, the heartbeat within
+// its cycle, and no revision if that is the sender's. A member without a revision needs a whole row.
 func (g *Gossiper) rowOf(member *known, whole bool) mulberrybeam.Member {
 	list := row(member.Member, whole)
 	ambiguous := g.members.byShort[member.short] != member.ID || member.Revision == 0 && g.self.Revision != 0
@@ -131,6 +132,7 @@
 		return list
 	}
 	list.ID = member.short
+	list.Heartbeat = member.Heartbeat % heartbeatCycle
 	if list.Revision == g.self.Revision {
 		list.Revision = 0
 	}
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -147,11 +147,12 @@
 }
 
 // Guards against members that are suspected because of lost messages, clock
-// drift or a pause of the process that judges them.
+// drift, the end of a cycle of short heartbeats, or a pause of the process that
+// judges them.
 func TestNoFlapping(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	fleet, probes := newFleet(12)
+	fleet, probes := newFleet(12, gossiper.WithHeartbeat(1<<16-100))
 	fleet.SetDrift("z1h1", 0.05, time.Hour)
 	fleet.SetDrift("z1h2", -0.05, -time.Hour)
 	fleet.Start(controllertest.Hosts(3, 3)...)
--- a/process/gossiper/roster.go
+++ b/process/gossiper/roster.go
@@ -38,6 +38,8 @@
 	short mulberrybeam.ProcessID
 	// risenAt is when its heartbeat last rose, in local time.
 	risenAt time.Duration
+	// heardAt is risenAt without the time that was excused.
+	heardAt time.Duration
 	// sends is the number of exchanges that still carry the whole record.
 	sends int
 	// superseded says that a newer process runs on its host.
@@ -63,7 +65,7 @@
 }
 
 func (r *roster) add(member mulberrybeam.Member, now time.Duration) *known {
-	added := &known{Member: member, risenAt: now, sends: transmitBudget}
+	added := &known{Member: member, risenAt: now, heardAt: now, sends: transmitBudget}
 	r.insert(added)
 	return added
 }
@@ -120,6 +122,9 @@
 			if row.Revision == 0 {
 				row.Revision = revision
 			}
+			if member := g.members.byID[row.ID]; member != nil {
+				row.Heartbeat = nearest(row.Heartbeat, member.Heartbeat)
+			}
 		}
 		if row.ID != "" {
 			expanded = append(expanded, row)
@@ -128,6 +133,21 @@
 	return expanded
 }
 
+// heartbeatCycle is the number of heartbeats that a short row tells apart. It
+// is 18 hours, far above the seconds by which two processes differ, and takes
+// three bytes where a whole heartbeat takes five.
+const heartbeatCycle = 1 << 16
+
+// nearest is the heartbeat closest to the known one that has the same place in
+// its cycle.
+func nearest(place, knownBeat uint64) uint64 {
+	closest := int64(knownBeat) + int64(int16(uint16(place)-uint16(knownBeat)))
+	if closest < 0 {
+		return place
+	}
+	return uint64(closest)
+}
+
 // RelaysOf returns the ids of a zone's relays, given its members: the two
 // with the first rendezvous rank among those alive.
 func RelaysOf(zone mulberrybeam.ZoneName, members []mulberrybeam.Member) []mulberrybeam.ProcessID {
@@ -165,7 +185,8 @@
 		existing.sends = transmitBudget
 	}
 	g.changed = g.changed || row.State != existing.State || row.Revision != existing.Revision
-	existing.Heartbeat, existing.Revision, existing.risenAt = row.Heartbeat, row.Revision, g.turn.Now
+	existing.Heartbeat, existing.Revision = row.Heartbeat, row.Revision
+	existing.risenAt, existing.heardAt = g.turn.Now, g.turn.Now
 	existing.State = row.State
 	return true
 }
