--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -12,7 +12,7 @@
 	g.lastRound = g.turn.Now
 	g.urgent = false
 	full := g.round%fullEvery == 0
-	peers := g.pick(peersPerRound)
+	peers := g.pick(g.peersOfRound())
 	for _, peer := range peers {
 		g.send(peer, g.offer(full))
 	}
@@ -24,6 +24,16 @@
 	g.remoteRound()
 }
 
+// peersOfRound is the number of members to exchange with. The relays of a
+// large zone leave one out, since they also carry the exchanges across zones
+// and would exceed the budget in bytes; many others exchange with them.
+func (g *Gossiper) peersOfRound() int {
+	if len(g.announced.members) > largeZone && len(g.active.order) > 0 && g.isRelay() {
+		return peersPerRound - 1
+	}
+	return peersPerRound
+}
+
 // pushRound sends news without waiting for the next round. It leaves out the
 // members, to which the other side then does not answer either.
 func (g *Gossiper) pushRound() {
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -29,6 +29,9 @@
 
 	// peersPerRound is the number of live members exchanged with each round.
 	peersPerRound = 2
+	// largeZone is the number of members above which a process hears of
+	// each heartbeat mostly through others.
+	largeZone = 8
 	// fullEvery is the number of rounds between two full comparisons.
 	fullEvery = 10
 	// lostEvery is the number of rounds between two attempts to reach a
