--- a/process/gossiper/store.go
+++ b/process/gossiper/store.go
@@ -14,8 +14,8 @@
 	defaultTTL = time.Minute
 	// defaultExchangeBytes bounds the facts of one exchange. A process
 	// takes part in about 8 messages a second, sent and received, so that
-	// facts stay below 6 KB/s of its budget of 13 KB/s.
-	defaultExchangeBytes = 700
+	// facts stay below 5 KB/s of its budget of 13 KB/s.
+	defaultExchangeBytes = 550
 	// digestWindow bounds the entries of one full comparison. Larger
 	// stores are compared window by window.
 	digestWindow = 64
