--- a/process/leaser/holder.go
+++ b/process/leaser/holder.go
@@ -119,14 +119,7 @@
 			}
 		}
 	}
-	fewest := own
-	held := l.held()
-	for id := range l.members {
-		if id != l.self.ID && l.alive(id) {
-			fewest = min(fewest, held[id])
-		}
-	}
-	if own-fewest < 2 || last == nil || l.draining {
+	if last == nil || l.draining || own-l.fewest(own) < 2 {
 		l.unevenSince = 0
 		return nil
 	}
@@ -141,5 +134,20 @@
 	return last.startRelease(turn.Now, l.timing)
 }
 
+// fewest returns how many slots the live process with the fewest holds, at
+// most own.
+func (l *Leaser) fewest(own int) int {
+	if own < 2 {
+		return own
+	}
+	held := l.held()
+	for id := range l.members {
+		if id != l.self.ID && l.alive(id) {
+			own = min(own, held[id])
+		}
+	}
+	return own
+}
+
 // balanceBackoff is the pause after a release for balance that nobody used.
 const balanceBackoff = 5 * time.Minute
--- a/process/leaser/leaser_test.go
+++ b/process/leaser/leaser_test.go
@@ -194,3 +194,46 @@
 	_, took = serve(d.now + 10*time.Second)
 	is.True(took)
 }
+
+// Guards against a release that another process acts on while permits of this
+// one are still valid.
+func TestReleaseWaitsForTheLastPermit(t *testing.T) {
+	is := is.New(t)
+	d := newDesk("p/1")
+	d.answer(d.acquire(is), "1", nil)
+	asked := d.now
+	ended := rights(d.step(mulberrybeam.ShutdownAsked{}))
+	is.Equal(len(ended), 1)
+	is.True(ended[0].Until <= d.now)
+	update, ok := until(d, op(mulberrybeam.OpUpdate))
+	is.True(ok)
+	is.True(d.now-asked >= 2*time.Second+100*time.Millisecond) // 2 s on a clock 5% slower
+	lease, err := decode(update.Object.Data)
+	is.NoErr(err)
+	is.Equal(lease.Holder, mulberrybeam.ProcessID(""))
+	is.Equal(lease.Epoch, mulberrybeam.Epoch(1))
+}
+
+// Guards against a holder that nobody extends any more after another process
+// fenced its epoch without taking over.
+func TestRefusedExtensionStartsANewEpoch(t *testing.T) {
+	is := is.New(t)
+	d := newDesk("p/1", "q/1")
+	d.answer(d.acquire(is), "1", nil)
+	renewal, _ := until(d, op(mulberrybeam.OpUpdate))
+	d.answer(renewal, "", failure(mulberrybeam.CodePlatformDown))
+	extend, ok := until(d, func(call mulberrybeam.Call) bool { return call.To == "q/1" })
+	is.True(ok)
+	d.step(mulberrybeam.ReplyReceived{Ticket: extend.Ticket, Message: mulberrybeam.ExtendReply{}})
+	for range 3 { // a read back, and the next renewal
+		call, ok := until(d, func(mulberrybeam.CallObject) bool { return true })
+		is.True(ok)
+		if lease, _ := decode(call.Object.Data); lease.Epoch == 2 {
+			is.Equal(rights(d.answer(call, "2", nil))[0].Epoch, mulberrybeam.Epoch(2))
+			return
+		}
+		call.Object.Data = encode(mulberrybeam.SlotLease{Holder: "p/1", Epoch: 1, Electors: []mulberrybeam.ProcessID{"q/1"}})
+		d.answer(call, "1", nil)
+	}
+	is.Fail()
+}
