--- a/request/forwarder/attempt.go
+++ b/request/forwarder/attempt.go
@@ -84,7 +84,7 @@
 		number: r.number, route: route, target: snapshot.Tables.Targets[route.Target],
 		instance: snapshot.Targets[route.Target].Instance,
 	}
-	f.note(mulberrybeam.EntryRoute, r.request, string(route.Target), route.Reason)
+	f.note(mulberrybeam.EntryRoute, r.request, string(route.Target), routeText(route))
 	if failure := f.askPermit(ctx, snapshot, r, a); failure != nil {
 		return nil, failure
 	}
@@ -98,7 +98,7 @@
 // limit towards the first choice is used up.
 func (f *Forwarder) pick(snapshot *mulberrybeam.Snapshot, r *run) (mulberrybeam.Route, error) {
 	turn := mulberrybeam.Turn{Now: f.Clock(), Wall: f.Wall(), Rand: r.random}
-	sees := view{Index: f.Index, snapshot: snapshot, flights: &f.flights}
+	sees := view{now: turn.Now, index: f.Index, snapshot: snapshot, flights: &f.flights}
 	query := mulberrybeam.RouteQuery{Request: r.request, Zone: snapshot.Zone, Tried: r.tried, Kept: r.kept}
 	first, err := f.Picker.Pick(turn, sees, query)
 	if err != nil || !f.gate.Full(snapshot.Tables.Targets[first.Target], f.InFlight(first.Target)) {
@@ -252,6 +252,7 @@
 	release := mulberrybeam.ReleasePermit{
 		From: f.Snapshot().Self, Target: a.target.ID, Permit: a.permit.number, Epoch: a.permit.epoch,
 		Completed: completed, Crashed: crashed, FirstToken: a.firstToken,
+		Expected: a.route.FirstToken,
 	}
 	f.later(ctx, func(ctx context.Context) { f.Permits.Release(ctx, a.target.ID, release) })
 }
