Keep the cold limit until a target is warm

The cold limit is a hard limit in the invariants, so it holds now until the target is warm (16 completions and 2 s). The fake of the history test was made stricter in the same way: it failed before (3 and 4 requests at targets whose limit is 2) and passes now.

--- a/process/permitter/fake_test.go
+++ b/process/permitter/fake_test.go
@@ -38,13 +38,14 @@
 	return mulberrybeam.InstanceID(fmt.Sprintf("%s#%d", f.id, f.restarts))
 }
 
-// limit is what the present instance can bear. Permits do not bound the load
-// of a warm one.
+// limit is what the present instance can bear. It bears no more than the cold
+// limit until it is warm, however many requests it has completed. Permits do
+// not bound the load of a warm one.
 func (f *fakeTarget) limit(now time.Duration) int {
 	if f.completed >= 16 && now-f.startedAt >= 2*time.Second {
 		return math.MaxInt
 	}
-	return min(coldLimit<<(f.completed/4), warmLimit)
+	return coldLimit
 }
 
 // world is a fleet with targets, traffic and the checks of its history.
--- a/process/permitter/owned.go
+++ b/process/permitter/owned.go
@@ -84,18 +84,6 @@
 	o.provedBy = now + timing.Transit
 }
 
-// limit is the number of requests that the target may have in flight.
-func (p *Permitter) limit(t *target) int {
-	limit := max(t.declared.ColdLimit, 0)
-	for range t.owned.completions / p.timing.DoublingAfter {
-		limit *= 2
-	}
-	if t.declared.WarmLimit > 0 {
-		limit = min(limit, max(t.declared.WarmLimit, t.declared.ColdLimit))
-	}
-	return limit
-}
-
 // evidence takes a report of the present instance measured at or after since.
 func (p *Permitter) evidence(turn mulberrybeam.Turn, t *target, since time.Duration) []mulberrybeam.Action {
 	o := t.owned
--- a/process/permitter/permit.go
+++ b/process/permitter/permit.go
@@ -43,7 +43,7 @@
 		return p.refuse(ReasonInstance), nil
 	case o.phase == mulberrybeam.PhaseWarm:
 		return p.askWarm(turn, t, ask, valid), nil
-	case len(o.permits)+o.unaccounted >= p.limit(t):
+	case len(o.permits)+o.unaccounted >= t.declared.ColdLimit:
 		return p.refuse(ReasonColdLimit), nil
 	case ask.Isolated && !o.mayIsolate(turn.Now):
 		return p.refuse(ReasonIsolation), nil
--- a/process/permitter/timing.go
+++ b/process/permitter/timing.go
@@ -11,12 +11,12 @@
 	Transit time.Duration
 	// DriftShare is the part by which another process's clock may be off.
 	DriftShare float64
-	// DoublingAfter is the number of completions after which the limit
-	// doubles, WarmAfter the number after which a target is warm when
-	// WarmTime has passed too.
-	DoublingAfter int
-	WarmAfter     int
-	WarmTime      time.Duration
+	// WarmAfter is the number of completions after which a target is warm
+	// when WarmTime has passed too. Until then the cold limit holds: a limit
+	// that doubled after each 4 completions crashed engines that were still
+	// cold.
+	WarmAfter int
+	WarmTime  time.Duration
 	// DoubtTime is how long a report of another process does not clear a
 	// doubt of a process's own, since it may have been measured before.
 	DoubtTime time.Duration
@@ -32,16 +32,15 @@
 // DefaultTiming returns the durations and counts of the design page.
 func DefaultTiming() Timing {
 	return Timing{
-		Valid:         2 * time.Second,
-		Transit:       500 * time.Millisecond,
-		DriftShare:    0.05,
-		DoublingAfter: 4,
-		WarmAfter:     16,
-		WarmTime:      2 * time.Second,
-		DoubtTime:     3 * time.Second,
-		Retry:         200 * time.Millisecond,
-		FactTTL:       24 * time.Hour,
-		Restate:       time.Hour,
+		Valid:      2 * time.Second,
+		Transit:    500 * time.Millisecond,
+		DriftShare: 0.05,
+		WarmAfter:  16,
+		WarmTime:   2 * time.Second,
+		DoubtTime:  3 * time.Second,
+		Retry:      200 * time.Millisecond,
+		FactTTL:    24 * time.Hour,
+		Restate:    time.Hour,
 	}
 }
 
