Do not clear a crash by a report from before it

A load report that was fetched before an engine crashed and arrived after the crash was stated cleared the suspicion, since it had the crashed instance's id. Only a report measured after the fact came up counts now.

--- a/process/suspecter/suspecter.go
+++ b/process/suspecter/suspecter.go
@@ -3,9 +3,11 @@
 package suspecter
 
 import (
+	"math"
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/process/observer"
 	"mulberrybeam/request/quarantiner"
 )
 
@@ -32,10 +34,9 @@
 	switch event := event.(type) {
 	case mulberrybeam.TrafficSign:
 		return s.sign(event)
-	case mulberrybeam.TargetObserved:
-		if event.Err == nil {
-			return state(quarantiner.Survived(event.Target, event.Report.Instance, s.list()))
-		}
+	case observer.Measured:
+		// A report from before the crash may arrive after it.
+		return state(quarantiner.Survived(event.Target, event.Report.Instance, s.listBefore(event.Since)))
 	case mulberrybeam.FactChanged:
 		s.keep(turn, event.Fact)
 	case mulberrybeam.Tick:
@@ -98,10 +99,15 @@
 	}
 }
 
-func (s *Suspecter) list() []mulberrybeam.Fact {
+func (s *Suspecter) list() []mulberrybeam.Fact { return s.listBefore(math.MaxInt64) }
+
+// listBefore returns the facts that came up before a time.
+func (s *Suspecter) listBefore(end time.Duration) []mulberrybeam.Fact {
 	facts := make([]mulberrybeam.Fact, 0, len(s.facts))
 	for _, held := range s.facts {
-		facts = append(facts, held.fact)
+		if held.at < end {
+			facts = append(facts, held.fact)
+		}
 	}
 	return facts
 }
--- a/process/suspecter/suspecter_test.go
+++ b/process/suspecter/suspecter_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"mulberrybeam"
+	"mulberrybeam/process/observer"
 	"mulberrybeam/process/suspecter"
 )
 
@@ -50,14 +51,21 @@
 	is.Equal(d.post(broken(second)), []int{1}) // the expired facts were dropped
 }
 
-// Guards against suspects that a broken network path made.
+// Guards against suspects that a broken network path made, and against a crash
+// that is taken back because of a report from before it.
 func TestSameInstanceClearsItsRequests(t *testing.T) {
 	is := is.New(t)
 	d := &driver{machine: suspecter.New()}
+	d.now = time.Second
 	d.post(broken(mulberrybeam.Fingerprint{1}))
-	report := func(instance mulberrybeam.InstanceID) mulberrybeam.TargetObserved {
-		return mulberrybeam.TargetObserved{Target: "e1", Report: mulberrybeam.LoadReport{Instance: instance}}
+	d.now = 2 * time.Second
+	report := func(instance mulberrybeam.InstanceID, since time.Duration) observer.Measured {
+		return observer.Measured{Since: since, TargetObserved: mulberrybeam.TargetObserved{
+			Target: "e1", Report: mulberrybeam.LoadReport{Instance: instance},
+		}}
 	}
-	is.Equal(d.post(report("i2")), []int{})
-	is.Equal(d.post(report("i1")), []int{0})
+	is.Equal(d.post(report("i2", 1900*time.Millisecond)), []int{})
+	is.Equal(d.post(report("i1", 900*time.Millisecond).TargetObserved), []int{})
+	is.Equal(d.post(report("i1", 900*time.Millisecond)), []int{})
+	is.Equal(d.post(report("i1", 1100*time.Millisecond)), []int{0})
 }
