Do not route to caches of earlier instances or to unfollowed ones for good

The index learned of a restart only from the new instance's first answer or cache event, so a prompt that returned after a restart was routed to the engine that 'holds the prefix' and was recomputed although a store had its context.

Only one process of a zone fetches an engine's cache events. All others believed in their own sends until 8 other targets replaced them, so that a prompt that returned after its blocks were removed was recomputed.

--- a/process/indexer/entry.go
+++ b/process/indexer/entry.go
@@ -1,6 +1,10 @@
 package indexer
 
-import "mulberrybeam"
+import (
+	"time"
+
+	"mulberrybeam"
+)
 
 // find returns the place of a tenure among the holders, or -1.
 func (e *entry) find(tenure uint32) int {
@@ -12,8 +16,9 @@
 	return -1
 }
 
-// add notes that a tenure holds a block and makes the block the newest.
-func (x *Indexer) add(key mulberrybeam.BlockKey, tenure uint32) {
+// add notes at a time that a tenure holds a block and makes the block the
+// newest.
+func (x *Indexer) add(key mulberrybeam.BlockKey, tenure uint32, now time.Duration) {
 	at, found := x.blocks[key]
 	if found {
 		x.unlink(at)
@@ -24,6 +29,7 @@
 	}
 	x.linkNewest(at)
 	e := &x.entries[at]
+	e.noted = uint32(now / time.Second)
 	place := e.find(tenure)
 	if place < 0 {
 		place = x.leastUseful(e)
--- a/process/indexer/indexer.go
+++ b/process/indexer/indexer.go
@@ -8,6 +8,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"mulberrybeam"
 )
@@ -20,6 +21,13 @@
 	// that all prompts of a workspace share spreads over more targets; the
 	// latest ones are kept.
 	MaxHolders = 8
+	// BeliefTime is how long an own send is believed to be in the cache of a
+	// target whose cache events another process fetches. Prompts return after
+	// minutes, when a bounded cache has mostly been filled by others.
+	BeliefTime = time.Minute
+	// FollowTime is how long after the last answer to a question for cache
+	// events this process counts as the one that fetches them.
+	FollowTime = 5 * time.Second
 )
 
 // none ends the lists of entries, and no target has it as tenure.
@@ -29,6 +37,7 @@
 // goroutines.
 type Indexer struct {
 	mutex     sync.RWMutex
+	now       func() time.Duration
 	maxBlocks int
 	blocks    map[mulberrybeam.BlockKey]uint32
 	entries   []entry
@@ -48,6 +57,8 @@
 	holders [MaxHolders]uint32
 	newer   uint32
 	older   uint32
+	// noted is when the block was last added, in seconds.
+	noted uint32
 }
 
 // belief is what is known of one target. Entries name a target by its tenure;
@@ -57,6 +68,10 @@
 	instance mulberrybeam.InstanceID
 	previous mulberrybeam.InstanceID
 	sequence uint64
+	// followed says that this process has fetched cache events, the last
+	// time at followedAt.
+	followed   bool
+	followedAt time.Duration
 }
 
 // Option changes a setting of an Indexer.
@@ -67,9 +82,14 @@
 	return func(x *Indexer) { x.maxBlocks = max(1, blocks) }
 }
 
+// WithClock sets the monotonic clock.
+func WithClock(now func() time.Duration) Option { return func(x *Indexer) { x.now = now } }
+
 // New returns an empty index.
 func New(options ...Option) *Indexer {
+	begin := time.Now()
 	x := &Indexer{
+		now:       func() time.Duration { return time.Since(begin) },
 		maxBlocks: DefaultBlocks,
 		blocks:    map[mulberrybeam.BlockKey]uint32{},
 		newest:    none,
@@ -95,8 +115,9 @@
 	}
 	// The first block becomes the most recent, so that the end of a context
 	// leaves the index before its beginning, without which it is useless.
+	now := x.now()
 	for i := len(keys) - 1; i >= 0; i-- {
-		x.add(keys[i], known.tenure)
+		x.add(keys[i], known.tenure, now)
 	}
 }
 
@@ -117,11 +138,20 @@
 	for _, key := range event.Removed {
 		x.remove(key, known.tenure)
 	}
+	now := x.now()
 	for i := len(event.Stored) - 1; i >= 0; i-- {
-		x.add(event.Stored[i], known.tenure)
+		x.add(event.Stored[i], known.tenure, now)
 	}
 }
 
+// Follow notes that the target answered a question for its cache events.
+func (x *Indexer) Follow(target mulberrybeam.TargetID) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	known := x.belief(target)
+	known.followed, known.followedAt = true, x.now()
+}
+
 // Drop forgets what is believed of a target's cache, for example after its
 // connection broke.
 func (x *Indexer) Drop(target mulberrybeam.TargetID) {
@@ -150,20 +180,29 @@
 	if known == nil {
 		return 0
 	}
+	now := x.now()
 	for i, key := range keys {
 		at, found := x.blocks[key]
-		if !found || x.entries[at].find(known.tenure) < 0 {
+		if !found || x.entries[at].find(known.tenure) < 0 || !x.believed(&x.entries[at], known, now) {
 			return i
 		}
 	}
 	return len(keys)
 }
 
+// believed says whether a target that held a block is believed to hold it
+// still. Without its cache events nothing tells that it removed the block.
+func (x *Indexer) believed(e *entry, known *belief, now time.Duration) bool {
+	follows := known.followed && now-known.followedAt <= FollowTime
+	return follows || now-time.Duration(e.noted)*time.Second <= BeliefTime
+}
+
 // Holders returns up to MaxHolders targets that are believed to hold the
 // longest part of keys that any target holds, the latest first.
 func (x *Indexer) Holders(keys []mulberrybeam.BlockKey) []mulberrybeam.TargetID {
 	x.mutex.RLock()
 	defer x.mutex.RUnlock()
+	now := x.now()
 	for i := len(keys) - 1; i >= 0; i-- {
 		at, found := x.blocks[keys[i]]
 		if !found {
@@ -171,7 +210,7 @@
 		}
 		var holders []mulberrybeam.TargetID
 		for _, tenure := range x.entries[at].holders {
-			if target, valid := x.targets[tenure]; valid {
+			if target, valid := x.targets[tenure]; valid && x.believed(&x.entries[at], x.beliefs[target], now) {
 				holders = append(holders, target)
 			}
 		}
@@ -189,6 +228,17 @@
 	return len(x.blocks)
 }
 
+// Instance returns the instance that the beliefs of a target are about, empty
+// when it is not known.
+func (x *Indexer) Instance(target mulberrybeam.TargetID) mulberrybeam.InstanceID {
+	x.mutex.RLock()
+	defer x.mutex.RUnlock()
+	if known := x.beliefs[target]; known != nil {
+		return known.instance
+	}
+	return ""
+}
+
 // Sequence returns the sequence number of the last event applied for a
 // target, to ask for the ones after it.
 func (x *Indexer) Sequence(target mulberrybeam.TargetID) uint64 {
--- a/process/indexer/indexer_test.go
+++ b/process/indexer/indexer_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -177,6 +178,29 @@
 	is.Equal(holders[0], mulberrybeam.TargetID(fmt.Sprint(indexer.MaxHolders+2)))
 }
 
+// Guards against an own send that is believed for good where no cache events
+// tell that the target removed the block, and against a belief that ends where
+// they would tell.
+func TestOwnSendsAreBelievedForAWhileWithoutEvents(t *testing.T) {
+	is := is.New(t)
+	now := time.Second
+	index := indexer.New(indexer.WithClock(func() time.Duration { return now }))
+	keys := chain(1, 3)
+	index.Sent("a", "1", keys)
+	index.Sent("b", "1", keys)
+	now += indexer.BeliefTime
+	is.Equal(index.CachedBlocks("a", keys), 3)
+	now += 2 * time.Second
+	index.Follow("b")
+	is.Equal(index.CachedBlocks("a", keys), 0)
+	is.Equal(index.CachedBlocks("b", keys), 3)
+	is.Equal(index.Holders(keys), []mulberrybeam.TargetID{"b"})
+	now += indexer.FollowTime + time.Second
+	is.Equal(index.CachedBlocks("b", keys), 0)
+	index.Sent("a", "1", keys)
+	is.Equal(index.CachedBlocks("a", keys), 3)
+}
+
 // BenchmarkEntry reports the memory of one block in an index of 1,000,000.
 func BenchmarkEntry(b *testing.B) {
 	const blocks = 1_000_000
--- a/process/launcher/listen.go
+++ b/process/launcher/listen.go
@@ -112,6 +112,7 @@
 	if err != nil {
 		return observed
 	}
+	p.index.Follow(target.ID)
 	for _, event := range events {
 		p.index.Apply(event)
 	}
--- a/request/forwarder/fake_test.go
+++ b/request/forwarder/fake_test.go
@@ -22,6 +22,7 @@
 	mulberrybeam.EngineClient
 	mutex    sync.Mutex
 	now      time.Duration
+	index    *indexer.Indexer
 	snapshot *mulberrybeam.Snapshot
 	// generate and call answer the attempts by number from 1.
 	generate  func(attempt int, call mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error)
@@ -40,6 +41,9 @@
 	signs     []mulberrybeam.TrafficSign
 	cancelled int
 	imports   int
+	// cached and holders are what the last view knew of the prompt.
+	cached  int
+	holders []mulberrybeam.TargetID
 }
 
 func (f *fleet) clock() time.Duration {
@@ -56,7 +60,9 @@
 	}
 }
 
-func (f *fleet) Pick(_ mulberrybeam.Turn, _ mulberrybeam.RouteView, query mulberrybeam.RouteQuery) (mulberrybeam.Route, error) {
+func (f *fleet) Pick(_ mulberrybeam.Turn, view mulberrybeam.RouteView, query mulberrybeam.RouteQuery) (mulberrybeam.Route, error) {
+	f.cached = view.CachedBlocks("a", query.Request.Keys)
+	f.holders = view.Holders(query.Request.Keys)
 	for _, id := range []mulberrybeam.TargetID{"a", "b", "c"} {
 		if !slices.Contains(query.Tried, id) {
 			return mulberrybeam.Route{Target: id, Source: f.source, Import: mulberrybeam.Manifest{Store: "s", Bytes: 9}, ImportedTokens: 1000}, nil
@@ -150,7 +156,7 @@
 }
 
 func newFleet(phase mulberrybeam.Phase) *fleet {
-	f := &fleet{now: time.Second, source: mulberrybeam.SourceRecompute}
+	f := &fleet{now: time.Second, index: indexer.New(), source: mulberrybeam.SourceRecompute}
 	f.snapshot = &mulberrybeam.Snapshot{
 		Self: "p", Targets: map[mulberrybeam.TargetID]mulberrybeam.TargetState{}, Shares: map[mulberrybeam.WorkspaceName]float64{"w": 1},
 		Tables: &mulberrybeam.Tables{
@@ -172,7 +178,7 @@
 	t.Helper()
 	return forwarder.New(append([]forwarder.Option{
 		forwarder.WithControl(func() *mulberrybeam.Snapshot { return f.snapshot }, f.post),
-		forwarder.WithRouting(f, indexer.New()), forwarder.WithTargets(f, services{fleet: f}, nil), forwarder.WithPermits(f),
+		forwarder.WithRouting(f, f.index), forwarder.WithTargets(f, services{fleet: f}, nil), forwarder.WithPermits(f),
 		forwarder.WithClocks(f.clock, time.Now),
 	}, options...)...)
 }
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -43,6 +43,9 @@
 	Sent(target mulberrybeam.TargetID, instance mulberrybeam.InstanceID, keys []mulberrybeam.BlockKey)
 	CachedBlocks(target mulberrybeam.TargetID, keys []mulberrybeam.BlockKey) int
 	Holders(keys []mulberrybeam.BlockKey) []mulberrybeam.TargetID
+	// Instance is the one whose cache the index describes, empty when
+	// unknown.
+	Instance(target mulberrybeam.TargetID) mulberrybeam.InstanceID
 }
 
 // Settings are the dependencies of a Forwarder.
--- a/request/forwarder/forwarder_test.go
+++ b/request/forwarder/forwarder_test.go
@@ -198,6 +198,25 @@
 	is.Equal(*f.signs[0].Cleared, mulberrybeam.Fingerprint{7})
 }
 
+// Guards against routes to a cache that was lost in a restart, of which the
+// index learns only from the new instance's answers.
+func TestCachesOfEarlierInstancesDoNotCount(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(mulberrybeam.PhaseWarm)
+	f.generate = func(int, mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error) { return stream(1, 3), nil }
+	keys := []mulberrybeam.BlockKey{{1}, {2}}
+	request := prompt()
+	request.Keys = keys
+	f.index.Sent("a", "earlier", keys)
+	runner, stop := f.start(t)
+	defer stop()
+	for _, cached := range []int{0, 2} { // the first answer is of the present instance
+		is.NoErr(runner.Generate(t.Context(), request, func(mulberrybeam.Token) error { return nil }))
+		is.Equal(f.cached, cached)
+		is.Equal(len(f.holders), cached/2)
+	}
+}
+
 // Guards against a prompt that waits for a slow store longer than the engine
 // would take to compute the context.
 func TestSlowImportIsGivenUpAfterTheTimeOfRecomputing(t *testing.T) {
--- a/request/forwarder/view.go
+++ b/request/forwarder/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -22,6 +23,25 @@
 	return v.snapshot.Targets[id]
 }
 
+// CachedBlocks leaves out what the index knows of an earlier instance: the
+// index learns of a restart only from the answers and cache events of the new
+// instance.
+func (v view) CachedBlocks(id mulberrybeam.TargetID, keys []mulberrybeam.BlockKey) int {
+	if v.restarted(id) {
+		return 0
+	}
+	return v.Index.CachedBlocks(id, keys)
+}
+
+func (v view) Holders(keys []mulberrybeam.BlockKey) []mulberrybeam.TargetID {
+	return slices.DeleteFunc(v.Index.Holders(keys), v.restarted)
+}
+
+func (v view) restarted(id mulberrybeam.TargetID) bool {
+	indexed, present := v.Index.Instance(id), v.snapshot.Targets[id].Instance
+	return indexed != "" && present != "" && indexed != present
+}
+
 func (v view) InFlight(id mulberrybeam.TargetID) int { return v.flights.count(id) }
 
 func (v view) LinkUse(id mulberrybeam.StoreID) float64 { return v.snapshot.LinkUse[id] }
@@ -100,3 +120,5 @@
 func (noIndex) CachedBlocks(mulberrybeam.TargetID, []mulberrybeam.BlockKey) int { return 0 }
 
 func (noIndex) Holders([]mulberrybeam.BlockKey) []mulberrybeam.TargetID { return nil }
+
+func (noIndex) Instance(mulberrybeam.TargetID) mulberrybeam.InstanceID { return "" }
