--- a/process/gossiper/directory.go
+++ b/process/gossiper/directory.go
@@ -95,7 +95,7 @@
 			members[i].Zone = zone
 		}
 		if len(members) > 0 {
-			g.seeds[zone] = members
+			g.seeds[zone] = append(slices.Clone(members), g.settled[zone]...)
 		}
 		if zone == g.self.Zone {
 			own, entries = object, members
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -72,8 +72,10 @@
 	// active are the relays of other zones that count now.
 	active roster
 	// changed asks for a review before the next second.
-	changed   bool
-	seeds     map[mulberrybeam.ZoneName][]mulberrybeam.Member
+	changed bool
+	seeds   map[mulberrybeam.ZoneName][]mulberrybeam.Member
+	// settled are the seeds of the settings, kept beside the directory.
+	settled   map[mulberrybeam.ZoneName][]mulberrybeam.Member
 	facts     store
 	directory directory
 	uses      uses
@@ -110,12 +112,13 @@
 	return func(g *Gossiper) { g.encode, g.decode = encode, decode }
 }
 
-// WithSeeds names processes to contact before the directory was read. Their
-// ids may be empty.
+// WithSeeds names processes of the settings to contact besides those of the
+// directory. Their ids may be empty.
 func WithSeeds(seeds ...mulberrybeam.Member) Option {
 	return func(g *Gossiper) {
 		for _, seed := range seeds {
 			g.seeds[seed.Zone] = append(g.seeds[seed.Zone], seed)
+			g.settled[seed.Zone] = append(g.settled[seed.Zone], seed)
 		}
 	}
 }
@@ -145,6 +148,7 @@
 		relays:        newRoster(),
 		active:        newRoster(),
 		seeds:         map[mulberrybeam.ZoneName][]mulberrybeam.Member{},
+		settled:       map[mulberrybeam.ZoneName][]mulberrybeam.Member{},
 		facts:         newStore(),
 		uses:          newUses(),
 		pending:       map[mulberrybeam.Ticket]exchange{},
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -116,6 +116,30 @@
 	}
 }
 
+// Guards against a directory that an operator or a fault has garbled, and
+// against a fleet that cannot start while the object API is down although the
+// settings name its processes.
+func TestJoinWithoutDirectory(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet, _ := newFleet(6)
+	fleet.Platform.Put(mulberrybeam.ObjectDirectory, "z1", []byte("garbage"))
+	fleet.Start(controllertest.Hosts(3, 3)...)
+	fleet.Run(time.Minute)
+	is.True(together(fleet))
+
+	var seeds []mulberrybeam.Member
+	for _, host := range controllertest.Hosts(3, 1) {
+		seeds = append(seeds, mulberrybeam.Member{Zone: host.Zone, Address: host.Address})
+	}
+	fleet, _ = newFleet(6, gossiper.WithSeeds(seeds...))
+	fleet.Platform.SetDown(true)
+	fleet.Start(controllertest.Hosts(3, 3)...)
+	fleet.Run(time.Minute)
+	is.True(fleet.Hits(controllertest.FaultPlatformDown) > 0)
+	is.True(together(fleet))
+}
+
 // Guards against a death that is noticed late, in the zone or by the object
 // API, and against a process that is taken for dead.
 func TestDeath(t *testing.T) {
