--- a/process/configurer/configurer_test.go
+++ b/process/configurer/configurer_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -185,6 +186,13 @@
 // go at random while revisions are written. No process may ever go back, and
 // all must have the last revision within the bound after the faults end.
 func TestRandomFaults(t *testing.T) {
+	var mutex sync.Mutex
+	hits := map[controllertest.Fault]int{}
+	t.Cleanup(func() {
+		for _, fault := range allFaults {
+			is.New(t).True(hits[fault] > 0)
+		}
+	})
 	for seed := uint64(1); seed <= 20; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -201,14 +209,11 @@
 				}
 				s.Run(time.Duration(random.IntN(8000)) * time.Millisecond)
 			}
-			hits := 0
-			for _, fault := range []controllertest.Fault{
-				controllertest.FaultLoss, controllertest.FaultCut, controllertest.FaultDead, controllertest.FaultPaused,
-				controllertest.FaultPlatformDown, controllertest.FaultPlatformSlow, controllertest.FaultPlatformCut, controllertest.FaultAnswerLost,
-			} {
-				hits += s.Hits(fault)
+			mutex.Lock()
+			for _, fault := range allFaults {
+				hits[fault] += s.Hits(fault)
 			}
-			is.True(hits > 0)
+			mutex.Unlock()
 			endFaults(s)
 			is.True(s.RunUntil(inForceWithin, func() bool { return s.everywhere(mulberrybeam.Revision(revision)) }))
 			is.Equal(s.reverts, nil)
@@ -216,11 +221,16 @@
 	}
 }
 
+var allFaults = []controllertest.Fault{
+	controllertest.FaultLoss, controllertest.FaultCut, controllertest.FaultDead, controllertest.FaultPaused,
+	controllertest.FaultPlatformDown, controllertest.FaultPlatformSlow, controllertest.FaultPlatformCut, controllertest.FaultAnswerLost,
+}
+
 func randomFault(s *system, random *rand.Rand) {
 	zones := []mulberrybeam.ZoneName{"z1", "z2", "z3"}
 	zone, other := zones[random.IntN(3)], zones[random.IntN(3)]
 	host := s.Processes()[random.IntN(9)].Name
-	switch random.IntN(10) {
+	switch random.IntN(11) {
 	case 0:
 		s.Network.Loss = random.Float64() / 3
 	case 1:
@@ -242,6 +252,8 @@
 		s.Resume(host)
 	case 9:
 		s.Restart(host)
+	case 10:
+		s.Kill(host)
 	}
 }
 
@@ -252,6 +264,9 @@
 	for _, process := range s.Processes() {
 		s.Platform.Cut(process.Zone, false)
 		s.Resume(process.Name)
+		if !process.Running() {
+			s.Restart(process.Name)
+		}
 	}
 }
 
--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -196,6 +196,26 @@
 	is.Equal(probes["z2h1"].states, nil)
 }
 
+// Guards against members that suspect each other because the way between them
+// is cut, in one or both directions, while a third reaches both.
+func TestCutWithinZone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet, probes := newFleet(22)
+	fleet.Start(controllertest.Hosts(3, 3)...)
+	fleet.Run(time.Minute)
+	fleet.Network.Loss = 0.05
+	fleet.Network.Cut("z1h1", "z1h2")
+	fleet.Network.Cut("z2h1", "z2h2")
+	fleet.Network.Cut("z2h2", "z2h1")
+	fleet.Run(10 * time.Minute)
+	is.True(fleet.Hits(controllertest.FaultCut) > 0)
+	is.True(together(fleet))
+	for _, probe := range probes {
+		is.Equal(probe.states, nil)
+	}
+}
+
 // Guards against gossip that is too slow for the largest zone: under loss no
 // live member may be suspected there, and a death must be seen by all.
 func TestLargeZone(t *testing.T) {
