--- a/process/gossiper/gossiper_test.go
+++ b/process/gossiper/gossiper_test.go
@@ -116,6 +116,30 @@
 	}
 }
 
+// Guards against a directory that an operator or a fault has garbled, and
+// against a fleet that cannot start while the object API is down although the
+// settings name its processes.
+func TestJoinWithoutDirectory(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet, _ := newFleet(6)
+	fleet.Platform.Put(mulberrybeam.ObjectDirectory, "z1", []byte("garbage"))
+	fleet.Start(controllertest.Hosts(3, 3)...)
+	fleet.Run(time.Minute)
+	is.True(together(fleet))
+
+	var seeds []mulberrybeam.Member
+	for _, host := range controllertest.Hosts(3, 1) {
+		seeds = append(seeds, mulberrybeam.Member{Zone: host.Zone, Address: host.Address})
+	}
+	fleet, _ = newFleet(6, gossiper.WithSeeds(seeds...))
+	fleet.Platform.SetDown(true)
+	fleet.Start(controllertest.Hosts(3, 3)...)
+	fleet.Run(time.Minute)
+	is.True(fleet.Hits(controllertest.FaultPlatformDown) > 0)
+	is.True(together(fleet))
+}
+
 // Guards against a death that is noticed late, in the zone or by the object
 // API, and against a process that is taken for dead.
 func TestDeath(t *testing.T) {
@@ -172,6 +196,26 @@
 	is.Equal(probes["z2h1"].states, nil)
 }
 
+// Guards against members that suspect each other because the way between them
+// is cut, in one or both directions, while a third reaches both.
+func TestCutWithinZone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet, probes := newFleet(22)
+	fleet.Start(controllertest.Hosts(3, 3)...)
+	fleet.Run(time.Minute)
+	fleet.Network.Loss = 0.05
+	fleet.Network.Cut("z1h1", "z1h2")
+	fleet.Network.Cut("z2h1", "z2h2")
+	fleet.Network.Cut("z2h2", "z2h1")
+	fleet.Run(10 * time.Minute)
+	is.True(fleet.Hits(controllertest.FaultCut) > 0)
+	is.True(together(fleet))
+	for _, probe := range probes {
+		is.Equal(probe.states, nil)
+	}
+}
+
 // Guards against gossip that is too slow for the largest zone: under loss no
 // live member may be suspected there, and a death must be seen by all.
 func TestLargeZone(t *testing.T) {
