--- a/connection/servicecaller/caller.go
+++ b/connection/servicecaller/caller.go
@@ -77,7 +77,7 @@
 
 func callOf(request mulberrybeam.ServiceRequest) encoder.Call {
 	header := http.Header{
-		"Content-Type": {"application/json"},
+		"Content-Type": {contentType(request.Request)},
 		"X-Request-Id": {string(request.Request.ID)},
 		"X-Attempt":    {strconv.Itoa(request.Attempt)},
 	}
@@ -109,3 +109,11 @@
 	}
 	return load.Report(target.ID), nil
 }
+
+// contentType returns the caller's content type, JSON when there is none.
+func contentType(request *mulberrybeam.Request) string {
+	if request.ContentType == "" {
+		return "application/json"
+	}
+	return request.ContentType
+}
--- a/connection/servicecaller/caller_test.go
+++ b/connection/servicecaller/caller_test.go
@@ -27,6 +27,7 @@
 	return fake, caller, mulberrybeam.ServiceRequest{
 		Request: &mulberrybeam.Request{
 			ID: "r1", Service: "orders", Call: "place", IdempotencyKey: "k1", Body: []byte(`{"oars": 2}`),
+			ContentType: "application/vnd.order+json",
 		},
 		Target: mulberrybeam.Target{ID: "service-1", Address: fake.Address()}, Attempt: 1,
 	}
@@ -45,6 +46,7 @@
 	is.Equal(string(answer.Instance), body.Instance)
 	is.Equal(body.Service+"/"+body.Call, "orders/place")
 	is.Equal(body.RequestID, "r1")
+	is.Equal(body.ContentType, "application/vnd.order+json")
 	is.Equal(fake.RunsByKey("k1"), 1)
 	report, err := caller.Load(t.Context(), request.Target)
 	is.NoErr(err)
--- a/process/launcher/launcher.go
+++ b/process/launcher/launcher.go
@@ -34,10 +34,12 @@
 	"mulberrybeam/process/server"
 	"mulberrybeam/process/stamper"
 	"mulberrybeam/process/suspecter"
+	"mulberrybeam/process/sweeper"
 	"mulberrybeam/request/forwarder"
 	"mulberrybeam/request/keyer"
 	"mulberrybeam/request/router"
 	"mulberrybeam/version/parser"
+	"mulberrybeam/version/swapper"
 )
 
 // leaveTime lets peers hear that the process has left and the object API
@@ -182,6 +184,8 @@
 		permitter.New(self),
 		observer.New(self),
 		suspecter.New(),
+		swapper.New(p.settings.Zone),
+		sweeper.New(intentencoder.Decode),
 	}
 }
 
--- a/process/server/accept.go
+++ b/process/server/accept.go
@@ -92,7 +92,7 @@
 	}
 	now := s.Clock()
 	request := &mulberrybeam.Request{
-		ID: newID(snapshot.Self), Environment: snapshot.Tables.Environment.Name, Workspace: workspace, Body: body,
+		ID: newID(snapshot.Self), Environment: snapshot.Tables.Environment.Name, Workspace: workspace, Body: body, ContentType: ctx.GetHeader("Content-Type"),
 		Fingerprint: s.Keyer.Fingerprint(workspace, body), Arrived: now,
 		Deadline: now + snapshot.Tables.Environment.Limits.RequestTimeout,
 	}
--- a/process/standin/service/service.go
+++ b/process/standin/service/service.go
@@ -60,6 +60,8 @@
 	Instance  string `json:"instance"`
 	// BodyHash is the hexadecimal SHA-256 of the body that arrived.
 	BodyHash string `json:"body-sha256"`
+	// ContentType is the content type that arrived.
+	ContentType string `json:"content-type"`
 	// Run counts the runs of the same idempotency key on this service,
 	// or of the same request id when there is no key.
 	Run int `json:"run"`
@@ -268,6 +270,7 @@
 	return Answer{
 		Service: r.PathValue("service"), Call: r.PathValue("call"), RequestID: id,
 		Instance: s.instance, BodyHash: hex.EncodeToString(sum[:]), Run: run,
+		ContentType: r.Header.Get("Content-Type"),
 	}
 }
 
--- /dev/null
+++ b/process/sweeper/sweeper.go
@@ -0,0 +1,129 @@
+// Package sweeper is the control state machine that deletes the records of
+// non-repeatable calls whose retention has ended.
+package sweeper
+
+import (
+	"slices"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/request/intender"
+)
+
+const (
+	// listInterval is the time between two readings of all records. Each
+	// costs the platform one large read.
+	listInterval = 10 * time.Minute
+	// deleteInterval is the time between two deletions. Ten a second keep
+	// up with ten orders a second and leave the platform's writes to
+	// leases and orders.
+	deleteInterval = 100 * time.Millisecond
+	// answerLimit is when a call without an answer counts as lost.
+	answerLimit = 10 * time.Second
+)
+
+// Decode reads a record. The encoding is the caller's.
+type Decode func(data []byte) (intender.Record, error)
+
+// Sweeper is the machine. The holder of slot 0 of the first zone by name
+// sweeps, so that at most one process does. Only the control goroutine may
+// use it.
+type Sweeper struct {
+	decode    Decode
+	retention time.Duration
+	zone      mulberrybeam.ZoneName
+	right     mulberrybeam.SlotRight
+
+	ticket  mulberrybeam.Ticket
+	waiting bool
+	sentAt  time.Duration
+	nextAt  time.Duration
+	pending []mulberrybeam.Object
+}
+
+// New returns a machine that reads records with decode.
+func New(decode Decode) *Sweeper { return &Sweeper{decode: decode} }
+
+// Fill implements mulberrybeam.Machine. Traffic needs nothing of it.
+func (*Sweeper) Fill(*mulberrybeam.Snapshot) {}
+
+// Step implements mulberrybeam.Machine.
+func (s *Sweeper) Step(turn mulberrybeam.Turn, event mulberrybeam.Event) []mulberrybeam.Action {
+	switch event := event.(type) {
+	case mulberrybeam.ConfigurationChanged:
+		s.retention = event.Environment.Limits.IdempotencyRetention
+		s.zone = firstZone(event.Environment)
+	case mulberrybeam.RightChanged:
+		if event.Right.Slot == (mulberrybeam.Slot{Zone: s.zone}) {
+			s.right = event.Right
+		}
+	case mulberrybeam.ObjectReplied:
+		s.take(turn, event)
+	case mulberrybeam.Tick:
+		return s.tick(turn)
+	}
+	return nil
+}
+
+func firstZone(environment *mulberrybeam.Environment) mulberrybeam.ZoneName {
+	var names []mulberrybeam.ZoneName
+	for _, region := range environment.Regions {
+		for _, zone := range region.Zones {
+			names = append(names, zone.Name)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	return slices.Min(names)
+}
+
+func (s *Sweeper) tick(turn mulberrybeam.Turn) []mulberrybeam.Action {
+	if s.waiting && turn.Now-s.sentAt > answerLimit {
+		s.waiting = false
+	}
+	holds := s.zone != "" && s.right.Slot.Zone == s.zone && turn.Now < s.right.Until
+	if s.waiting || !holds || turn.Now < s.nextAt {
+		return nil
+	}
+	if len(s.pending) == 0 {
+		s.nextAt = turn.Now + listInterval
+		return s.call(turn, mulberrybeam.OpList, mulberrybeam.Object{Kind: mulberrybeam.ObjectIntent})
+	}
+	next := s.pending[0]
+	s.pending = s.pending[1:]
+	if len(s.pending) > 0 {
+		s.nextAt = turn.Now + deleteInterval
+	} else {
+		s.nextAt = turn.Now + listInterval
+	}
+	return s.call(turn, mulberrybeam.OpDelete, next)
+}
+
+func (s *Sweeper) call(turn mulberrybeam.Turn, op mulberrybeam.ObjectOp, object mulberrybeam.Object) []mulberrybeam.Action {
+	s.ticket++
+	s.waiting, s.sentAt = true, turn.Now
+	return []mulberrybeam.Action{mulberrybeam.CallObject{Op: op, Object: object, Ticket: s.ticket}}
+}
+
+// take collects the records that may go. A record that cannot be read stays:
+// deleting it could let its call run twice.
+func (s *Sweeper) take(turn mulberrybeam.Turn, reply mulberrybeam.ObjectReplied) {
+	if reply.Ticket != s.ticket || !s.waiting {
+		return
+	}
+	s.waiting = false
+	if reply.Err != nil {
+		return
+	}
+	for _, item := range reply.Items {
+		record, err := s.decode(item.Data)
+		if err != nil || !intender.Deletable(record.Key, s.retention, turn.Wall) {
+			continue
+		}
+		s.pending = append(s.pending, mulberrybeam.Object{Kind: item.Kind, Name: item.Name, Version: item.Version})
+	}
+	if len(s.pending) > 0 {
+		s.nextAt = turn.Now
+	}
+}
--- a/request.go
+++ b/request.go
@@ -27,8 +27,10 @@
 	// Repeatable says that the request may run more than once.
 	Repeatable     bool
 	IdempotencyKey string
-	// Body holds the raw bytes as the caller sent them.
-	Body []byte
+	// Body holds the raw bytes as the caller sent them, ContentType what
+	// the caller said of them.
+	Body        []byte
+	ContentType string
 	// Keys are the chained keys of the prompt's whole context blocks.
 	Keys []BlockKey
 	// PromptTokens estimates the prompt's length.
