--- a/process/launcher/launcher.go
+++ b/process/launcher/launcher.go
@@ -256,6 +256,8 @@
 	drain, cancel := p.drainContext(ctx)
 	defer cancel()
 	err := p.finish(drain)
+	// The second announcement says that the process has left.
+	p.Control.Post(mulberrybeam.ShutdownAsked{})
 	wait(ctx, leaveTime)
 	p.close()
 	if errors.Is(err, context.DeadlineExceeded) {
