--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -18,7 +18,7 @@
 	tickInterval = 100 * time.Millisecond
 	// publishInterval bounds how often snapshots are built, since building
 	// one costs time in proportion to the targets and members.
-	publishInterval = 20 * time.Millisecond
+	publishInterval = 50 * time.Millisecond
 	// askLimit is how long an unanswered message is kept.
 	askLimit = 5 * time.Second
 	// signBacklog bounds the events of traffic that wait for control. More
