Find lines by binary search when a document is decoded

Cause: the place of each value was found by counting the line breaks before it, which made reading a document quadratic in its length.

--- a/version/decoder/decoder.go
+++ b/version/decoder/decoder.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -87,7 +88,7 @@
 	if err != nil {
 		return document, Problems{{Line: 1, Column: 1, Path: "document", Allowed: "JSON with comments (" + err.Error() + ")"}}
 	}
-	reader := &reader{data: data, places: document.Places}
+	reader := &reader{data: data, places: document.Places, lines: lineStarts(data)}
 	reader.read("", tree, reflect.ValueOf(&document.Value).Elem())
 	if len(reader.problems) > 0 {
 		return document, reader.problems
@@ -96,7 +97,9 @@
 }
 
 type reader struct {
-	data     []byte
+	data []byte
+	// lines has the offset of the start of each line.
+	lines    []int
 	places   map[string]Place
 	problems Problems
 }
@@ -222,7 +225,8 @@
 const maxShownLength = 40
 
 func (r *reader) place(value hujson.Value) Place {
-	before := r.data[:value.StartOffset]
+	// The line is the last one that starts at or before the value.
+	line, _ := slices.BinarySearch(r.lines, value.StartOffset+1)
 	text := string(bytes.TrimSpace(r.data[value.StartOffset:value.EndOffset]))
 	if first, _, more := strings.Cut(text, "\n"); more {
 		text = first + "…"
@@ -231,12 +235,22 @@
 		text = text[:maxShownLength] + "…"
 	}
 	return Place{
-		Line:   bytes.Count(before, []byte("\n")) + 1,
-		Column: len(before) - (bytes.LastIndexByte(before, '\n') + 1) + 1,
+		Line:   line,
+		Column: value.StartOffset - r.lines[line-1] + 1,
 		Text:   text,
 	}
 }
 
+func lineStarts(data []byte) []int {
+	starts := []int{0}
+	for i, b := range data {
+		if b == '\n' {
+			starts = append(starts, i+1)
+		}
+	}
+	return starts
+}
+
 func join(path, name string) string {
 	if path == "" {
 		return name
