Write releases at once and let the next holder wait

A process that shuts down without running requests ends 1.5 s after the request to shut down, before a release that waits for the last permit would be written. The next holder now waits 2.6 s since it saw the release.

--- a/process/leaser/holder.go
+++ b/process/leaser/holder.go
@@ -13,8 +13,8 @@
 // keep renews, extends or releases a slot whose object names this process.
 func (l *Leaser) keep(turn mulberrybeam.Turn, s *slot) []mulberrybeam.Action {
 	var actions []mulberrybeam.Action
-	if (l.draining || s.retired) && s.releaseAt == 0 {
-		actions = s.startRelease(turn.Now, l.timing)
+	if (l.draining || s.retired) && !s.releasing {
+		actions = s.startRelease(turn.Now)
 	}
 	if s.active && turn.Now >= s.restateAt {
 		s.restateAt = turn.Now + l.timing.Restate
@@ -22,17 +22,13 @@
 	}
 	actions = append(actions, l.extend(turn, s)...)
 	l.lost(turn.Now, s)
-	due := s.next
-	if s.releaseAt > 0 && !s.verify {
-		due = s.releaseAt
-	}
-	if s.call.open || turn.Now < due {
+	if s.call.open || turn.Now < s.next {
 		return actions
 	}
 	switch {
 	case s.verify:
 		return append(actions, l.send(turn, s, mulberrybeam.OpGet, nil))
-	case s.releaseAt > 0:
+	case s.releasing:
 		return append(actions, l.write(turn, s, mulberrybeam.SlotLease{Epoch: s.lease.Epoch}))
 	}
 	return append(actions, l.write(turn, s, l.renewal(s)))
@@ -55,7 +51,7 @@
 func (l *Leaser) extend(turn mulberrybeam.Turn, s *slot) []mulberrybeam.Action {
 	limit := s.confirmed + l.timing.shorter(l.timing.ExtensionLimit)
 	switch {
-	case s.releaseAt > 0 || s.epoch != s.lease.Epoch,
+	case s.releasing || s.epoch != s.lease.Epoch,
 		s.until-turn.Now > l.timing.Lease/2,
 		turn.Now < s.extendNext,
 		turn.Now >= limit || s.until >= limit:
@@ -111,7 +107,7 @@
 	own := 0
 	var last *slot
 	for _, s := range l.slots {
-		if s.mine() && s.releaseAt == 0 {
+		if s.mine() && !s.releasing {
 			own++
 			// While the object API is down nobody could take the slot.
 			if s.active && !s.verify && turn.Now-s.confirmed < 2*l.timing.Renewal {
@@ -131,7 +127,7 @@
 	}
 	l.unevenSince, l.evenAfter = 0, turn.Now+l.timing.BalancePause
 	last.balanced = true
-	return last.startRelease(turn.Now, l.timing)
+	return last.startRelease(turn.Now)
 }
 
 // fewest returns how many slots the live process with the fewest holds, at
--- a/process/leaser/leaser.go
+++ b/process/leaser/leaser.go
@@ -156,7 +156,7 @@
 	for number, s := range l.slots {
 		s.retired = number >= declared
 		if s.retired && s.mine() {
-			actions = append(actions, s.startRelease(turn.Now, l.timing)...)
+			actions = append(actions, s.startRelease(turn.Now)...)
 		}
 	}
 	l.becomeReady(turn)
@@ -189,14 +189,13 @@
 	}
 }
 
-// shutDown releases all slots. Permits that were issued stay valid for a
-// moment, so that the release is written later, by keep.
+// shutDown releases all slots.
 func (l *Leaser) shutDown(turn mulberrybeam.Turn) []mulberrybeam.Action {
 	l.draining = true
 	var actions []mulberrybeam.Action
 	for _, s := range l.slots {
 		if s.mine() {
-			actions = append(actions, s.startRelease(turn.Now, l.timing)...)
+			actions = append(actions, s.startRelease(turn.Now)...)
 		}
 	}
 	return actions
--- a/process/leaser/object.go
+++ b/process/leaser/object.go
@@ -108,7 +108,7 @@
 	var actions []mulberrybeam.Action
 	if s.mine() && lease.Holder != l.self.ID {
 		actions = s.end(turn.Now, fmt.Sprintf("taken over by %q at epoch %d", lease.Holder, lease.Epoch))
-		s.releaseAt = 0
+		s.releasing = false
 	}
 	s.observe(turn.Now, event.Object.Version, lease)
 	if s.mine() {
@@ -125,12 +125,15 @@
 	s.verify, s.stale = false, false
 	s.contest = contest{}
 	if w.lease.Holder == "" {
-		s.releaseAt = 0
+		s.releasing = false
 		s.next = turn.Now + l.timing.Poll
 		return []mulberrybeam.Action{s.note("released"), l.state(s)}
 	}
 	s.confirmed = w.sentAt
 	s.next = w.sentAt + l.timing.Renewal
+	if s.releasing {
+		s.next = turn.Now
+	}
 	until := w.sentAt + l.timing.shorter(l.timing.Lease)
 	if s.epoch == w.lease.Epoch {
 		return l.prolong(turn, s, until)
@@ -149,7 +152,7 @@
 // prolong moves the end of the right and tells the other machines.
 func (l *Leaser) prolong(turn mulberrybeam.Turn, s *slot, until time.Duration) []mulberrybeam.Action {
 	s.until = max(s.until, until)
-	if s.until <= turn.Now || s.releaseAt > 0 || l.draining || s.retired {
+	if s.until <= turn.Now || s.releasing || l.draining || s.retired {
 		return nil
 	}
 	var actions []mulberrybeam.Action
--- a/process/leaser/slot.go
+++ b/process/leaser/slot.go
@@ -50,8 +50,9 @@
 	extendNext time.Duration
 	restateAt  time.Duration
 
-	// releaseAt is when a release is written, 0 when none is planned.
-	releaseAt time.Duration
+	// releasing says that the right was given up and that the release is
+	// not yet known to be written.
+	releasing bool
 	// balanced says that the slot was last released for balance.
 	balanced bool
 	contest  contest
@@ -118,12 +119,13 @@
 	}}
 }
 
-// startRelease ends the right at once and plans the write of the release.
-func (s *slot) startRelease(now time.Duration, timing Timing) []mulberrybeam.Action {
-	if s.releaseAt > 0 {
+// startRelease ends the right, and has keep write the release.
+func (s *slot) startRelease(now time.Duration) []mulberrybeam.Action {
+	if s.releasing {
 		return nil
 	}
-	s.releaseAt = now + timing.ReleaseDelay
+	s.releasing = true
+	s.next = now
 	return s.end(now, "released")
 }
 
--- a/process/leaser/taker.go
+++ b/process/leaser/taker.go
@@ -54,7 +54,11 @@
 	delay := time.Duration(l.rank(s)) * l.timing.RankDelay
 	switch {
 	case s.lease.Holder == "":
+		if s.version != "" {
+			delay += l.timing.ReleaseDelay
+		}
 		if seen < delay {
+			s.next = min(s.next, s.seenSince+delay)
 			return nil
 		}
 	case turn.Now-s.firstSeen >= l.timing.longer(l.timing.ExtensionLimit):
--- a/process/leaser/timing.go
+++ b/process/leaser/timing.go
@@ -22,8 +22,8 @@
 	// JoinDelay is the wait of a new process, which lets it learn members
 	// and holders before it takes slots.
 	JoinDelay time.Duration
-	// ReleaseDelay lies between the end of the right and the write of a
-	// release.
+	// ReleaseDelay is the wait of the next holder since it saw a release.
+	// The old one may leave at once.
 	ReleaseDelay time.Duration
 	// BalanceDelay is how long an uneven distribution has to last before
 	// a slot is released for it.
@@ -42,8 +42,8 @@
 
 // Durations of DefaultTiming that have a reason beyond the design page.
 const (
-	// A permit is valid for 2 s at most; the release must not be seen
-	// before the last permit has run out on a slower clock.
+	// A permit is valid for 2 s at most; the next holder must not begin
+	// before the last one has run out on a slower clock.
 	defaultReleaseDelay = 2*time.Second + 600*time.Millisecond
 	// Two exchanges between members, after which a new process knows most
 	// of them.
