--- a/process/permitter/history_test.go
+++ b/process/permitter/history_test.go
@@ -350,36 +350,45 @@
 	is.New(t).True(writes <= slots*60/3)
 }
 
-// Reports how long a cold target is without an owner after its holder was
-// killed.
+// Guards against a take-over during an outage and a lost release, and reports
+// how long a cold target is without an owner after its holder was killed or
+// shut down.
 func TestOwnerComesBack(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	var calm, outage []time.Duration
+	var calm, outage, handover []time.Duration
 	for seed := range 2 * *seeds {
 		w := start(seed+1, variant{})
-		calm = append(calm, w.ownerless(is, func() {}))
+		w.Fleet.Kill(w.holder())
+		calm = append(calm, w.ownerless(is))
+
+		w = start(seed+1, variant{})
+		host := w.holder()
+		w.Fleet.Post(host, mulberrybeam.ShutdownAsked{})
+		// A process without requests ends 1.5 s after it was asked to.
+		w.Fleet.After(1500*time.Millisecond, func() { w.Fleet.Kill(host) })
+		handover = append(handover, w.ownerless(is))
+		is.True(handover[seed] < leaser.DefaultTiming().Lease)
+
 		w = start(seed+1, variant{})
 		w.Fleet.Platform.SetDown(true)
 		w.Fleet.Run(12 * time.Second)
-		outage = append(outage, w.ownerless(is, func() {
-			w.Fleet.Run(20 * time.Second)
-			is.Equal(w.Owner(w.IDs[0]), nil) // nobody takes over in an outage
-			w.Fleet.Platform.SetDown(false)
-		})-20*time.Second)
+		w.Fleet.Kill(w.holder())
+		w.Fleet.Run(20 * time.Second)
+		is.Equal(w.Owner(w.IDs[0]), nil) // nobody takes over in an outage
+		w.Fleet.Platform.SetDown(false)
+		outage = append(outage, w.ownerless(is))
 		w.check(t)
 	}
-	slices.Sort(calm)
-	slices.Sort(outage)
-	t.Logf("calm: %v; after the end of an outage: %v", calm, outage)
+	for _, times := range [][]time.Duration{calm, handover, outage} {
+		slices.Sort(times)
+	}
+	t.Logf("killed: %v; shut down: %v; after the end of an outage: %v", calm, handover, outage)
 }
 
-func (w *world) ownerless(is *is.I, then func()) time.Duration {
-	id := w.IDs[0]
-	killed := w.Owner(id)
-	w.Fleet.Kill(killed.Name)
+// ownerless returns the time until the first target has an owner.
+func (w *world) ownerless(is *is.I) time.Duration {
 	from := w.Fleet.Now()
-	then()
-	is.True(w.Fleet.RunUntil(2*time.Minute, func() bool { return w.Owner(id) != nil }))
+	is.True(w.Fleet.RunUntil(2*time.Minute, func() bool { return w.Owner(w.IDs[0]) != nil }))
 	return w.Fleet.Now() - from
 }
