--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -12,7 +12,7 @@
 	g.lastRound = g.turn.Now
 	g.urgent = false
 	full := g.round%fullEvery == 0
-	peers := g.pick(peersPerRound)
+	peers := g.pick(g.peersOfRound())
 	for _, peer := range peers {
 		g.send(peer, g.offer(full))
 	}
@@ -24,6 +24,16 @@
 	g.remoteRound()
 }
 
+// peersOfRound is the number of members to exchange with. The relays of a
+// large zone leave one out, since they also carry the exchanges across zones
+// and would exceed the budget in bytes; many others exchange with them.
+func (g *Gossiper) peersOfRound() int {
+	if len(g.announced.members) > largeZone && len(g.active.order) > 0 && g.isRelay() {
+		return peersPerRound - 1
+	}
+	return peersPerRound
+}
+
 // pushRound sends news without waiting for the next round. It leaves out the
 // members, to which the other side then does not answer either.
 func (g *Gossiper) pushRound() {
@@ -116,17 +126,25 @@
 	return list
 }
 
-// spreads says whether a member had a sign of life that others may lack.
+// spreads says whether a member had a sign of life that others may lack. What
+// this process heard before it was paused is old.
 func (g *Gossiper) spreads(member *known) bool {
-	return g.turn.Now-member.risenAt <= SuspectAfter && !member.superseded
+	return g.turn.Now-member.heardAt <= SuspectAfter && !member.superseded
 }
 
-// rowOf is the row of a member, by its short id unless whole is set or another
-// member shares it.
+// rowOf is the row of a member. Unless whole is set or another member shares
+// its short id, the row is short: it has the short id, the heartbeat within
+// its cycle, and no revision if that is the sender's. A member without a revision needs a whole row.
 func (g *Gossiper) rowOf(member *known, whole bool) mulberrybeam.Member {
 	list := row(member.Member, whole)
-	if !whole && g.members.byShort[member.short] == member.ID {
-		list.ID = member.short
+	ambiguous := g.members.byShort[member.short] != member.ID || member.Revision == 0 && g.self.Revision != 0
+	if whole || ambiguous {
+		return list
+	}
+	list.ID = member.short
+	list.Heartbeat = member.Heartbeat % heartbeatCycle
+	if list.Revision == g.self.Revision {
+		list.Revision = 0
 	}
 	return list
 }
@@ -162,7 +180,7 @@
 		g.answerRemote(ticket, message)
 		return
 	}
-	message.Members = g.expand(message.Members)
+	message.Members = g.expand(message.Members, message.Revision)
 	g.mergeAll(message.Members, message.Relays)
 	g.sawRevision(message.From, message.Revision)
 	g.acceptAll(message.Facts, g.self.Zone)
@@ -179,35 +197,23 @@
 	g.emit(mulberrybeam.Reply{Ticket: ticket, Message: reply})
 }
 
-// newerRows returns the members that the other side lacks or of which it knows
-// less. A heartbeat that is only one ahead is left out: it costs bytes for
-// each member in each reply and does not matter for suspicion.
+// newerRows returns the members that the other side lacks or knows by a lower
+// heartbeat.
 func (g *Gossiper) newerRows(theirs []mulberrybeam.Member) []mulberrybeam.Member {
-	byID := make(map[mulberrybeam.ProcessID]mulberrybeam.Member, len(theirs))
+	heartbeats := make(map[mulberrybeam.ProcessID]uint64, len(theirs))
 	for _, their := range theirs {
-		byID[their.ID] = their
+		heartbeats[their.ID] = their.Heartbeat
 	}
-	_, knowsSelf := byID[g.self.ID]
-	list := []mulberrybeam.Member{row(g.self, !knowsSelf)}
+	list := []mulberrybeam.Member{row(g.self, heartbeats[g.self.ID] == 0)}
 	for _, member := range g.members.all() {
-		their, listed := byID[member.ID]
-		ahead := their.Heartbeat < member.Heartbeat
-		matters := their.Heartbeat+1 < member.Heartbeat || their.Revision != member.Revision || stateOf(their) != member.State
-		if g.spreads(member) && ahead && matters {
+		heartbeat, listed := heartbeats[member.ID]
+		if g.spreads(member) && heartbeat < member.Heartbeat {
 			list = append(list, g.rowOf(member, !listed))
 		}
 	}
 	return list
 }
 
-// stateOf is the state that a row says, which it leaves out when alive.
-func stateOf(row mulberrybeam.Member) mulberrybeam.MemberState {
-	if row.State == "" {
-		return mulberrybeam.MemberAlive
-	}
-	return row.State
-}
-
 // conclude takes in the reply to an Exchange.
 func (g *Gossiper) conclude(event mulberrybeam.ReplyReceived) {
 	sent, own := g.pending[event.Ticket]
@@ -220,7 +226,7 @@
 		g.failed(sent)
 		return
 	}
-	g.mergeAll(g.expand(reply.Members), reply.Relays)
+	g.mergeAll(g.expand(reply.Members, reply.Revision), reply.Relays)
 	g.sawRevision(sent.to, reply.Revision)
 	g.acceptAll(reply.Facts, sent.zone)
 	if sent.zone != g.self.Zone {
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -29,6 +29,9 @@
 
 	// peersPerRound is the number of live members exchanged with each round.
 	peersPerRound = 2
+	// largeZone is the number of members above which a process hears of
+	// each heartbeat mostly through others.
+	largeZone = 8
 	// fullEvery is the number of rounds between two full comparisons.
 	fullEvery = 10
 	// lostEvery is the number of rounds between two attempts to reach a
@@ -71,8 +74,10 @@
 	// active are the relays of other zones that count now.
 	active roster
 	// changed asks for a review before the next second.
-	changed   bool
-	seeds     map[mulberrybeam.ZoneName][]mulberrybeam.Member
+	changed bool
+	seeds   map[mulberrybeam.ZoneName][]mulberrybeam.Member
+	// settled are the seeds of the settings, kept beside the directory.
+	settled   map[mulberrybeam.ZoneName][]mulberrybeam.Member
 	facts     store
 	directory directory
 	uses      uses
@@ -109,23 +114,29 @@
 	return func(g *Gossiper) { g.encode, g.decode = encode, decode }
 }
 
-// WithSeeds names processes to contact before the directory was read. Their
-// ids may be empty.
+// WithSeeds names processes of the settings to contact besides those of the
+// directory. Their ids may be empty.
 func WithSeeds(seeds ...mulberrybeam.Member) Option {
 	return func(g *Gossiper) {
 		for _, seed := range seeds {
 			g.seeds[seed.Zone] = append(g.seeds[seed.Zone], seed)
+			g.settled[seed.Zone] = append(g.settled[seed.Zone], seed)
 		}
 	}
 }
 
 // WithExchangeBytes bounds the estimated bytes of facts in one exchange.
-// Exchanges across zones carry half of it: a relay takes part in up to 12 of
-// them a second besides those within its zone.
+// Exchanges across zones carry a quarter of it.
 func WithExchangeBytes(limit int) Option {
 	return func(g *Gossiper) { g.exchangeBytes = limit }
 }
 
+// WithHeartbeat sets the first heartbeat. Measurements use it, since the rows
+// of members that have run for days are longer.
+func WithHeartbeat(first uint64) Option {
+	return func(g *Gossiper) { g.self.Heartbeat = first }
+}
+
 // New returns the machine of a process.
 func New(self Self, options ...Option) *Gossiper {
 	gossiper := &Gossiper{
@@ -139,6 +150,7 @@
 		relays:        newRoster(),
 		active:        newRoster(),
 		seeds:         map[mulberrybeam.ZoneName][]mulberrybeam.Member{},
+		settled:       map[mulberrybeam.ZoneName][]mulberrybeam.Member{},
 		facts:         newStore(),
 		uses:          newUses(),
 		pending:       map[mulberrybeam.Ticket]exchange{},
--- a/request/forwarder/view.go
+++ b/request/forwarder/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,14 +26,20 @@
 }
 
 func (v view) CachedBlocks(id mulberrybeam.TargetID, keys []mulberrybeam.BlockKey) int {
-	if instance := v.snapshot.Targets[id].Instance; instance != "" && !v.index.Describes(id, instance) {
+	if !v.describes(id) {
 		return 0
 	}
 	return v.index.CachedBlocks(v.now, id, keys)
 }
 
 func (v view) Holders(keys []mulberrybeam.BlockKey) []mulberrybeam.TargetID {
-	return v.index.Holders(v.now, keys)
+	return slices.DeleteFunc(v.index.Holders(v.now, keys), func(id mulberrybeam.TargetID) bool { return !v.describes(id) })
+}
+
+// describes says whether the index is about the instance that control knows.
+func (v view) describes(id mulberrybeam.TargetID) bool {
+	instance := v.snapshot.Targets[id].Instance
+	return instance == "" || v.index.Describes(id, instance)
 }
 
 func (v view) InFlight(id mulberrybeam.TargetID) int { return v.flights.count(id) }
