--- a/process/leaser/taker.go
+++ b/process/leaser/taker.go
@@ -51,10 +51,18 @@
 		return nil
 	}
 	seen := turn.Now - s.seenSince
+	if s.lease.Holder != "" && !l.alive(s.lease.Holder) {
+		// A dead holder needs no time to renew after an outage.
+		seen = turn.Now - s.firstSeen
+	}
 	delay := time.Duration(l.rank(s)) * l.timing.RankDelay
 	switch {
 	case s.lease.Holder == "":
+		if s.version != "" {
+			delay += l.timing.ReleaseDelay
+		}
 		if seen < delay {
+			s.next = min(s.next, s.seenSince+delay)
 			return nil
 		}
 	case turn.Now-s.firstSeen >= l.timing.longer(l.timing.ExtensionLimit):
