Run copies of a suspected request at one target only

Two hosts that got copies of a request after its first crash could each run it at a target of their own before the facts met, a third crash. All hosts now pick the target by the request's fingerprint, without the target that crashed, and wait for its isolation permit. The demo no longer writes lines from two goroutines at once, which the race detector found.

--- a/cmd/mulberrybeam/command/demo/demo.go
+++ b/cmd/mulberrybeam/command/demo/demo.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"mulberrybeam"
@@ -43,11 +44,15 @@
 
 // show is the running demo.
 type show struct {
+	// mutex orders the lines of concurrent callers.
+	mutex sync.Mutex
 	out   io.Writer
 	fleet *fleet.Fleet
 }
 
 func (s *show) say(format string, values ...any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	_, _ = fmt.Fprintf(s.out, "  "+format+"\n", values...)
 }
 
--- a/request.go
+++ b/request.go
@@ -87,6 +87,8 @@
 	Tried []TargetID
 	// Kept are whole kept contexts of the prompt in stores, longest first.
 	Kept []Manifest
+	// Isolated says that the request is suspected of a crash.
+	Isolated bool
 }
 
 // Route is the decision of a routing policy.
--- a/request/forwarder/attempt.go
+++ b/request/forwarder/attempt.go
@@ -62,6 +62,13 @@
 			continue
 		}
 		last = failure
+		if r.isolated && failure.Step == mulberrybeam.StepPermit {
+			// Another target could run a copy of the request at once.
+			if !f.awaitPermit(ctx, r, failure, waitUntil) {
+				return f.ended(ctx, r, failure)
+			}
+			continue
+		}
 		if more, end := f.again(ctx, r, failure); !more {
 			return f.ended(ctx, r, end)
 		}
@@ -99,7 +106,12 @@
 func (f *Forwarder) pick(snapshot *mulberrybeam.Snapshot, r *run) (mulberrybeam.Route, error) {
 	turn := mulberrybeam.Turn{Now: f.Clock(), Wall: f.Wall(), Rand: r.random}
 	sees := view{now: turn.Now, index: f.Index, snapshot: snapshot, flights: &f.flights}
-	query := mulberrybeam.RouteQuery{Request: r.request, Zone: snapshot.Zone, Tried: r.tried, Kept: r.kept}
+	query := mulberrybeam.RouteQuery{Request: r.request, Zone: snapshot.Zone, Tried: r.tried, Kept: r.kept, Isolated: r.isolated}
+	if r.isolated {
+		// All hosts leave out the target of the crash, not only the one
+		// that tried it.
+		query.Tried = append(slices.Clone(r.tried), snapshot.Crashes[r.request.Fingerprint].Target)
+	}
 	first, err := f.Picker.Pick(turn, sees, query)
 	if err != nil || !f.gate.Full(snapshot.Tables.Targets[first.Target], f.InFlight(first.Target)) {
 		return first, err
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -189,6 +189,9 @@
 	if s.tables == nil {
 		return mulberrybeam.Route{}, s.failure()
 	}
+	if query.Isolated {
+		return s.isolated()
+	}
 	if len(query.Request.Keys) > 0 {
 		holders := view.Holders(query.Request.Keys)
 		for _, holder := range holders[:min(len(holders), maxHolders)] {
--- a/request/router/search.go
+++ b/request/router/search.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/version/ranker"
 )
 
 // maxCandidates is the room for holders, the pair and the random choices of
@@ -99,6 +100,25 @@
 	return true
 }
 
+// isolatedChoices bounds the targets looked at for a suspected request.
+const isolatedChoices = 8
+
+// isolated picks by the request's fingerprint, so that all entry hosts pick
+// the same target and its owner lets one copy of the request run at a time.
+// Otherwise two hosts could run copies of it at two targets before either
+// hears of the other's crash.
+func (s *search) isolated() (mulberrybeam.Route, error) {
+	key := string(s.query.Request.Fingerprint[:])
+	var c candidate
+	for _, id := range ranker.Top(key, s.targets, isolatedChoices) {
+		if s.admit(id, "suspected of a crash: first by its fingerprint", &c) {
+			s.estimate(&c)
+			return s.result()
+		}
+	}
+	return s.result()
+}
+
 // serves checks targets that the index names: it may know the engine of
 // another revision, which no longer has the model.
 func (s *search) serves(target mulberrybeam.Target) bool {
