Send a new process all facts with the first exchange

A new process has no facts, so its first full comparison had an empty digest, which counted as no comparison. It learned the owners of targets only by the comparisons every ten rounds.

--- a/message.go
+++ b/message.go
@@ -15,6 +15,8 @@
 	Facts    []Fact
 	// Digest has the stamps of all facts and is set on full exchanges.
 	Digest []FactDigest
+	// Joining says that the sender is new and needs all facts.
+	Joining bool
 }
 
 // FactDigest names a fact and its stamp.
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -59,6 +59,7 @@
 	if peer.Zone != g.self.Zone {
 		timeout = remoteTimeout
 	}
+	message.Joining = !g.joined && peer.Zone == g.self.Zone
 	g.pending[ticket] = exchange{to: peer.ID, zone: peer.Zone, facts: message.Facts}
 	g.emit(mulberrybeam.Call{To: peer.ID, Address: peer.Address, Message: message, Ticket: ticket, Timeout: timeout})
 }
@@ -159,7 +160,11 @@
 		reply.Members = g.newerRows(message.Members)
 		reply.Relays = g.relayRows(false)
 	}
-	reply.Facts = g.facts.freshExcept(g.turn.Now, g.exchangeBytes, message.Facts)
+	if message.Joining {
+		reply.Facts = choose(g.facts.byKey, g.turn.Now, joinBytes)
+	} else {
+		reply.Facts = g.facts.freshExcept(g.turn.Now, g.exchangeBytes, message.Facts)
+	}
 	if len(message.Digest) > 0 {
 		facts, wanted := g.facts.compare(g.turn.Now, message.Digest, g.exchangeBytes)
 		reply.Facts, reply.Wanted = append(reply.Facts, facts...), wanted
@@ -201,6 +206,8 @@
 	g.acceptAll(reply.Facts, sent.zone)
 	if sent.zone != g.self.Zone {
 		g.delivered(sent)
+	} else {
+		g.joined = true
 	}
 	if peer, found := g.addressOf(sent.to); found && len(reply.Wanted) > 0 {
 		g.send(peer, mulberrybeam.Exchange{
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -29,6 +29,9 @@
 
 	// peersPerRound is the number of live members exchanged with each round.
 	peersPerRound = 2
+	// joinBytes bounds the facts for a new process. Within the bound of
+	// other exchanges it learned the owners of targets only after 10 s.
+	joinBytes = 64 << 10
 	// fullEvery is the number of rounds between two full comparisons.
 	fullEvery = 10
 	// lostEvery is the number of rounds between two attempts to reach a
@@ -85,6 +88,8 @@
 	zoneSlot   time.Duration
 	started    bool
 	lastReview time.Duration
+	// joined says that a process of the zone has sent all its facts.
+	joined bool
 }
 
 // exchange is an Exchange that was not answered yet.
--- /dev/null
+++ b/process/gossiper/join_test.go
@@ -0,0 +1,32 @@
+package gossiper_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam/process/controller/controllertest"
+)
+
+// Guards against a new process that learns the facts of its zone only by the
+// full comparisons every ten rounds, and so knows no owners of targets until
+// then.
+func TestNewProcessLearnsAllFactsAtOnce(t *testing.T) {
+	is := is.New(t)
+	const facts = 100
+	fleet, probes := newFleet(1)
+	fleet.Start(controllertest.Hosts(1, 3)...)
+	is.True(fleet.RunUntil(time.Minute, func() bool { return together(fleet) }))
+	for i := range facts {
+		fleet.Post("z1h1", drain(fmt.Sprint("target ", i)))
+	}
+	heard := func(host string) bool { return len(probes[host].facts) >= facts }
+	is.True(fleet.RunUntil(5*time.Minute, func() bool { return heard("z1h2") && heard("z1h3") }))
+	fleet.Restart("z1h2")
+	is.True(fleet.RunUntil(time.Minute, func() bool { return together(fleet) }))
+	began := fleet.Now()
+	is.True(fleet.RunUntil(spread, func() bool { return heard("z1h2") }))
+	t.Log("all facts", fleet.Now()-began, "after the join")
+}
