--- a/process/server/proxy.go
+++ b/process/server/proxy.go
@@ -11,9 +11,9 @@
 // flushAtOnce passes each event on as it comes.
 const flushAtOnce = -1
 
-// ProxyTo returns a Proxy over HTTP. addressOf returns the caller-facing
+// ProxyTo returns a Proxy over "http" or "https". addressOf returns the caller-facing
 // "ip:port" of a live entry process of the zone, and false for others.
-func ProxyTo(addressOf func(mulberrybeam.ProcessID) (string, bool), transport http.RoundTripper) Proxy {
+func ProxyTo(scheme string, addressOf func(mulberrybeam.ProcessID) (string, bool), transport http.RoundTripper) Proxy {
 	return func(process mulberrybeam.ProcessID, response http.ResponseWriter, request *http.Request) bool {
 		address, found := addressOf(process)
 		if !found {
@@ -21,7 +21,7 @@
 		}
 		reached := true
 		proxy := &httputil.ReverseProxy{
-			Rewrite:       func(r *httputil.ProxyRequest) { r.SetURL(&url.URL{Scheme: "http", Host: address}) },
+			Rewrite:       func(r *httputil.ProxyRequest) { r.SetURL(&url.URL{Scheme: scheme, Host: address}) },
 			Transport:     transport,
 			FlushInterval: flushAtOnce,
 			// The caller gets the same refusal as for an unknown process.
--- a/process/server/server_test.go
+++ b/process/server/server_test.go
@@ -150,7 +150,7 @@
 func TestResume(t *testing.T) {
 	is := is.New(t)
 	running := start(t, "h/1")
-	other := start(t, "h/2", server.WithProxy(server.ProxyTo(func(id mulberrybeam.ProcessID) (string, bool) {
+	other := start(t, "h/2", server.WithProxy(server.ProxyTo("http", func(id mulberrybeam.ProcessID) (string, bool) {
 		return running.address, id == "h/1"
 	}, http.DefaultTransport)))
 	go func() { running.engine.texts <- "a"; running.engine.texts <- "b" }()
