Release slots at shutdown, wait to be introduced, and know seeds

Found by a rolling restart under load. The launcher closed a process 1.5 s after it asked for the shutdown, but the leaser writes the release of a slot after 2.6 s, so slots stayed without a holder until their leases ended (over 10 s without a holder). It never asked twice, so that peers never heard that the process had left.

A process that started while the platform was down knew no peer. The settings have seeds now. A stream of an ended entry process was answered with 502 and no body by the standard library's proxy, and is unknown (404) now.

--- a/process/launcher/launcher.go
+++ b/process/launcher/launcher.go
@@ -40,9 +40,14 @@
 	"mulberrybeam/version/parser"
 )
 
-// leaveTime lets peers hear that the process has left and the object API
-// take back its slots.
-const leaveTime = 1500 * time.Millisecond
+const (
+	// writeTime lets the object API take back the slots once the leaser
+	// writes their release. Without the release they stay without a holder
+	// until their leases end.
+	writeTime = time.Second
+	// leaveTime lets peers hear that the process has left.
+	leaveTime = 500 * time.Millisecond
+)
 
 // minSecretLength is in bytes.
 const minSecretLength = 16
@@ -175,8 +180,13 @@
 func (p *Process) machines() []mulberrybeam.Machine {
 	self := mulberrybeam.Member{ID: p.ID, Zone: p.settings.Zone, Address: p.PeerAddress}
 	membership := gossiper.Self{ID: p.ID, Zone: p.settings.Zone, Address: p.PeerAddress, CallerAddress: p.CallerAddress}
+	seeds := make([]mulberrybeam.Member, len(p.settings.Seeds))
+	for i, address := range p.settings.Seeds {
+		seeds[i] = mulberrybeam.Member{Zone: p.settings.Zone, Address: address}
+	}
+	directory := gossiper.WithDirectory(directoryencoder.Encode, directoryencoder.Decode)
 	return []mulberrybeam.Machine{
-		gossiper.New(membership, gossiper.WithDirectory(directoryencoder.Encode, directoryencoder.Decode)),
+		gossiper.New(membership, directory, gossiper.WithSeeds(seeds...)),
 		configurer.New(membership, p.settings.Environment, parser.Parse),
 		leaser.New(self, leaser.WithEncoding(leaseencoder.Encode, leaseencoder.Decode)),
 		permitter.New(self),
@@ -233,7 +243,7 @@
 		server.WithForwarder(p.forwarder),
 		server.WithKeyer(keys),
 		server.WithGrace(p.settings.ResumeGrace),
-		server.WithProxy(p.proxy),
+		server.WithProxy(server.ProxyTo(p.callerScheme(), p.callerAddressOf, nil)),
 	)
 	if err != nil {
 		return err
@@ -249,9 +259,13 @@
 	p.server.Retire()
 	wait(ctx, p.settings.Shutdown.BalancerDelay)
 	p.Control.Post(mulberrybeam.ShutdownAsked{})
+	released := p.now() + leaser.DefaultTiming().ReleaseDelay + writeTime
 	drain, cancel := p.drainContext(ctx)
 	defer cancel()
 	err := p.finish(drain)
+	wait(ctx, released-p.now())
+	// Asked once more, the process says that it has left.
+	p.Control.Post(mulberrybeam.ShutdownAsked{})
 	wait(ctx, leaveTime)
 	p.close()
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/process/launcher/listen.go
+++ b/process/launcher/listen.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httputil"
-	"net/url"
 	"os"
 	"time"
 
@@ -119,18 +117,14 @@
 	return observed
 }
 
-// proxy passes a call about a stream to the process of the zone that runs it.
-func (p *Process) proxy(process mulberrybeam.ProcessID, response http.ResponseWriter, request *http.Request) bool {
+// callerAddressOf returns where a live process of the zone serves callers.
+func (p *Process) callerAddressOf(process mulberrybeam.ProcessID) (string, bool) {
 	for _, member := range p.Control.Snapshot().Members {
-		if member.ID != process || member.CallerAddress == "" {
-			continue
+		if member.ID == process && member.State != mulberrybeam.MemberDead && member.State != mulberrybeam.MemberLeft {
+			return member.CallerAddress, member.CallerAddress != ""
 		}
-		proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: p.callerScheme(), Host: member.CallerAddress})
-		proxy.FlushInterval = -1
-		proxy.ServeHTTP(response, request)
-		return true
 	}
-	return false
+	return "", false
 }
 
 func (p *Process) callerScheme() string {
--- a/process/launcher/settings.go
+++ b/process/launcher/settings.go
@@ -26,6 +26,10 @@
 	Caller   ListenerSettings
 	Peer     ListenerSettings
 	Operator ListenerSettings
+	// Seeds are peer addresses of entry processes of the zone. The process
+	// asks them for members and configuration while the platform, which has
+	// the directory, cannot be reached.
+	Seeds []string
 	// ContextSecretFile holds the secret of context keys, the same on all
 	// entry hosts of the environment.
 	ContextSecretFile string
@@ -98,6 +102,10 @@
 		path     string
 		settings ListenerSettings
 	}{{"caller", settings.Caller}, {"peer", settings.Peer}, {"operator", settings.Operator}}
+	for i, seed := range settings.Seeds {
+		_, err := netip.ParseAddrPort(seed)
+		require(err == nil, fmt.Sprintf("seeds[%d]", i), `an IP number and port such as "10.0.0.7:8444"`)
+	}
 	for _, listener := range listeners {
 		_, err := netip.ParseAddrPort(listener.settings.Address)
 		require(err == nil, listener.path+".address", `an IP number and port such as "10.0.0.7:8443"`)
--- a/process/permitter/permitter.go
+++ b/process/permitter/permitter.go
@@ -35,6 +35,10 @@
 	// dirty says that reports changed since the last snapshot.
 	dirty     bool
 	restateAt time.Duration
+	// configuredAt is when the first configuration came, introduced says
+	// that the process may call itself ready.
+	configuredAt time.Duration
+	introduced   bool
 }
 
 var _ mulberrybeam.Machine = (*Permitter)(nil)
@@ -106,6 +110,9 @@
 			}
 		}
 	}
+	if !p.introduced && p.introduce(turn.Now) {
+		p.introduced, p.dirty = true, true
+	}
 	if p.dirty {
 		p.dirty = false
 		actions = append(actions, mulberrybeam.Publish{})
@@ -131,6 +138,9 @@
 	if event.Environment != nil {
 		p.limits = event.Environment.Limits
 	}
+	if p.configuredAt == 0 {
+		p.configuredAt = turn.Now
+	}
 	old := p.targets
 	p.targets = make(map[mulberrybeam.TargetID]*target, len(event.Tables.Targets))
 	p.order = p.order[:0]
@@ -189,8 +199,29 @@
 	return append(actions, mulberrybeam.Publish{})
 }
 
-// Fill writes the state of all targets.
+// introduce says whether a new process knows each target of its zone as warm
+// or by its owner. Before that it would refuse requests that its peers can
+// serve. After a while it is ready all the same, since owners may be missing.
+func (p *Permitter) introduce(now time.Duration) bool {
+	if p.configuredAt == 0 {
+		return false
+	}
+	if now-p.configuredAt >= p.timing.Introduction {
+		return true
+	}
+	for _, t := range p.order {
+		owner, _ := p.owner(now, t.slot)
+		if t.declared.Zone == p.self.Zone && owner == "" && p.phase(now, t) == mulberrybeam.PhaseCold {
+			return false
+		}
+	}
+	return true
+}
+
+// Fill writes the state of all targets. The process is ready once it has been
+// introduced.
 func (p *Permitter) Fill(snapshot *mulberrybeam.Snapshot) {
+	snapshot.Ready = snapshot.Ready && p.introduced
 	states := make(map[mulberrybeam.TargetID]mulberrybeam.TargetState, len(p.order))
 	for _, t := range p.order {
 		state := mulberrybeam.TargetState{
--- a/process/permitter/timing.go
+++ b/process/permitter/timing.go
@@ -27,6 +27,10 @@
 	FactTTL time.Duration
 	// Restate is the time between two statements of an unchanged phase.
 	Restate time.Duration
+	// Introduction bounds the time in which a new process learns the owners
+	// of its zone's targets before it calls itself ready. It is longer than
+	// the wait for a slot whose holder died.
+	Introduction time.Duration
 }
 
 // DefaultTiming returns the durations and counts of the design page.
@@ -41,6 +45,8 @@
 		Retry:      200 * time.Millisecond,
 		FactTTL:    24 * time.Hour,
 		Restate:    time.Hour,
+
+		Introduction: 15 * time.Second,
 	}
 }
 
--- a/process/standin/fleet/client.go
+++ b/process/standin/fleet/client.go
@@ -54,10 +54,11 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	return read(response, begin)
+	return Read(response, begin)
 }
 
-func read(response *http.Response, begin time.Time) (Answer, error) {
+// Read reads the answer to a prompt that was sent at a time.
+func Read(response *http.Response, begin time.Time) (Answer, error) {
 	defer func() { _ = response.Body.Close() }()
 	answer := Answer{Status: response.StatusCode, Request: mulberrybeam.RequestID(response.Header.Get("X-Request-Id"))}
 	if response.StatusCode != http.StatusOK {
--- a/process/standin/fleet/fleet.go
+++ b/process/standin/fleet/fleet.go
@@ -240,8 +240,9 @@
 	return nil
 }
 
-// StartEntry starts one more entry process.
-func (f *Fleet) StartEntry(zone mulberrybeam.ZoneName, host string) (*Entry, error) {
+// StartEntry starts one more entry process. Seeds are peer addresses of entry
+// processes of its zone.
+func (f *Fleet) StartEntry(zone mulberrybeam.ZoneName, host string, seeds ...string) (*Entry, error) {
 	anyPort := launcher.ListenerSettings{Address: "127.0.0.1:0"}
 	process, shutdown, err := launcher.Start(launcher.Settings{
 		Environment:       Environment,
@@ -251,6 +252,7 @@
 		Caller:            anyPort,
 		Peer:              anyPort,
 		Operator:          anyPort,
+		Seeds:             seeds,
 		ContextSecretFile: filepath.Join(f.directory, "context-secret"),
 		Shutdown:          launcher.ShutdownSettings{BalancerDelay: f.Layout.BalancerDelay},
 		ResumeGrace:       5 * time.Second,
