--- a/process/launcher/context_test.go
+++ b/process/launcher/context_test.go
@@ -1,6 +1,7 @@
 package launcher_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -97,7 +98,7 @@
 	t.Parallel()
 	is := is.New(t)
 	layout := oneZone()
-	layout.Engine = func(s *engine.Settings) { s.CacheBlocks = 20 }
+	layout.Engine = func(s *engine.Settings) { s.CacheBlocks = 8 }
 	f := start(t, layout)
 	kept(t, f, f.Entries[0], history("restart"))
 	restart(t, f)
@@ -106,16 +107,22 @@
 	is.Equal(counted(f, "imports"), 1)
 	is.True(imported(f, request))
 
-	kept(t, f, f.Entries[0], history("eviction"))
-	for _, other := range []string{"one", "two", "three", "four", "five", "six", "seven", "eight"} {
-		ask(t, f.Entries[len(other)%2], fleet.FirstWorkspace, history(other))
+	// A process that sent the prompt itself and does not follow the engine's
+	// cache events believes in its cache for a minute, so that the prompt
+	// returns to the other one here.
+	for _, returns := range []struct{ first, second int }{{0, 1}, {1, 0}} {
+		name := fmt.Sprint("eviction ", returns)
+		kept(t, f, f.Entries[returns.first], history(name))
+		for i := range 12 {
+			ask(t, f.Entries[i%2], fleet.FirstWorkspace, history(fmt.Sprint(name, " and ", i)))
+		}
+		time.Sleep(time.Second) // cache events are polled every 500 ms
+		before := counted(f, "imports")
+		request = ask(t, f.Entries[returns.second], fleet.FirstWorkspace, history(name)+"and more")
+		t.Log(returns, entriesOf(f, request, mulberrybeam.EntryRoute))
+		is.Equal(counted(f, "imports"), before+1)
+		is.True(imported(f, request))
 	}
-	time.Sleep(time.Second) // cache events are polled every 500 ms
-	before := counted(f, "imports")
-	request = ask(t, f.Entries[1], fleet.FirstWorkspace, history("eviction")+"and more")
-	t.Log(entriesOf(f, request, mulberrybeam.EntryRoute))
-	is.Equal(counted(f, "imports"), before+1)
-	is.True(imported(f, request))
 	is.Equal(counted(f, "wrong-version-hits"), 0)
 }
 
@@ -139,15 +146,67 @@
 	is.Equal(counted(f, "imports"), imports+1) // the owner of the context uses it
 }
 
+// storeCase is one way in which stores fail.
+type storeCase struct {
+	name string
+	// early says that the fault is set before the context is to be kept.
+	early bool
+	// fault is nil for a crash.
+	fault func(*store.Faults)
+	// hit is the counter that shows the fault, if the fake has one.
+	hit string
+}
+
+// set sets the fault at all stores.
+func (c storeCase) set(f *fleet.Fleet) {
+	for _, store := range f.Stores {
+		if c.fault == nil {
+			store.Crash()
+			continue
+		}
+		store.SetFaults(c.fault)
+	}
+}
+
+func (c storeCase) hits(f *fleet.Fleet) int {
+	sum := 0
+	for _, store := range f.Stores {
+		sum += store.Count(c.hit)
+	}
+	return sum
+}
+
+// run lets a prompt return while the stores fail.
+func (c storeCase) run(t *testing.T, f *fleet.Fleet) {
+	is := is.New(t)
+	before := c.hits(f)
+	if c.early {
+		c.set(f)
+		ask(t, f.Entries[0], fleet.FirstWorkspace, history(c.name))
+		await(t, 5*time.Second, "the export is refused", func() bool { return c.hits(f) > before })
+		restart(t, f)
+	} else {
+		kept(t, f, f.Entries[0], history(c.name))
+		restart(t, f)
+		c.set(f)
+	}
+	imports := counted(f, "imports")
+	begin := time.Now()
+	request := ask(t, f.Entries[1], fleet.FirstWorkspace, history(c.name)+"and more")
+	t.Log(time.Since(begin), entriesOf(f, request, mulberrybeam.EntryRoute))
+	is.Equal(counted(f, "imports"), imports)
+	is.True(c.hit == "" || c.hits(f) > before) // the fault was hit
+	for _, host := range f.Stores {
+		host.SetFaults(func(s *store.Faults) { *s = store.Faults{} })
+		is.NoErr(host.Restart())
+	}
+	settle(t, f)
+}
+
 // Guards against wrong and failed answers when stores fail in each way.
 func TestFailingStoresCostOnlyRecompute(t *testing.T) {
 	t.Parallel()
-	cases := []struct {
-		name   string
-		before bool // the fault is set before the context is to be kept
-		fault  func(*store.Faults)
-		hit    string
-	}{
+	cases := []storeCase{
 		{"full", true, func(s *store.Faults) { s.Full = true }, "full-refused"},
 		{"corrupt", false, func(s *store.Faults) { s.CorruptNext = 100 }, "corrupted"},
 		{"truncated", false, func(s *store.Faults) { s.TruncateNext = 100 }, "truncated"},
@@ -158,48 +217,7 @@
 		{"slow link", false, func(s *store.Faults) { s.LinkRate = 1000 }, "manifests-asked"},
 	}
 	f := start(t, oneZone())
-	hits := func(name string) int {
-		sum := 0
-		for _, store := range f.Stores {
-			sum += store.Count(name)
-		}
-		return sum
-	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			set := func(change func(*store.Faults)) {
-				for _, store := range f.Stores {
-					if change == nil {
-						store.Crash()
-						continue
-					}
-					store.SetFaults(change)
-				}
-			}
-			before := hits(c.hit)
-			if c.before {
-				set(c.fault)
-				ask(t, f.Entries[0], fleet.FirstWorkspace, history(c.name))
-				await(t, 5*time.Second, "the export is refused", func() bool { return hits(c.hit) > before })
-			} else {
-				kept(t, f, f.Entries[0], history(c.name))
-			}
-			restart(t, f)
-			if !c.before {
-				set(c.fault)
-			}
-			imports := counted(f, "imports")
-			begin := time.Now()
-			request := ask(t, f.Entries[1], fleet.FirstWorkspace, history(c.name)+"and more")
-			t.Log(time.Since(begin), entriesOf(f, request, mulberrybeam.EntryRoute))
-			is.Equal(counted(f, "imports"), imports)
-			is.True(c.hit == "" || hits(c.hit) > before) // the fault was hit
-			set(func(s *store.Faults) { *s = store.Faults{} })
-			for _, store := range f.Stores {
-				is.NoErr(store.Restart())
-			}
-			settle(t, f)
-		})
+		t.Run(c.name, func(t *testing.T) { c.run(t, f) })
 	}
 }
--- a/process/launcher/helper_test.go
+++ b/process/launcher/helper_test.go
@@ -141,7 +141,10 @@
 }
 
 func (l *load) ask(ctx context.Context, entry *fleet.Entry, number, tokens int) {
-	body := fleet.Prompt(fmt.Sprintf("prompt %d of steady load", number), tokens)
+	l.send(ctx, entry, fleet.Prompt(fmt.Sprintf("prompt %d of steady load", number), tokens), tokens)
+}
+
+func (l *load) send(ctx context.Context, entry *fleet.Entry, body []byte, tokens int) {
 	result := outcome{entry: entry, began: time.Now()}
 	answer, err := fleet.Ask(ctx, entry, fleet.FirstWorkspace, body)
 	result.request, result.firstToken = answer.Request, answer.FirstToken
@@ -207,18 +210,28 @@
 	return times[min(len(times)-1, len(times)*95/100)].Round(time.Millisecond)
 }
 
+// mostReported bounds the wrong outcomes that a test describes.
+const mostReported = 3
+
 // report logs what went wrong and fails the test for it.
 func report(t *testing.T, f *fleet.Fleet, outcomes []outcome, allowed func(outcome) bool) {
 	t.Helper()
+	wrong := 0
 	for _, o := range outcomes {
 		if o.refused == nil && o.err == nil || allowed != nil && allowed(o) {
 			continue
 		}
+		if wrong++; wrong > mostReported {
+			continue
+		}
 		var text strings.Builder
 		for _, kind := range []mulberrybeam.EntryKind{mulberrybeam.EntryRoute, mulberrybeam.EntryRetry, mulberrybeam.EntryRefusal} {
 			_, _ = fmt.Fprintf(&text, "\n  %s %q", kind, entriesOf(f, o.request, kind))
 		}
-		t.Errorf("%s at %s: %+v %v%s", o.entry.ID, o.began.Format("05.000"), o.refused, o.err, text.String())
+		t.Errorf("%s at %s: %+v %v%.2000s", o.entry.ID, o.began.Format("05.000"), o.refused, o.err, text.String())
+	}
+	if wrong > mostReported {
+		t.Errorf("%d wrong outcomes in all", wrong)
 	}
 }
 
--- /dev/null
+++ b/process/launcher/order_test.go
@@ -0,0 +1,274 @@
+package launcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/standin/fleet"
+	"mulberrybeam/process/standin/platform"
+	"mulberrybeam/process/standin/service"
+)
+
+// What a caller learns of a call that may run once.
+const (
+	answered = "answered"
+	unclear  = "unclear"
+	notRun   = "not-run"
+	// runsSeen is the number of runs that the services saw in the end.
+	runsSeen = "runs-seen"
+)
+
+// orderStep is one operation on a key.
+type orderStep struct {
+	key    string
+	kind   string
+	answer string
+	runs   int
+}
+
+// Runs of a key in the model: none yet, or one whose answer is unknown, or one
+// with its answer.
+const (
+	noRun      = ""
+	unknownRun = "?"
+)
+
+// oneRunPerKey is the sequential rule: a key runs at most once, every answer
+// is that of its run, and a call refused with not-run has no effect.
+var oneRunPerKey = (&porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, operation := range history {
+			key := operation.Input.(orderStep).key
+			byKey[key] = append(byKey[key], operation)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() []any { return []any{noRun} },
+	Step: func(state, input, _ any) []any {
+		step, run := input.(orderStep), state.(string)
+		switch {
+		case step.kind == notRun, step.kind == unclear && run != noRun:
+			return []any{run}
+		case step.kind == unclear:
+			return []any{noRun, unknownRun}
+		case step.kind == runsSeen && (step.runs == 1) == (run != noRun) && step.runs <= 1:
+			return []any{run}
+		case step.kind == answered && (run == noRun || run == unknownRun || run == step.answer):
+			return []any{step.answer}
+		}
+		return nil
+	},
+	Equal: func(one, other any) bool { return one == other },
+}).ToModel()
+
+// orders is a history of calls that may run once.
+type orders struct {
+	mutex   sync.Mutex
+	begin   time.Time
+	steps   []porcupine.Operation
+	kinds   map[string]int
+	codes   map[mulberrybeam.Code]int
+	replays int
+	// refused are the requests whose refusal says not-run.
+	refused []string
+}
+
+func newOrders() *orders {
+	return &orders{begin: time.Now(), kinds: map[string]int{}, codes: map[mulberrybeam.Code]int{}}
+}
+
+func (o *orders) note(step orderStep, from time.Duration) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.kinds[step.kind]++
+	o.steps = append(o.steps, porcupine.Operation{
+		ClientId: len(o.steps), Input: step, Call: int64(from), Return: int64(time.Since(o.begin)),
+	})
+}
+
+// place sends an order. The header name is in lower case, since net/http would
+// send a request with the usual spelling again by itself.
+func (o *orders) place(ctx context.Context, entry *fleet.Entry, key string) orderStep {
+	from := time.Since(o.begin)
+	body := []byte(`{"item": "oar for ` + key + `"}`)
+	path := "/v1/services/" + fleet.Service + "/" + fleet.OrderCall
+	status, header, text, err := post(ctx, entry, path, body, http.Header{"idempotency-key": {key}})
+	step := orderStep{key: key, kind: unclear}
+	var answer service.Answer
+	switch {
+	case err != nil:
+	case status == http.StatusOK && json.Unmarshal([]byte(text), &answer) == nil:
+		step.kind, step.answer = answered, text
+	default:
+		found := parseRefusal(text)
+		o.mutex.Lock()
+		o.codes[found.Code]++
+		if found.NotRun {
+			step.kind = notRun
+			o.refused = append(o.refused, header.Get("X-Request-Id"))
+		}
+		o.mutex.Unlock()
+	}
+	if header.Get("X-Outcome") == "replayed" {
+		o.mutex.Lock()
+		o.replays++
+		o.mutex.Unlock()
+	}
+	o.note(step, from)
+	return step
+}
+
+// disturbOrders sets the faults of one key's calls.
+func disturbOrders(f *fleet.Fleet, number int) {
+	switch number % 8 {
+	case 1:
+		f.Platform.SetFaults(func(p *platform.Faults) { p.LoseAnswersNext += 2 })
+	case 2:
+		f.Platform.SetFaults(func(p *platform.Faults) { p.LoseAnswersNext++ })
+		fallthrough
+	case 3:
+		for _, service := range f.Services {
+			service.SetFaults(func(s *serviceFaults) { s.BreakAfterNext = 1 })
+		}
+	case 4:
+		for _, service := range f.Services {
+			service.SetFaults(func(s *serviceFaults) { s.TruncateNext, s.RefuseNext = 1, 1 })
+		}
+	case 5:
+		for _, service := range f.Services {
+			service.SetFaults(func(s *serviceFaults) { s.BreakBeforeNext = 1 })
+		}
+	}
+}
+
+type serviceFaults = service.Faults
+
+// placeOrders sends 30 keys to all entry processes at once, each key again a
+// little later, and shuts two of the processes down meanwhile.
+func placeOrders(t *testing.T, f *fleet.Fleet, history *orders) []string {
+	t.Helper()
+	var keys []string
+	var group sync.WaitGroup
+	defer group.Wait()
+	cut, cancel := context.WithCancel(t.Context())
+	cancel()
+	for number := range 30 {
+		key := uuid.Must(uuid.NewV7()).String()
+		keys = append(keys, key)
+		disturbOrders(f, number)
+		for _, entry := range append(f.Entries[:4:4], f.Entries...) {
+			group.Go(func() { history.place(t.Context(), entry, key) })
+			if number > 0 {
+				earlier := keys[number-1]
+				group.Go(func() { history.place(t.Context(), entry, earlier) })
+			}
+		}
+		switch number {
+		case 14:
+			group.Go(func() { _ = f.Entries[3].Shutdown(t.Context()) })
+		case 20:
+			// A process that is cut off in its calls, as by a crash.
+			group.Go(func() { _ = f.Entries[2].Shutdown(cut) })
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return keys
+}
+
+// Guards against a second run of an order, an answer of another run, and a
+// not-run that is untrue, when callers send the same key to several entry
+// processes while answers are lost and processes end.
+func TestOrdersRunAtMostOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	layout := fleet.DefaultLayout()
+	layout.Zones, layout.EnginesPerZone, layout.ServicesPerZone = layout.Zones[:2], 1, 2
+	f := start(t, layout)
+	for _, service := range f.Services {
+		service.SetFaults(func(s *serviceFaults) { s.Delay, s.AnswerDelay = 20*time.Millisecond, 30*time.Millisecond })
+	}
+	history := newOrders()
+	keys := placeOrders(t, f, history)
+	f.Platform.SetFaults(func(p *platform.Faults) { *p = platform.Faults{} })
+	for _, service := range f.Services {
+		service.SetFaults(func(s *serviceFaults) { *s = serviceFaults{} })
+	}
+	for _, key := range keys {
+		await(t, 10*time.Second, "key "+key+" has an answer or an unknown outcome", func() bool {
+			return history.place(t.Context(), f.Entries[0], key).kind != notRun
+		})
+	}
+	checkOrders(t, f, history, keys)
+	is.True(f.Platform.Count("lost-answers") >= 5)
+	hits := map[string]int{}
+	for _, service := range f.Services {
+		for name, count := range service.Counts() {
+			hits[name] += count
+		}
+	}
+	t.Log(hits)
+	for _, fault := range []string{"broken-after-run", "truncated", "broken-before-run", "refused"} {
+		is.True(hits[fault] > 0) // the fault was hit
+	}
+}
+
+func checkOrders(t *testing.T, f *fleet.Fleet, history *orders, keys []string) {
+	t.Helper()
+	is := is.New(t)
+	ran := 0
+	for _, key := range keys {
+		runs := 0
+		for _, service := range f.Services {
+			runs += service.RunsByKey(key)
+		}
+		ran += runs
+		history.note(orderStep{key: key, kind: runsSeen, runs: runs}, time.Since(history.begin))
+	}
+	for _, request := range history.refused {
+		for _, service := range f.Services {
+			is.Equal(service.RunsByID(request), 0) // refused with not-run
+		}
+	}
+	t.Log(fmt.Sprint(len(keys), " keys, ", ran, " runs, ", history.replays, " replays, ", history.kinds, history.codes))
+	is.True(porcupine.CheckOperations(oneRunPerKey, history.steps))
+	is.True(history.replays > 0)
+	is.True(ran > len(keys)/2)
+}
+
+// Shows that the check finds histories with two runs, with answers of two
+// runs, and with an answer of a call that never ran.
+func TestOrderCheckFindsBrokenHistories(t *testing.T) {
+	t.Parallel()
+	cases := map[string][]orderStep{
+		"two runs":      {{kind: answered, answer: "x"}, {kind: runsSeen, runs: 2}},
+		"two answers":   {{kind: answered, answer: "x"}, {kind: answered, answer: "y"}},
+		"not run":       {{kind: notRun}, {kind: runsSeen, runs: 1}},
+		"never ran":     {{kind: answered, answer: "x"}, {kind: runsSeen}},
+		"unclear twice": {{kind: unclear}, {kind: unclear}, {kind: runsSeen, runs: 2}},
+	}
+	for name, steps := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var history []porcupine.Operation
+			for i, step := range steps {
+				history = append(history, porcupine.Operation{ClientId: i, Input: step, Call: int64(2 * i), Return: int64(2*i + 1)})
+			}
+			is.True(!porcupine.CheckOperations(oneRunPerKey, history))
+		})
+	}
+}
--- /dev/null
+++ b/process/launcher/outage_test.go
@@ -0,0 +1,113 @@
+package launcher_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/standin/fleet"
+)
+
+// placeOrder sends an order with a new key and returns the status and what the
+// refusal says.
+func placeOrder(ctx context.Context, entry *fleet.Entry) (int, refusal, error) {
+	path := "/v1/services/" + fleet.Service + "/" + fleet.OrderCall
+	key := http.Header{"idempotency-key": {uuid.Must(uuid.NewV7()).String()}}
+	status, _, text, err := post(ctx, entry, path, []byte(`{}`), key)
+	return status, parseRefusal(text), err
+}
+
+// permits counts the permits that cold engines gave since a time.
+func permits(entries []*fleet.Entry, since time.Time) int {
+	count := 0
+	for _, process := range entries {
+		for _, entry := range process.TimeLine.Entries() {
+			engine := strings.HasPrefix(entry.Subject, "engine-")
+			if entry.Kind == mulberrybeam.EntryPermit && engine && entry.Stamp.Wall > since.UnixMilli() {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// startDuringOutage starts an entry process that knows one peer of its zone.
+func startDuringOutage(t *testing.T, f *fleet.Fleet) *fleet.Entry {
+	t.Helper()
+	fresh, err := f.StartEntry("a", "entry-new", f.Entries[0].PeerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	took := await(t, 10*time.Second, "the new process is ready", func() bool { return fresh.Control.Snapshot().Ready })
+	t.Log("a process that knows one peer is ready after", took, "without the platform")
+	ask(t, fresh, fleet.FirstWorkspace, "a prompt to the new process")
+	return fresh
+}
+
+// Guards against an outage of the platform that stops more than it must: new
+// configuration and calls that may run once.
+func TestPlatformOutage(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	layout := fleet.DefaultLayout()
+	layout.Zones = layout.Zones[:2]
+	f := start(t, layout)
+	first := f.Entries[:4:4]
+	steady := startLoad(t.Context(), 50*time.Millisecond, 20, func(i int) *fleet.Entry { return first[i%4] })
+	time.Sleep(4 * time.Second)
+	f.Platform.Crash()
+	down := time.Now()
+	stock := checkStock(t.Context(), &fleet.Fleet{Entries: first})
+	time.Sleep(leaseTime + 2*time.Second) // the leases end without extensions
+
+	for _, engine := range f.Engines {
+		is.NoErr(engine.Restart())
+	}
+	restarted := time.Now()
+	cold := await(t, 5*time.Second, "cold engines give permits", func() bool { return permits(first, restarted) >= 10 })
+	t.Log("cold engines gave 10 permits after", cold, "in an outage of", time.Since(down).Round(time.Second))
+	for _, entry := range first {
+		status, found, err := placeOrder(t.Context(), entry)
+		is.NoErr(err)
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.Equal(found, refusal{Code: mulberrybeam.CodePlatformDown, NotRun: true})
+	}
+	fresh := startDuringOutage(t, f)
+
+	is.NoErr(f.Platform.Restart())
+	back := time.Now()
+	for _, entry := range append(first, fresh) {
+		await(t, 40*time.Second, "orders are taken again", func() bool {
+			status, _, err := placeOrder(t.Context(), entry)
+			return err == nil && status == http.StatusOK
+		})
+	}
+	t.Log("orders are taken again by all after", time.Since(back).Round(time.Millisecond))
+	setZone(t, f, "b", mulberrybeam.ZoneIn, mulberrybeam.ZoneOut, 2)
+	took := await(t, 10*time.Second, "a new configuration is in force everywhere", func() bool {
+		for _, entry := range append(first, fresh) {
+			if entry.Control.Snapshot().Tables.Environment.Revision != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Log("a new configuration is in force everywhere after", took)
+	for _, entry := range append(first, fresh) {
+		// Slots may be on their way to the new process.
+		await(t, leaseTime, "all targets have owners", func() bool { return owned(entry) })
+	}
+	is.Equal(stock(), []string{})
+	outcomes := steady.stop()
+	report(t, f, between(outcomes, down, time.Now()), nil)
+	whole, refused, failed := tally(between(outcomes, down, time.Now()))
+	t.Log(whole, "whole,", refused, "refused,", failed, "failed, p95", p95(outcomes))
+	is.Equal(counted(f, "cold-crashes"), 0)
+	is.Equal(f.Platform.Count("crashes"), 1)
+}
--- /dev/null
+++ b/process/launcher/stream_test.go
@@ -0,0 +1,123 @@
+package launcher_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tmaxmax/go-sse"
+
+	"mulberrybeam"
+	"mulberrybeam/process/standin/engine"
+	"mulberrybeam/process/standin/fleet"
+)
+
+// streamTokens are generated in about 1.5 s.
+const streamTokens = 300
+
+// breakOff reads some events of a new answer and then breaks the connection.
+// It returns the stream's id and the last sequence number.
+func breakOff(t *testing.T, entry *fleet.Entry, body []byte, events int) (id, last string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	response, err := fleet.Post(ctx, entry, fleet.FirstWorkspace, "/v1/chat/completions", body, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	for event, err := range sse.Read(response.Body, nil) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		last = event.LastEventID
+		if events--; events == 0 {
+			break
+		}
+	}
+	return response.Header.Get("X-Request-Id"), last
+}
+
+// onStream sends a call about a stream with the key of a workspace.
+func onStream(t *testing.T, entry *fleet.Entry, workspace mulberrybeam.WorkspaceName, method, id, last string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+entry.CallerAddress+"/v1/streams/"+id, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+fleet.Key(workspace))
+	if last != "" {
+		request.Header.Set("Last-Event-ID", last)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+// Guards against a stream that cannot be resumed on another entry process of
+// the zone, or resumes at the wrong place, after its caller's connection broke.
+func TestStreamResumesOnAnotherEntryProcess(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := start(t, oneZone())
+	for _, read := range []int{1, 40} {
+		body := fleet.Prompt(fmt.Sprint("a stream that breaks after ", read), streamTokens)
+		id, last := breakOff(t, f.Entries[0], body, read)
+		is.Equal(last, fmt.Sprint(read))
+		want, err := engine.Answer(body, streamTokens)
+		is.NoErr(err)
+		for _, entry := range []*fleet.Entry{f.Entries[1], f.Entries[0], f.Entries[1]} {
+			// The last of these resumes a stream that has ended.
+			response := onStream(t, entry, fleet.FirstWorkspace, http.MethodGet, id, last)
+			is.Equal(response.StatusCode, http.StatusOK)
+			answer, err := fleet.Read(response, time.Now())
+			is.NoErr(err)
+			is.True(answer.Complete)
+			is.Equal(answer.Tokens, want[read:])
+		}
+	}
+	is.Equal(counted(f, "started"), 2) // the engines did not run again
+	is.Equal(counted(f, "abandoned"), 0)
+}
+
+// Guards against a cancellation that does not reach the engine, and against
+// streams that another workspace can read, cancel or tell from unknown ones.
+func TestStreamsAreCancelledByTheirWorkspaceOnly(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := start(t, oneZone())
+	for _, other := range []*fleet.Entry{f.Entries[0], f.Entries[1]} {
+		id, last := breakOff(t, f.Entries[0], fleet.Prompt("a stream to cancel at "+string(other.ID), 1000), 3)
+		for _, method := range []string{http.MethodGet, http.MethodDelete} {
+			is.Equal(onStream(t, other, fleet.SecondWorkspace, method, id, last).StatusCode, http.StatusNotFound)
+		}
+		completed, cancelled := counted(f, "completed"), counted(f, "cancelled")+counted(f, "abandoned")
+		is.Equal(onStream(t, other, fleet.FirstWorkspace, http.MethodDelete, id, "").StatusCode, http.StatusNoContent)
+		await(t, 2*time.Second, "the engine stops", func() bool { return counted(f, "cancelled")+counted(f, "abandoned") > cancelled })
+		is.Equal(counted(f, "completed"), completed)
+	}
+	is.Equal(onStream(t, f.Entries[0], fleet.FirstWorkspace, http.MethodGet, "bm9uZQ.none", "").StatusCode, http.StatusNotFound)
+}
+
+// Guards against an empty or wrong answer about a stream whose entry process
+// has ended.
+func TestStreamOfAnEndedEntryProcessIsUnknown(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := start(t, oneZone())
+	id, last := breakOff(t, f.Entries[0], fleet.Prompt("a stream whose process ends", 1000), 3)
+	cut, cancel := context.WithCancel(t.Context())
+	cancel()
+	_ = f.Entries[0].Shutdown(cut)
+	response := onStream(t, f.Entries[1], fleet.FirstWorkspace, http.MethodGet, id, last)
+	is.Equal(response.StatusCode, http.StatusNotFound)
+	answer, err := fleet.Read(response, time.Now())
+	is.NoErr(err)
+	is.Equal(parseRefusal(answer.Refusal).Code, mulberrybeam.CodeUnknownStream)
+}
--- /dev/null
+++ b/process/launcher/zone_test.go
@@ -0,0 +1,180 @@
+package launcher_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/standin/engine"
+	"mulberrybeam/process/standin/fleet"
+)
+
+// zoneOutTime is when a zone that was taken out gets no new work.
+const zoneOutTime = 5 * time.Second
+
+// setZone writes a zone's state to the environment object.
+func setZone(t *testing.T, f *fleet.Fleet, zone mulberrybeam.ZoneName, from, to mulberrybeam.ZoneState, revision int) {
+	t.Helper()
+	objects, closer := f.Objects()
+	defer closer()
+	object, err := objects.Get(t.Context(), mulberrybeam.ObjectEnvironment, string(fleet.Environment))
+	if err != nil {
+		t.Fatal(err)
+	}
+	document := string(object.Data)
+	state := func(of mulberrybeam.ZoneState) string {
+		return fmt.Sprintf("{%q: %q, %q: %q}", "name", zone, "state", of)
+	}
+	if !strings.Contains(document, state(from)) {
+		t.Fatalf("zone %s is not %s in %s", zone, from, document)
+	}
+	document = strings.Replace(document, state(from), state(to), 1)
+	document = strings.Replace(document, fmt.Sprintf("\"revision\": %d", revision-1), fmt.Sprintf("\"revision\": %d", revision), 1)
+	object.Data = []byte(document)
+	if _, err := objects.Update(t.Context(), object); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// workOf counts the prompts and calls that the targets of a zone started.
+func workOf(f *fleet.Fleet, zone mulberrybeam.ZoneName) int {
+	sum := 0
+	for id, engine := range f.Engines {
+		if strings.HasPrefix(string(id), "engine-"+string(zone)) {
+			sum += engine.Count("started")
+		}
+	}
+	for id, service := range f.Services {
+		if strings.HasPrefix(string(id), fleet.Service+"-"+string(zone)) {
+			sum += service.Count("runs")
+		}
+	}
+	return sum
+}
+
+// followWork notes when the targets of a zone last started new work. It
+// returns the last such time when stop is called.
+func followWork(f *fleet.Fleet, zone mulberrybeam.ZoneName) (stop func() time.Time) {
+	done, last := make(chan struct{}), make(chan time.Time)
+	go func() {
+		before, at := workOf(f, zone), time.Now()
+		ticker := time.NewTicker(5 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				last <- at
+				return
+			case <-ticker.C:
+			}
+			if now := workOf(f, zone); now != before {
+				before, at = now, time.Now()
+			}
+		}
+	}()
+	return func() time.Time {
+		close(done)
+		return <-last
+	}
+}
+
+// checkStock calls the service at a steady rate and returns the failed calls.
+func checkStock(ctx context.Context, f *fleet.Fleet) func() []string {
+	running, cancel := context.WithCancel(ctx)
+	failed, ended := []string{}, make(chan struct{})
+	go func() {
+		defer close(ended)
+		for i := 0; running.Err() == nil; i++ {
+			path := "/v1/services/" + fleet.Service + "/" + fleet.RepeatableCall
+			status, _, text, err := post(ctx, f.Entries[i%len(f.Entries)], path, []byte(`{}`), nil)
+			if err != nil || status != http.StatusOK {
+				failed = append(failed, fmt.Sprint(status, text, err))
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	return func() []string {
+		cancel()
+		<-ended
+		return failed
+	}
+}
+
+// startStreams asks each entry process for two answers of some seconds.
+func startStreams(ctx context.Context, f *fleet.Fleet) func() []outcome {
+	long := startLoad(ctx, 10*time.Millisecond, 700, func(i int) *fleet.Entry {
+		if i >= 2*len(f.Entries) {
+			return nil
+		}
+		return f.Entries[i%len(f.Entries)]
+	})
+	time.Sleep(time.Second)
+	return long.stop
+}
+
+// Guards against work for a zone that operators took out, against streams that
+// are cut by it, and against requests that fail while the zone moves.
+func TestZoneOutAndBack(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	layout := fleet.DefaultLayout()
+	layout.Engine = func(s *engine.Settings) { s.MaxRunning = 32 }
+	f := start(t, layout)
+	steady := startLoad(t.Context(), 20*time.Millisecond, 20, func(i int) *fleet.Entry { return f.Entries[i%len(f.Entries)] })
+	stock := checkStock(t.Context(), f)
+	time.Sleep(6 * time.Second) // the engines turn warm
+	before := time.Now()
+	time.Sleep(3 * time.Second)
+	streams := startStreams(t.Context(), f)
+
+	out := time.Now()
+	setZone(t, f, "a", mulberrybeam.ZoneIn, mulberrybeam.ZoneOut, 2)
+	stop := followWork(f, "a")
+	time.Sleep(zoneOutTime + 2*time.Second)
+	last := stop().Sub(out)
+	is.True(last < zoneOutTime)
+
+	back := time.Now()
+	worked := workOf(f, "a")
+	setZone(t, f, "a", mulberrybeam.ZoneOut, mulberrybeam.ZoneIn, 3)
+	returned := await(t, 10*time.Second, "the zone has work again", func() bool { return workOf(f, "a") > worked })
+	time.Sleep(3 * time.Second)
+
+	outcomes, long := steady.stop(), streams()
+	is.Equal(stock(), []string{})
+	for name, phase := range map[string][]outcome{
+		"before": between(outcomes, before, out),
+		"during": between(outcomes, out, back),
+		"after":  between(outcomes, back, time.Now()),
+	} {
+		whole, refused, failed := tally(phase)
+		t.Logf("%s: %d whole, %d refused, %d failed, p95 first token %v", name, whole, refused, failed, p95(phase))
+		is.True(whole > 0)
+	}
+	t.Logf("no new work %.2f s after the write, work again %.2f s after the return", last.Seconds(), returned.Seconds())
+	report(t, f, outcomes, nil)
+	report(t, f, long, nil)
+	is.True(ranInZone(f, long, "a") > 0) // streams ran in the zone that left
+	for _, o := range long {
+		is.Equal(len(entriesOf(f, o.request, mulberrybeam.EntryRetry)), 0)
+	}
+}
+
+// ranInZone counts the requests that engines of a zone answered.
+func ranInZone(f *fleet.Fleet, outcomes []outcome, zone mulberrybeam.ZoneName) int {
+	count := 0
+	for _, o := range outcomes {
+		for _, text := range entriesOf(f, o.request, mulberrybeam.EntryCompletion) {
+			if strings.HasPrefix(text, "engine-"+string(zone)) {
+				count++
+			}
+		}
+	}
+	return count
+}
