--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -32,6 +32,9 @@
 	// largeZone is the number of members above which a process hears of
 	// each heartbeat mostly through others.
 	largeZone = 8
+	// joinBytes bounds the facts for a new process. Within the bound of
+	// other exchanges it learned the owners of targets only after 10 s.
+	joinBytes = 64 << 10
 	// fullEvery is the number of rounds between two full comparisons.
 	fullEvery = 10
 	// lostEvery is the number of rounds between two attempts to reach a
@@ -96,6 +99,8 @@
 	zoneSlot       time.Duration
 	started        bool
 	lastReview     time.Duration
+	// joined says that a process of the zone has sent all its facts.
+	joined bool
 }
 
 // exchange is an Exchange that was not answered yet.
--- a/process/server/proxy.go
+++ b/process/server/proxy.go
@@ -11,17 +11,17 @@
 // flushAtOnce passes each event on as it comes.
 const flushAtOnce = -1
 
-// ProxyTo returns a Proxy over HTTP. baseOf returns the caller-facing URL of a
-// live entry process of the zone, and false for others.
-func ProxyTo(baseOf func(mulberrybeam.ProcessID) (*url.URL, bool), transport http.RoundTripper) Proxy {
+// ProxyTo returns a Proxy over "http" or "https". addressOf returns the caller-facing
+// "ip:port" of a live entry process of the zone, and false for others.
+func ProxyTo(scheme string, addressOf func(mulberrybeam.ProcessID) (string, bool), transport http.RoundTripper) Proxy {
 	return func(process mulberrybeam.ProcessID, response http.ResponseWriter, request *http.Request) bool {
-		base, found := baseOf(process)
+		address, found := addressOf(process)
 		if !found {
 			return false
 		}
 		reached := true
 		proxy := &httputil.ReverseProxy{
-			Rewrite:       func(r *httputil.ProxyRequest) { r.SetURL(base) },
+			Rewrite:       func(r *httputil.ProxyRequest) { r.SetURL(&url.URL{Scheme: scheme, Host: address}) },
 			Transport:     transport,
 			FlushInterval: flushAtOnce,
 			// The caller gets the same refusal as for an unknown process.
