Bound the question for a permit by a peer's timeout

A request that was routed to a cold target whose owner is paused waited for the owner until its own deadline (2 min), since the peer client's timeout applies only to contexts without one. Seen in separate processes: with the owner stopped by SIGSTOP for 13 s, 21 to 23 of 143 to 147 requests at the other processes were refused after up to 13 s. Ruled out: lost permits at the other engines, which the time lines show as free until the pause ended.

The new test failed before with 1 min instead of 1 s and 2 s.

--- a/process/permitcaller/permitcaller.go
+++ b/process/permitcaller/permitcaller.go
@@ -9,6 +9,14 @@
 	"mulberrybeam"
 )
 
+// zoneTimeout and remoteTimeout bound a call of the owner within the zone and
+// across zones. A request's own deadline is minutes away, and an owner that is
+// paused would hold the request up until then.
+const (
+	zoneTimeout   = time.Second
+	remoteTimeout = 2 * time.Second
+)
+
 // noOwnerRetry is when a caller may try again while a target's slot has no
 // known holder. A lapsed lease is taken over after about this time.
 const noOwnerRetry = time.Second
@@ -64,10 +72,19 @@
 	case state.Owner == snapshot.Self:
 		return c.ask(ctx, snapshot.Self, message)
 	default:
+		ctx, cancel := context.WithTimeout(ctx, timeout(snapshot, target))
+		defer cancel()
 		return c.peers.Call(ctx, state.OwnerAddress, message)
 	}
 }
 
+func timeout(snapshot *mulberrybeam.Snapshot, target mulberrybeam.TargetID) time.Duration {
+	if declared, found := snapshot.Tables.Targets[target]; found && declared.Zone == snapshot.Zone {
+		return zoneTimeout
+	}
+	return remoteTimeout
+}
+
 func noPermit(target mulberrybeam.TargetID, message string) error {
 	return &mulberrybeam.Failure{
 		Code:       mulberrybeam.CodeNoPermit,
--- /dev/null
+++ b/process/permitcaller/permitcaller_test.go
@@ -0,0 +1,60 @@
+package permitcaller_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/permitcaller"
+)
+
+// hung is an owner that takes messages and never answers, as a paused process
+// does.
+type hung struct{}
+
+func (hung) Call(ctx context.Context, address string, _ mulberrybeam.Message) (mulberrybeam.Message, error) {
+	<-ctx.Done()
+	return nil, &mulberrybeam.Failure{Code: mulberrybeam.CodePeerUnreachable, Step: mulberrybeam.StepPeer, Peer: address, Cause: ctx.Err()}
+}
+
+// Guards against a request that waits for a paused owner of a cold target
+// until its own deadline instead of going to another target.
+func TestAskOfHungOwnerEndsBeforeTheRequest(t *testing.T) {
+	tests := map[string]struct {
+		target mulberrybeam.TargetID
+		limit  time.Duration
+	}{
+		"in the own zone":     {"near", time.Second},
+		"in another zone":     {"far", 2 * time.Second},
+		"of a dropped target": {"dropped", 2 * time.Second},
+	}
+	snapshot := &mulberrybeam.Snapshot{
+		Self: "h1/1", Zone: "a",
+		Tables: &mulberrybeam.Tables{Targets: map[mulberrybeam.TargetID]mulberrybeam.Target{
+			"near": {ID: "near", Zone: "a"}, "far": {ID: "far", Zone: "b"},
+		}},
+		Targets: map[mulberrybeam.TargetID]mulberrybeam.TargetState{},
+	}
+	for name, test := range tests {
+		snapshot.Targets[test.target] = mulberrybeam.TargetState{Owner: "h2/1", OwnerAddress: "127.0.0.1:1"}
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				caller := permitcaller.New(func() *mulberrybeam.Snapshot { return snapshot }, nil, hung{})
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				begin := time.Now()
+				_, err := caller.Ask(ctx, test.target, mulberrybeam.AskPermit{Target: test.target})
+				var failure *mulberrybeam.Failure
+				is.True(errors.As(err, &failure))
+				is.Equal(failure.Code, mulberrybeam.CodePeerUnreachable)
+				is.Equal(time.Since(begin), test.limit)
+			})
+		})
+	}
+}
