Test the whole path in separate processes

The tests build the two programs, run a platform, three engines, three services, two stores and six entry processes of their own on loopback, and kill, pause, stop and freeze them.

--- /dev/null
+++ b/cmd/mulberrybeamd/processtest/path_test.go
@@ -0,0 +1,215 @@
+package processtest_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam/process/operator"
+	"mulberrybeam/process/standin/fleet"
+)
+
+const (
+	// takeOver is the time of the lease rules from the death of a holder
+	// until another process has its slots: the lease of 10 s, the margin of
+	// 1 s, a poll of 2 s, the rank delay of 4 s, and another 2 s for the
+	// write and the fact.
+	takeOver = 19 * time.Second
+	// pause is longer than a lease and its margin.
+	pause = 13 * time.Second
+	// warm is a number of answers after which engines turn warm, cold one
+	// that they never reach.
+	warm = 8
+	cold = 1000000
+)
+
+// Guards against a path that works in one process only, and against a planned
+// stop that cuts a stream or ends with an error.
+func TestWholePathAndPlannedStop(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, 2, warm)
+	for i, e := range c.entries {
+		is.NoErr(prompt(t.Context(), e, fmt.Sprint("streamed ", i), 12, true))
+		is.NoErr(prompt(t.Context(), e, fmt.Sprint("whole ", i), 12, false))
+		is.NoErr(call(t.Context(), e, fleet.RepeatableCall, `{"oar": 7}`, ""))
+		is.NoErr(call(t.Context(), e, fleet.OrderCall, `{"oar": 8}`, newKey()))
+	}
+	leaving := c.entries[0]
+	var retired atomic.Bool
+	steady := startLoad(t, 40*time.Millisecond, 60, func(i int) *entry {
+		if e := c.entries[i%len(c.entries)]; e != leaving || !retired.Load() {
+			return e
+		}
+		return nil
+	})
+	time.Sleep(2 * time.Second)
+	leaving.signal(t, syscall.SIGTERM)
+	begin := time.Now()
+	time.Sleep(balancerDelay / 2) // a balancer notices that the process is not ready
+	retired.Store(true)
+	is.Equal(leaving.wait(t, 20*time.Second), 0)
+	t.Log("stopped after", time.Since(begin))
+	time.Sleep(time.Second)
+	steady.stop(t)
+}
+
+// Guards against a process whose death reaches callers of other processes or
+// leaves cold targets without permits, and against an order that runs twice
+// when the process that runs it dies.
+func TestKilledEntryProcess(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, 2, warm)
+	dying := c.owner(t, "engine-a")
+	c.entries = c.others(dying)
+	steady := startLoad(t, 40*time.Millisecond, 12, func(i int) *entry { return c.entries[i%len(c.entries)] })
+	time.Sleep(3 * time.Second)
+	dying.signal(t, syscall.SIGKILL)
+	begin := time.Now()
+	dying.wait(t, time.Second)
+	lost := c.engines["engine-a"]
+	lost.signal(t, syscall.SIGKILL)
+	lost.wait(t, time.Second)
+	lost.restart(t)
+	await(t, takeOver, "a live process owns the targets of zone a", func() bool {
+		return !slices.ContainsFunc(c.entries, func(e *entry) bool {
+			status, err := e.status(t.Context())
+			return err != nil || slices.ContainsFunc(status.Targets, func(target operator.Target) bool {
+				return target.Owner == dying.ID || target.Owner == ""
+			})
+		})
+	})
+	t.Log("slots taken over after", time.Since(begin))
+	await(t, 5*time.Second, "the cold engine of zone a answers", func() bool { return lost.counters(t)["completed"] > 0 })
+	t.Log("permits again after", time.Since(begin))
+	steady.stop(t)
+	is.Equal(lost.counters(t)["crashes"], 0) // never above its cold limit
+	c.orderAroundKill(t)
+}
+
+// orderAroundKill sends one order to an entry process, which runs it and waits
+// for the answer, then to all others, and kills the first one. No answer may
+// claim that the order did not run.
+func (c *cluster) orderAroundKill(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	for _, s := range c.services {
+		s.setFaults(t, fmt.Sprintf(`{"AnswerDelay": %d}`, time.Second))
+	}
+	before := c.runs(t)
+	key, body := newKey(), `{"oar": "spruce"}`
+	dying := c.entries[0]
+	var group sync.WaitGroup
+	order := func(e *entry) {
+		group.Go(func() {
+			got, err := post(t.Context(), e, "/v1/services/"+fleet.Service+"/"+fleet.OrderCall, []byte(body), key)
+			if err == nil {
+				is.True(!strings.Contains(string(got.body), `"not-run":true`))
+			}
+			t.Logf("%s: order at %s: %d %s %v", time.Now().Format("05.000"), e.ID, got.status, got.body, err)
+		})
+	}
+	order(dying)
+	time.Sleep(300 * time.Millisecond)
+	for _, e := range c.others(dying) {
+		order(e)
+	}
+	time.Sleep(200 * time.Millisecond)
+	dying.signal(t, syscall.SIGKILL)
+	for range 3 {
+		for _, e := range c.others(dying) {
+			order(e)
+		}
+		time.Sleep(time.Second)
+	}
+	group.Wait()
+	is.Equal(c.runs(t)-before, 1)
+}
+
+func (c *cluster) runs(t *testing.T) int {
+	t.Helper()
+	sum := 0
+	for _, s := range c.services {
+		sum += s.counters(t)["runs"]
+	}
+	return sum
+}
+
+// Guards against a process that goes on with permits and leases from before a
+// pause. The engines stay cold and crash above their limit.
+func TestPausedEntryProcess(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, 2, cold)
+	paused := c.owner(t, "engine-a")
+	others := c.others(paused)
+	steady := startLoad(t, 100*time.Millisecond, 12, func(i int) *entry { return others[i%len(others)] })
+	// These reach the process before, during and right after its pause, so
+	// that it has requests to send as soon as it runs again. Those before are
+	// few, since the permits that it holds are not free during the pause, and
+	// those after are no more than the cold fleet bears beside the load.
+	var group sync.WaitGroup
+	burst := func(count int) {
+		for i := range count {
+			group.Go(func() { _ = prompt(t.Context(), paused, fmt.Sprint("burst ", i), 12, true) })
+		}
+	}
+	burst(2)
+	time.Sleep(50 * time.Millisecond)
+	paused.signal(t, syscall.SIGSTOP)
+	burst(4)
+	time.Sleep(pause)
+	paused.signal(t, syscall.SIGCONT)
+	burst(4)
+	group.Wait()
+	took := await(t, 10*time.Second, "the process that was paused answers", func() bool {
+		return prompt(t.Context(), paused, "after the pause", 4, true) == nil
+	})
+	t.Log("answers again after", took)
+	steady.stop(t)
+	for name, e := range c.engines {
+		counters := e.counters(t)
+		t.Log(name, counters)
+		is.Equal(counters["crashes"], 0) // never above its cold limit
+		is.True(counters["completed"] > 0)
+	}
+}
+
+// Guards against an outage of the platform that reaches callers, and against a
+// process that was started during the outage and never gets ready.
+func TestFrozenPlatform(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, 2, warm)
+	before := slices.Clone(c.entries)
+	steady := startLoad(t, 40*time.Millisecond, 12, func(i int) *entry { return before[i%len(before)] })
+	time.Sleep(3 * time.Second)
+	c.platform.signal(t, syscall.SIGSTOP)
+	begin := time.Now()
+	late := c.startEntry(t, "a", "entry-a3")
+	lost := c.engines["engine-a"]
+	lost.signal(t, syscall.SIGKILL)
+	lost.wait(t, time.Second)
+	lost.restart(t)
+	await(t, 10*time.Second, "the cold engine of zone a answers during the outage", func() bool { return lost.counters(t)["completed"] > 0 })
+	t.Log("cold engine answers after", time.Since(begin))
+	time.Sleep(pause - time.Since(begin))
+	status, err := late.status(t.Context())
+	t.Log("process started during the outage:", status.Ready, status.Revision, len(status.Members), err)
+	c.platform.signal(t, syscall.SIGCONT)
+	t.Log("all ready after", c.awaitReady(t, 15*time.Second))
+	is.NoErr(prompt(t.Context(), late, "to the new process", 12, true))
+	t.Log("orders again after", await(t, 10*time.Second, "an order runs", func() bool {
+		return call(t.Context(), before[0], fleet.OrderCall, `{"oar": 9}`, newKey()) == nil
+	}))
+	steady.stop(t)
+	is.Equal(lost.counters(t)["crashes"], 0)
+}
