Bind connections to the instance of the target

A new connection now asks the target which instance it is, and a call for another instance fails unsent. It costs one more round trip for each new connection.

--- a/connection/encoder/encoder.go
+++ b/connection/encoder/encoder.go
@@ -45,14 +45,34 @@
 	Peer string
 	// Step is the step of failures after the connection was made.
 	Step mulberrybeam.Step
+	// Instance is the instance of the target that the call is meant for,
+	// empty for any. It needs a client of NewTargetClient.
+	Instance mulberrybeam.InstanceID
 }
 
 // NewClient returns a client with pooled connections and its clean-up
 // function. It has no overall timeout; callers bound each call by a context.
 func NewClient(dialTimeout time.Duration) (*http.Client, func()) {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+	dialer := newDialer(dialTimeout)
+	return newClient(dialer.DialContext)
+}
+
+// NewTargetClient returns a client whose connections know the instance of the
+// target at their other end.
+func NewTargetClient(dialTimeout time.Duration) (*http.Client, func()) {
+	dialer := newDialer(dialTimeout)
+	return newClient(func(ctx context.Context, network, address string) (net.Conn, error) {
+		return dialBound(ctx, dialer, network, address)
+	})
+}
+
+func newDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAlive: 15 * time.Second}
+}
+
+func newClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) (*http.Client, func()) {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -71,7 +91,10 @@
 // be made.
 func Send(ctx context.Context, client *http.Client, call Call) (*http.Response, error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		refuse(info.Conn, string(call.Instance))
+	}}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace),
 		call.Method, call.URL, bytes.NewReader(call.Body))
 	if err != nil {
@@ -87,6 +110,12 @@
 	if err == nil {
 		return response, nil
 	}
+	if errors.Is(err, ErrOtherInstance) {
+		return nil, &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeTargetFailed, Step: mulberrybeam.StepConnect, Peer: call.Peer,
+			Message: "the target restarted", NotRun: true, Cause: err,
+		}
+	}
 	if !connected.Load() {
 		failure := Broken(ctx, mulberrybeam.StepConnect, call.Peer, "no connection", err)
 		failure.NotRun = true
--- a/connection/enginecaller/caller.go
+++ b/connection/enginecaller/caller.go
@@ -70,7 +70,7 @@
 	for _, option := range options {
 		option(&settings)
 	}
-	client, closeClient := encoder.NewClient(settings.DialTimeout)
+	client, closeClient := encoder.NewTargetClient(settings.DialTimeout)
 	return &Caller{settings: settings, client: client}, closeClient
 }
 
@@ -85,6 +85,7 @@
 		}
 	}
 	request.Body = body
+	request.Instance = call.Instance
 	request.Header = http.Header{
 		"Content-Type": {"application/json"},
 		"Accept":       {"text/event-stream"},
--- a/connection/enginecaller/caller_test.go
+++ b/connection/enginecaller/caller_test.go
@@ -252,6 +252,8 @@
 		defer socket.Close()
 		go func() {
 			if connection, err := socket.Accept(); err == nil {
+				_, _ = connection.Read(make([]byte, 4096)) // the question for the instance
+				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n{\"instance\": \"i1\"}")
 				_, _ = connection.Read(make([]byte, 4096))
 				_ = connection.Close()
 			}
@@ -383,3 +385,30 @@
 		})
 	}
 }
+
+// Guards against a prompt that was decided on for a warm instance and reaches
+// the cold one that took its place, over a pooled or a new connection.
+func TestPromptForAnotherInstanceIsNotSent(t *testing.T) {
+	is := is.New(t)
+	fake, caller, target := setUp(t)
+	call := callOf(target, "r1")
+	call.Instance = mulberrybeam.InstanceID(fake.Instance())
+	stream, err := caller.Generate(t.Context(), call)
+	is.NoErr(err)
+	_, err = drain(stream)
+	is.Equal(err, io.EOF)
+
+	fake.Crash()
+	is.NoErr(fake.Restart())
+	for range 2 {
+		_, err = caller.Generate(t.Context(), call)
+		checkFailure(t, err, mulberrybeam.CodeTargetFailed, true)
+	}
+	is.Equal(fake.Count("started"), 1) // only the first
+
+	call.Instance = mulberrybeam.InstanceID(fake.Instance())
+	stream, err = caller.Generate(t.Context(), call)
+	is.NoErr(err)
+	_, err = drain(stream)
+	is.Equal(err, io.EOF)
+}
--- a/connection/servicecaller/caller.go
+++ b/connection/servicecaller/caller.go
@@ -42,7 +42,7 @@
 	for _, option := range options {
 		option(&settings)
 	}
-	client, closeClient := encoder.NewClient(settings.DialTimeout)
+	client, closeClient := encoder.NewTargetClient(settings.DialTimeout)
 	return &Caller{settings: settings, client: client}, closeClient
 }
 
@@ -91,7 +91,7 @@
 		Method: http.MethodPost,
 		URL: "http://" + request.Target.Address + "/v1/" +
 			url.PathEscape(string(request.Request.Service)) + "/" + url.PathEscape(request.Request.Call),
-		Header: header, Body: request.Request.Body,
+		Header: header, Body: request.Request.Body, Instance: request.Instance,
 		Peer: string(request.Target.ID), Step: mulberrybeam.StepSend,
 	}
 }
--- a/request.go
+++ b/request.go
@@ -111,8 +111,11 @@
 
 // EngineCall is one attempt of a prompt at an engine.
 type EngineCall struct {
-	Request  *Request
-	Target   Target
+	Request *Request
+	Target  Target
+	// Instance is the instance that the decision was about, empty for any.
+	// The call fails unsent when the target has another one.
+	Instance InstanceID
 	Attempt  int
 	Priority Priority
 	// After is the last sequence number the caller already has, and
@@ -134,7 +137,9 @@
 type ServiceRequest struct {
 	Request *Request
 	Target  Target
-	Attempt int
+	// Instance has the meaning of EngineCall.
+	Instance InstanceID
+	Attempt  int
 }
 
 // ServiceAnswer is the whole answer of a service call.
--- a/request/forwarder/prompt.go
+++ b/request/forwarder/prompt.go
@@ -39,7 +39,7 @@
 	}
 	defer func() { f.leave(ctx, r, a, failure) }()
 	stream, err := f.Engines.Generate(ctx, mulberrybeam.EngineCall{
-		Request: r.request, Target: a.target, Attempt: a.number, Priority: r.request.Priority,
+		Request: r.request, Target: a.target, Instance: a.instance, Attempt: a.number, Priority: r.request.Priority,
 		After: state.Last, Generated: state.Generated,
 	})
 	if err != nil {
--- a/request/forwarder/service.go
+++ b/request/forwarder/service.go
@@ -141,7 +141,7 @@
 			bounded, cancel = context.WithTimeout(ctx, call.Timeout)
 		}
 		defer cancel()
-		given, err := f.Services.Call(bounded, mulberrybeam.ServiceRequest{Request: r.request, Target: a.target, Attempt: a.number})
+		given, err := f.Services.Call(bounded, mulberrybeam.ServiceRequest{Request: r.request, Target: a.target, Instance: a.instance, Attempt: a.number})
 		if err != nil {
 			return failureOf(err)
 		}
