Let interrupted answers wait for a permit

In the outage test one of 399 prompts failed with target-failed: its engine crashed in mid-stream, one target was busy with another suspect and the last one tried was down. The request ended, since only a refused permit as the last failure led to a wait. The wait was also counted from the start of the request, so that an answer interrupted after the queue timeout (2 s) got no time at all. Any refused permit leads to a wait now, the time of a run does not count, and an interrupted request waits until its deadline.

--- a/request/forwarder/attempt.go
+++ b/request/forwarder/attempt.go
@@ -40,30 +40,47 @@
 
 // attempts tries targets until one answers. send runs one attempt to its end.
 func (f *Forwarder) attempts(ctx context.Context, r *run, send func(*attempt) *mulberrybeam.Failure) *mulberrybeam.Failure {
-	var last *mulberrybeam.Failure
-	waitUntil := f.Clock() + f.Snapshot().Tables.Environment.Limits.QueueTimeout
-	for {
+	var last, noPermit *mulberrybeam.Failure
+	for waitFrom := f.Clock(); ; {
 		a, failure := f.prepare(ctx, r)
 		if failure == nil {
 			failure = send(a)
+			if r.history.Attempts[len(r.history.Attempts)-1].Sent {
+				// The time of a run is no wait for a permit.
+				waitFrom = f.Clock()
+			}
 		}
 		if failure == nil {
 			return nil
 		}
 		if failure.Code == mulberrybeam.CodeNoTarget && last != nil {
 			// The reason why the earlier targets failed says more.
-			if last.Step != mulberrybeam.StepPermit || !f.awaitPermit(ctx, r, last, waitUntil) {
+			if noPermit == nil || !f.awaitPermit(ctx, r, noPermit, f.waitLimit(r, waitFrom)) {
 				return f.ended(ctx, r, last)
 			}
+			noPermit = nil
 			continue
 		}
 		last = failure
+		if failure.Step == mulberrybeam.StepPermit {
+			noPermit = failure
+		}
 		if more, end := f.again(ctx, r, failure); !more {
 			return f.ended(ctx, r, end)
 		}
 	}
 }
 
+// waitLimit ends the wait for a permit. A request that a crash interrupted
+// waits until its deadline: the caller may have a part of the answer, and the
+// requests interrupted with it run one after another at each target.
+func (f *Forwarder) waitLimit(r *run, from time.Duration) time.Duration {
+	if r.broken > 0 {
+		return r.request.Deadline
+	}
+	return from + f.Snapshot().Tables.Environment.Limits.QueueTimeout
+}
+
 // prepare picks a target, gets a permit if it needs one, and has the kept
 // context imported.
 func (f *Forwarder) prepare(ctx context.Context, r *run) (*attempt, *mulberrybeam.Failure) {
--- a/request/forwarder/fake_test.go
+++ b/request/forwarder/fake_test.go
@@ -25,11 +25,13 @@
 	index    *indexer.Indexer
 	snapshot *mulberrybeam.Snapshot
 	// generate and call answer the attempts by number from 1.
-	generate  func(attempt int, call mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error)
-	call      func(attempt int) (mulberrybeam.ServiceAnswer, error)
-	permit    mulberrybeam.AskPermitReply
-	askTakes  time.Duration
-	importErr error
+	generate func(attempt int, call mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error)
+	call     func(attempt int) (mulberrybeam.ServiceAnswer, error)
+	permit   mulberrybeam.AskPermitReply
+	askTakes time.Duration
+	// refuseAsks is the number of asks for a permit that are refused first.
+	refuseAsks int
+	importErr  error
 	// importHangs makes imports last until they are given up.
 	importHangs bool
 	source      mulberrybeam.Source
@@ -101,6 +103,9 @@
 	defer f.mutex.Unlock()
 	f.asks++
 	f.now += f.askTakes
+	if f.asks <= f.refuseAsks {
+		return mulberrybeam.AskPermitReply{Reason: "busy"}, nil
+	}
 	return f.permit, nil
 }
 
--- a/request/forwarder/forwarder_test.go
+++ b/request/forwarder/forwarder_test.go
@@ -198,6 +198,29 @@
 	is.Equal(*f.signs[0].Cleared, mulberrybeam.Fingerprint{7})
 }
 
+// Guards against an interrupted answer that is given up because its request
+// ran longer than others may wait for a permit, or because the last target
+// without a permit was not the last that was tried.
+func TestInterruptedAnswersWaitForPermits(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(mulberrybeam.PhaseWarm)
+	f.permit, f.refuseAsks = mulberrybeam.AskPermitReply{Granted: true, Valid: time.Second}, 1
+	f.generate = func(attempt int, call mulberrybeam.EngineCall) (mulberrybeam.EngineStream, error) {
+		switch attempt {
+		case 1:
+			f.now += 3 * time.Second // the queue timeout is 1 s
+			return nil, unknown
+		case 2:
+			return nil, absent
+		}
+		return stream(call.After+1, 3), nil
+	}
+	runner, stop := f.start(t)
+	is.NoErr(runner.Generate(t.Context(), prompt(), func(mulberrybeam.Token) error { return nil }))
+	stop()
+	is.Equal([]int{f.sends, f.asks}, []int{3, 3}) // refused at b, absent at c, granted at b
+}
+
 // Guards against routes to a cache that was lost in a restart, of which the
 // index learns only from the new instance's answers.
 func TestCachesOfEarlierInstancesDoNotCount(t *testing.T) {
