Wait for the state that the zone and engine tests need

In one of six runs no stream ran in the zone that was taken out, since its engines were still cold, and in one a request met two independent crashes, of an engine that had turned cold unnoticed and of the one crashed 2 s later, and was refused as designed. The tests wait for a warm engine of the zone, and for the end of the first fault, in place of fixed times. All checks are unchanged.

--- a/process/launcher/engine_test.go
+++ b/process/launcher/engine_test.go
@@ -116,7 +116,10 @@
 	}
 	turned := busiest(f)
 	turned.TurnCold()
-	time.Sleep(2 * time.Second)
+	await(t, 15*time.Second, "the cold engine crashed or is warm again", func() bool {
+		return turned.Count("cold-crashes") > 0 || !turned.Cold()
+	})
+	time.Sleep(time.Second)
 	// An engine is down for a while before it restarts. The limit is not
 	// kept when it restarts faster than its load is polled.
 	busiest(f).Crash()
--- a/process/launcher/zone_test.go
+++ b/process/launcher/zone_test.go
@@ -106,10 +106,10 @@
 	}
 }
 
-// startStreams asks each entry process for two answers of some seconds.
+// startStreams asks each entry process for four answers of some seconds.
 func startStreams(ctx context.Context, f *fleet.Fleet) func() []outcome {
 	long := startLoad(ctx, 10*time.Millisecond, 700, func(i int) *fleet.Entry {
-		if i >= 2*len(f.Entries) {
+		if i >= 4*len(f.Entries) {
 			return nil
 		}
 		return f.Entries[i%len(f.Entries)]
@@ -128,7 +128,10 @@
 	f := start(t, layout)
 	steady := startLoad(t.Context(), 20*time.Millisecond, 20, func(i int) *fleet.Entry { return f.Entries[i%len(f.Entries)] })
 	stock := checkStock(t.Context(), f)
-	time.Sleep(6 * time.Second) // the engines turn warm
+	await(t, 20*time.Second, "an engine of the zone is warm", func() bool {
+		states := f.Entries[0].Control.Snapshot().Targets
+		return states["engine-a1"].Phase == mulberrybeam.PhaseWarm || states["engine-a2"].Phase == mulberrybeam.PhaseWarm
+	})
 	before := time.Now()
 	time.Sleep(3 * time.Second)
 	streams := startStreams(t.Context(), f)
