End the cold phase with the declared warm-up; treat a restarted target as a refused permit

Cause: while the limit doubled after the warm-up, engines under load stayed cold for up to 12 s, and all tests of the whole path that wait for warm engines failed on a busy machine.

--- a/connection/encoder/encoder.go
+++ b/connection/encoder/encoder.go
@@ -32,6 +32,9 @@
 	idlePerHost = 64
 )
 
+// restartRetry is when control has probably heard of a restarted target.
+const restartRetry = 200 * time.Millisecond
+
 // ErrTooLarge says that an answer exceeded its bound.
 var ErrTooLarge = errors.New("answer exceeds the size limit")
 
@@ -112,8 +115,8 @@
 	}
 	if errors.Is(err, ErrOtherInstance) {
 		return nil, &mulberrybeam.Failure{
-			Code: mulberrybeam.CodeTargetFailed, Step: mulberrybeam.StepConnect, Peer: call.Peer,
-			Message: "the target restarted", NotRun: true, Cause: err,
+			Code: mulberrybeam.CodeNoPermit, Step: mulberrybeam.StepPermit, Peer: call.Peer,
+			Message: "the target restarted", NotRun: true, RetryAfter: restartRetry, Cause: err,
 		}
 	}
 	if !connected.Load() {
--- a/process/permitter/owned.go
+++ b/process/permitter/owned.go
@@ -16,11 +16,9 @@
 	proved   bool
 	provedBy time.Duration
 
-	// completions and rampSince measure the warm-up. ramped counts the
-	// completions after it, while the limit rises.
+	// completions and warmSince measure the warm-up.
 	completions int
-	rampSince   time.Duration
-	ramped      int
+	warmSince   time.Duration
 
 	permits map[uint64]permit
 	// unaccounted bounds the requests at the target for which no release
@@ -82,32 +80,17 @@
 	}
 	o.phase = mulberrybeam.PhaseCold
 	o.completions = 0
-	o.ramped = 0
 	o.proved = false
 	o.provedBy = now + timing.Transit
 }
 
-// limit is the number of requests that the target may have in flight. It
-// stays at the cold limit until the warm-up has ended: an engine that bears
-// its cold limit only may fall over at twice that.
-func (p *Permitter) limit(t *target) int {
-	limit := max(t.declared.ColdLimit, 0)
-	for range t.owned.ramped / p.timing.DoublingAfter {
-		limit *= 2
-	}
-	return min(limit, t.fullLimit())
-}
-
-// fullLimit is where the ramp-up ends.
-func (t *target) fullLimit() int { return max(t.declared.WarmLimit, t.declared.ColdLimit) }
-
 // warmedUp says whether the target's declared warm-up has ended.
 func (p *Permitter) warmedUp(turn mulberrybeam.Turn, t *target) bool {
 	requests, length := t.declared.WarmRequests, t.declared.WarmTime
 	if requests == 0 {
 		requests, length = p.timing.WarmAfter, p.timing.WarmTime
 	}
-	return t.owned.completions >= requests && turn.Now-t.owned.rampSince >= length
+	return t.owned.completions >= requests && turn.Now-t.owned.warmSince >= length
 }
 
 // evidence takes a report of the present instance measured at or after since.
@@ -122,7 +105,7 @@
 		// Requests under permits are counted twice here, until a report
 		// shows fewer in flight. The report does not tell which are which.
 		o.proved = true
-		o.rampSince = turn.Now
+		o.warmSince = turn.Now
 		o.unaccounted, o.unaccountedBy = inFlight, o.provedBy
 		o.isolationAfter = 0
 		if inFlight > 0 {
@@ -161,13 +144,13 @@
 	}
 }
 
-// rise makes a target warm whose limit has risen to its full one.
+// rise makes a target warm whose warm-up has ended.
 func (p *Permitter) rise(turn mulberrybeam.Turn, t *target) []mulberrybeam.Action {
 	o := t.owned
-	if !o.proved || o.phase == mulberrybeam.PhaseWarm || !p.warmedUp(turn, t) || p.limit(t) < t.fullLimit() {
+	if !o.proved || o.phase == mulberrybeam.PhaseWarm || !p.warmedUp(turn, t) {
 		return nil
 	}
 	o.phase = mulberrybeam.PhaseWarm
 	o.unaccounted = 0
-	return p.tell(turn, t, "ramp-up completed")
+	return p.tell(turn, t, "warm-up completed")
 }
--- a/process/permitter/permit.go
+++ b/process/permitter/permit.go
@@ -43,7 +43,7 @@
 		return p.refuse(ReasonInstance), nil
 	case o.phase == mulberrybeam.PhaseWarm:
 		return p.askWarm(turn, t, ask, valid), nil
-	case len(o.permits)+o.unaccounted >= p.limit(t):
+	case len(o.permits)+o.unaccounted >= t.declared.ColdLimit:
 		return p.refuse(ReasonColdLimit), nil
 	case ask.Isolated && !o.mayIsolate(turn.Now):
 		return p.refuse(ReasonIsolation), nil
@@ -111,16 +111,13 @@
 	case o.phase == mulberrybeam.PhaseWarm:
 		return nil
 	case !release.Completed:
-		o.completions, o.ramped, o.rampSince = 0, 0, turn.Now
+		o.completions, o.warmSince = 0, turn.Now
 		return nil
 	case p.slow(release):
 		// Slow completions show no warmth, but no failure either.
 		return nil
-	case p.warmedUp(turn, t):
-		o.ramped++
-	default:
-		o.completions++
 	}
+	o.completions++
 	if !p.owns(turn.Now, t) {
 		return nil
 	}
--- a/process/permitter/timing.go
+++ b/process/permitter/timing.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Timing has the durations and counts of permits and of the ramp-up.
+// Timing has the durations and counts of permits and of the warm-up.
 type Timing struct {
 	// Valid is the longest validity of a permit.
 	Valid time.Duration
@@ -12,11 +12,8 @@
 	// DriftShare is the part by which another process's clock may be off.
 	DriftShare float64
 	// WarmAfter and WarmTime are the warm-up of targets that declare none.
-	// DoublingAfter is the number of completions after it after which the
-	// limit doubles.
-	DoublingAfter int
-	WarmAfter     int
-	WarmTime      time.Duration
+	WarmAfter int
+	WarmTime  time.Duration
 	// DoubtTime is how long a report of another process does not clear a
 	// doubt of a process's own, since it may have been measured before.
 	DoubtTime time.Duration
@@ -36,17 +33,16 @@
 // DefaultTiming returns the durations and counts of the design page.
 func DefaultTiming() Timing {
 	return Timing{
-		Valid:         2 * time.Second,
-		Transit:       500 * time.Millisecond,
-		DriftShare:    0.05,
-		DoublingAfter: 4,
-		WarmAfter:     16,
-		WarmTime:      2 * time.Second,
-		DoubtTime:     3 * time.Second,
-		Retry:         200 * time.Millisecond,
-		FactTTL:       24 * time.Hour,
-		Restate:       time.Hour,
-		Introduction:  15 * time.Second,
+		Valid:        2 * time.Second,
+		Transit:      500 * time.Millisecond,
+		DriftShare:   0.05,
+		WarmAfter:    16,
+		WarmTime:     2 * time.Second,
+		DoubtTime:    3 * time.Second,
+		Retry:        200 * time.Millisecond,
+		FactTTL:      24 * time.Hour,
+		Restate:      time.Hour,
+		Introduction: 15 * time.Second,
 	}
 }
 
--- a/request/forwarder/attempt.go
+++ b/request/forwarder/attempt.go
@@ -232,6 +232,10 @@
 	case ctx.Err() != nil || a.misdelivered:
 		// The caller left or the deadline passed, or the connection holds
 		// and its tokens were wrong.
+	case failure.Step == mulberrybeam.StepPermit:
+		// The target restarted after the decision and got nothing.
+		sign.Kind = mulberrybeam.SignBroken
+		r.history.Attempts[len(r.history.Attempts)-1].Sent = false
 	case failure.Step == mulberrybeam.StepConnect:
 		// Without a connection the other requests there are no suspects.
 		sign.Kind = mulberrybeam.SignBroken
