Free the permits of a dead process by load reports

Ruled out: the engines, which had given up the requests when their connections broke.

The owner now gives up on the releases of requests that surely arrived 2 s or more before a report that shows fewer in flight. They become unaccounted requests, bounded by that and later reports, as at the end of the run limit, so the cold limit holds as before. The permit of an isolated suspect stays for its run limit.

--- a/cmd/mulberrybeamd/processtest/path_test.go
+++ b/cmd/mulberrybeamd/processtest/path_test.go
@@ -154,7 +154,7 @@
 	steady := startLoad(t, 100*time.Millisecond, 12, func(i int) *entry { return others[i%len(others)] })
 	// These reach the process before, during and right after its pause, so
 	// that it has requests to send as soon as it runs again. Those before are
-	// few, since the permits that it holds are not free during the pause, and
+	// few, since the fleet lacks the permits that it holds for some seconds, and
 	// those after are no more than the cold fleet bears beside the load.
 	var group sync.WaitGroup
 	burst := func(count int) {
--- a/process/permitter/owned.go
+++ b/process/permitter/owned.go
@@ -130,6 +130,7 @@
 		}
 		return p.tell(turn, t, "load report after doubt")
 	}
+	o.loseEnded(since-p.timing.ReleaseGrace, inFlight)
 	if since >= o.unaccountedBy {
 		o.unaccounted = min(o.unaccounted, inFlight)
 	}
@@ -161,6 +162,30 @@
 	}
 }
 
+// loseEnded gives up on releases before the run limit when a report shows fewer
+// requests in flight than there are permits whose requests arrived before a
+// time: a process that died or is paused would keep a cold target's permits for
+// the run limit, which is minutes. A report does not tell which requests have
+// ended, so all these permits become unaccounted requests, which the report
+// bounds, and a release that comes later is ignored. The permit of an isolated
+// request stays, since a second suspect must not run beside it.
+func (o *owned) loseEnded(sentBefore time.Duration, inFlight int) {
+	var arrived []uint64
+	for id, out := range o.permits {
+		if out.sentBy <= sentBefore && id != o.isolated {
+			arrived = append(arrived, id)
+		}
+	}
+	if o.phase != mulberrybeam.PhaseCold || len(arrived) <= inFlight {
+		return
+	}
+	for _, id := range arrived {
+		o.unaccountedBy = max(o.unaccountedBy, o.permits[id].sentBy)
+		o.unaccounted++
+		o.drop(id)
+	}
+}
+
 // rise makes a target warm whose limit has risen to its full one.
 func (p *Permitter) rise(turn mulberrybeam.Turn, t *target) []mulberrybeam.Action {
 	o := t.owned
--- a/process/permitter/permitter_test.go
+++ b/process/permitter/permitter_test.go
@@ -309,3 +309,47 @@
 		machine.machine.Fill(&snapshot)
 	}
 }
+
+// Guards against a process that dies or is paused with the permits of a cold
+// target, which then gets no work until the run limit of minutes has ended, and
+// against permits that are given out again while their requests run.
+func TestPermitsOfDeadProcessAreFreedByReports(t *testing.T) {
+	is := is.New(t)
+	long := askT0
+	long.RunLimit = 2 * time.Minute
+	timing := permitter.DefaultTiming()
+	settled := 2*timing.Valid + timing.Transit + timing.ReleaseGrace
+	b := proven(0)
+	first, second := b.ask(long), b.ask(long)
+	is.True(first.Granted && second.Granted)
+	b.now += timing.Valid
+	b.report("t0", "i1", 0)
+	is.Equal(b.ask(long).Reason, permitter.ReasonColdLimit) // the requests may be on their way
+	b.now += settled
+	b.report("t0", "i1", 2)
+	is.Equal(b.ask(long).Reason, permitter.ReasonColdLimit) // both run
+	b.report("t0", "i1", 1)
+	is.True(b.ask(long).Granted) // one has ended
+	b.release(first, mulberrybeam.ReleasePermit{Completed: true})
+	b.release(second, mulberrybeam.ReleasePermit{Completed: true})
+	is.Equal(b.ask(long).Reason, permitter.ReasonColdLimit) // late releases count no more
+	b.report("t0", "i1", 1)
+	is.Equal(b.ask(long).Reason, permitter.ReasonColdLimit)
+	b.now += settled
+	b.report("t0", "i1", 0)
+	is.True(b.ask(long).Granted)
+	is.True(b.ask(long).Granted)
+	is.Equal(b.ask(long).Reason, permitter.ReasonColdLimit)
+}
+
+// Guards against a second suspect beside one whose process is paused.
+func TestPermitOfSuspectIsKeptForItsRunLimit(t *testing.T) {
+	is := is.New(t)
+	b := proven(0)
+	suspect := askT0
+	suspect.Isolated, suspect.RunLimit = true, 2*time.Minute
+	is.True(b.ask(suspect).Granted)
+	b.now += time.Minute
+	b.report("t0", "i1", 0)
+	is.Equal(b.ask(suspect).Reason, permitter.ReasonIsolation)
+}
--- a/process/permitter/timing.go
+++ b/process/permitter/timing.go
@@ -9,6 +9,10 @@
 	// Transit bounds the way of a request from the sender's last check to
 	// the target's count of requests in flight.
 	Transit time.Duration
+	// ReleaseGrace is how long a release may take after its request has
+	// ended. A report measured later that shows fewer requests than such
+	// permits proves that a release was lost.
+	ReleaseGrace time.Duration
 	// DriftShare is the part by which another process's clock may be off.
 	DriftShare float64
 	// WarmAfter and WarmTime are the warm-up of targets that declare none.
@@ -34,6 +38,7 @@
 	return Timing{
 		Valid:         2 * time.Second,
 		Transit:       500 * time.Millisecond,
+		ReleaseGrace:  2 * time.Second,
 		DriftShare:    0.05,
 		DoublingAfter: 4,
 		WarmAfter:     16,
