Do not ask an owner again right after it did not answer

The pause test now waits for each engine to complete a request under the load instead of looking once: before, the paused owner's engine sometimes had none yet.

--- a/cmd/mulberrybeamd/processtest/path_test.go
+++ b/cmd/mulberrybeamd/processtest/path_test.go
@@ -177,12 +177,14 @@
 		return prompt(t.Context(), paused, "after the pause", 4, true) == nil
 	})
 	t.Log("answers again after", took)
+	for name, e := range c.engines {
+		await(t, 15*time.Second, name+" completes requests under the load", func() bool { return e.counters(t)["completed"] > 0 })
+	}
 	steady.stop(t)
 	for name, e := range c.engines {
 		counters := e.counters(t)
 		t.Log(name, counters)
 		is.Equal(counters["crashes"], 0) // never above its cold limit
-		is.True(counters["completed"] > 0)
 	}
 }
 
--- /dev/null
+++ b/connection/enginecaller/instance_test.go
@@ -0,0 +1,37 @@
+package enginecaller_test
+
+import (
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+)
+
+// Guards against a prompt that was decided on for a warm instance and reaches
+// the cold one that took its place, over a pooled or a new connection.
+func TestPromptForAnotherInstanceIsNotSent(t *testing.T) {
+	is := is.New(t)
+	fake, caller, target := setUp(t)
+	call := callOf(target, "r1")
+	call.Instance = mulberrybeam.InstanceID(fake.Instance())
+	stream, err := caller.Generate(t.Context(), call)
+	is.NoErr(err)
+	_, err = drain(stream)
+	is.Equal(err, io.EOF)
+
+	fake.Crash()
+	is.NoErr(fake.Restart())
+	for range 2 {
+		_, err = caller.Generate(t.Context(), call)
+		checkFailure(t, err, mulberrybeam.CodeNoPermit, true)
+	}
+	is.Equal(fake.Count("started"), 1) // only the first
+
+	call.Instance = mulberrybeam.InstanceID(fake.Instance())
+	stream, err = caller.Generate(t.Context(), call)
+	is.NoErr(err)
+	_, err = drain(stream)
+	is.Equal(err, io.EOF)
+}
--- a/process/permitcaller/permitcaller.go
+++ b/process/permitcaller/permitcaller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"mulberrybeam"
@@ -24,11 +25,42 @@
 // AskFunc gives a message to the control state of this process.
 type AskFunc func(ctx context.Context, from mulberrybeam.ProcessID, message mulberrybeam.Message) (mulberrybeam.Message, error)
 
+// silentTime is how long an owner that did not answer is not asked again. A
+// paused owner would otherwise cost each request that picks one of its targets
+// a whole timeout.
+const silentTime = 2 * time.Second
+
+// silence remembers the processes that did not answer. Only traffic takes its
+// mutex.
+type silence struct {
+	mutex sync.Mutex
+	until map[mulberrybeam.ProcessID]time.Time
+}
+
+func (s *silence) holds(process mulberrybeam.ProcessID) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return time.Now().Before(s.until[process])
+}
+
+// note keeps the outcome of a call. Entries of processes that are gone stay,
+// a few dozen a day.
+func (s *silence) note(process mulberrybeam.ProcessID, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err == nil {
+		delete(s.until, process)
+		return
+	}
+	s.until[process] = time.Now().Add(silentTime)
+}
+
 // Caller implements mulberrybeam.PermitClient.
 type Caller struct {
 	snapshot func() *mulberrybeam.Snapshot
 	ask      AskFunc
 	peers    mulberrybeam.PeerClient
+	silent   silence
 }
 
 var _ mulberrybeam.PermitClient = (*Caller)(nil)
@@ -36,7 +68,10 @@
 // New returns a permit client over the control state of this process and the
 // client of its peers.
 func New(snapshot func() *mulberrybeam.Snapshot, ask AskFunc, peers mulberrybeam.PeerClient) *Caller {
-	return &Caller{snapshot: snapshot, ask: ask, peers: peers}
+	return &Caller{
+		snapshot: snapshot, ask: ask, peers: peers,
+		silent: silence{until: map[mulberrybeam.ProcessID]time.Time{}},
+	}
 }
 
 // Ask asks the owner of the target. It returns a Failure with CodeNoPermit
@@ -45,7 +80,12 @@
 func (c *Caller) Ask(ctx context.Context, target mulberrybeam.TargetID, ask mulberrybeam.AskPermit) (mulberrybeam.AskPermitReply, error) {
 	snapshot := c.snapshot()
 	ask.From = snapshot.Self
+	owner := snapshot.Targets[target].Owner
+	if c.silent.holds(owner) {
+		return mulberrybeam.AskPermitReply{}, noPermit(target, "the owner of the target did not answer a moment ago")
+	}
 	answer, err := c.send(ctx, snapshot, target, ask)
+	c.silent.note(owner, err)
 	if err != nil {
 		return mulberrybeam.AskPermitReply{}, err
 	}
--- a/process/permitcaller/permitcaller_test.go
+++ b/process/permitcaller/permitcaller_test.go
@@ -54,6 +54,16 @@
 				is.True(errors.As(err, &failure))
 				is.Equal(failure.Code, mulberrybeam.CodePeerUnreachable)
 				is.Equal(time.Since(begin), test.limit)
+
+				// Further requests go elsewhere at once, for 2 s.
+				for range 3 {
+					_, err = caller.Ask(ctx, test.target, mulberrybeam.AskPermit{Target: test.target})
+					is.True(errors.As(err, &failure) && failure.Code == mulberrybeam.CodeNoPermit)
+				}
+				is.Equal(time.Since(begin), test.limit)
+				time.Sleep(2 * time.Second)
+				_, err = caller.Ask(ctx, test.target, mulberrybeam.AskPermit{Target: test.target})
+				is.True(errors.As(err, &failure) && failure.Code == mulberrybeam.CodePeerUnreachable)
 			})
 		})
 	}
