--- a/cmd/mulberrybeam/command/environment/diff/diff.go
+++ b/cmd/mulberrybeam/command/environment/diff/diff.go
@@ -40,12 +40,8 @@
 	if err != nil {
 		return err
 	}
-	objects, cleanup, err := o.factory.Objects(o.Platform, environment.Name)
-	if err != nil {
-		return err
-	}
+	current, _, cleanup, err := editor.Open(context.Background(), o.factory, o.Platform, environment.Name)
 	defer cleanup()
-	current, err := editor.Load(context.Background(), objects, environment.Name)
 	if err != nil {
 		return err
 	}
--- a/cmd/mulberrybeam/command/environment/promote/promote.go
+++ b/cmd/mulberrybeam/command/environment/promote/promote.go
@@ -38,15 +38,15 @@
 func promote(o *Options) error {
 	ctx := context.Background()
 	source, _, cleanup, err := o.load(ctx, o.From, o.Revision)
+	cleanup()
 	if err != nil {
 		return err
 	}
-	cleanup()
 	current, objects, cleanup, err := o.load(ctx, o.To, o.OntoRevision)
+	defer cleanup()
 	if err != nil {
 		return err
 	}
-	defer cleanup()
 	document, err := editor.Set(source.Object.Data, "/name", fmt.Sprintf("%q", o.To))
 	if err != nil {
 		return err
@@ -70,17 +70,9 @@
 // load returns an environment's document, or a Conflict when its revision is
 // not the one that the operator named.
 func (o *Options) load(ctx context.Context, name mulberrybeam.EnvironmentName, revision mulberrybeam.Revision) (*editor.Current, mulberrybeam.ObjectClient, func(), error) {
-	objects, cleanup, err := o.factory.Objects(o.Platform, name)
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	current, err := editor.Load(ctx, objects, name)
+	current, objects, cleanup, err := editor.Open(ctx, o.factory, o.Platform, name)
 	if err == nil && current.Environment.Revision != revision {
-		err = &editor.Conflict{Based: revision, Current: current.Environment.Revision}
-	}
-	if err != nil {
-		cleanup()
-		return nil, nil, nil, fmt.Errorf("environment %s: %w", name, err)
+		err = fmt.Errorf("environment %s: %w", name, &editor.Conflict{Based: revision, Current: current.Environment.Revision})
 	}
-	return current, objects, cleanup, nil
+	return current, objects, cleanup, err
 }
--- a/cmd/mulberrybeam/command/zone/change/change.go
+++ b/cmd/mulberrybeam/command/zone/change/change.go
@@ -41,12 +41,8 @@
 
 func change(o *Options) error {
 	ctx := context.Background()
-	objects, cleanup, err := o.factory.Objects(o.Platform, o.Environment)
-	if err != nil {
-		return err
-	}
+	current, objects, cleanup, err := editor.Open(ctx, o.factory, o.Platform, o.Environment)
 	defer cleanup()
-	current, err := editor.Load(ctx, objects, o.Environment)
 	if err != nil {
 		return err
 	}
--- a/cmd/mulberrybeam/command/zone/list/list.go
+++ b/cmd/mulberrybeam/command/zone/list/list.go
@@ -44,12 +44,8 @@
 func (o *Options) Run() error { return o.run(o) }
 
 func list(o *Options) error {
-	objects, cleanup, err := o.factory.Objects(o.Platform, o.Environment)
-	if err != nil {
-		return err
-	}
+	current, _, cleanup, err := editor.Open(context.Background(), o.factory, o.Platform, o.Environment)
 	defer cleanup()
-	current, err := editor.Load(context.Background(), objects, o.Environment)
 	if err != nil {
 		return err
 	}
