Check the holder's right right before an order is sent

A process that was paused between deciding on an order and sending it could send it after another process had taken over, which matters for engines that ignore fencing numbers.

--- a/action.go
+++ b/action.go
@@ -63,6 +63,9 @@
 	Target Target
 	Order  Order
 	Ticket Ticket
+	// NotAfter is when the right to send the order ends, in local
+	// monotonic time.
+	NotAfter time.Duration
 }
 
 // Raise feeds an event to all machines in the same turn.
--- a/process/controller/controller_test.go
+++ b/process/controller/controller_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,3 +142,45 @@
 	_, err := control.Ask(ctx, "p", mulberrybeam.Fence{})
 	is.True(err != nil)
 }
+
+// engines counts the orders that it got.
+type engines struct {
+	mulberrybeam.EngineClient
+	orders atomic.Int64
+}
+
+func (e *engines) Order(context.Context, mulberrybeam.Target, mulberrybeam.Order) error {
+	e.orders.Add(1)
+	return nil
+}
+
+// Guards against an order that a process sends after a pause, when another
+// process may hold the right to send orders.
+func TestOrderIsNotSentAfterItsRightHasEnded(t *testing.T) {
+	is := is.New(t)
+	var done atomic.Int64
+	var refused atomic.Bool
+	machine := script{step: func(event mulberrybeam.Event) []mulberrybeam.Action {
+		switch event := event.(type) {
+		case mulberrybeam.TrafficSign:
+			return []mulberrybeam.Action{
+				mulberrybeam.SendOrder{Ticket: 1, NotAfter: 0},
+				mulberrybeam.SendOrder{Ticket: 2, NotAfter: time.Hour},
+			}
+		case mulberrybeam.OrderDone:
+			var failure *mulberrybeam.Failure
+			if event.Ticket == 1 && errors.As(event.Err, &failure) && failure.NotRun {
+				refused.Store(true)
+			}
+			done.Add(1)
+		}
+		return nil
+	}}
+	target := &engines{}
+	control, stop := controller.New([]mulberrybeam.Machine{machine}, controller.WithEngines(target))
+	defer stop()
+	control.Post(mulberrybeam.TrafficSign{})
+	eventually(t, func() bool { return done.Load() == 2 })
+	is.Equal(target.orders.Load(), int64(1))
+	is.True(refused.Load())
+}
--- a/process/controller/execute.go
+++ b/process/controller/execute.go
@@ -112,6 +112,13 @@
 }
 
 func (c *Controller) order(sentAt time.Duration, send mulberrybeam.SendOrder) mulberrybeam.Event {
+	// The process may have been paused since the machine decided.
+	if c.now() >= send.NotAfter {
+		return mulberrybeam.OrderDone{Ticket: send.Ticket, Target: send.Target.ID, SentAt: sentAt, Err: &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeTimeout, Step: mulberrybeam.StepSend, Peer: string(send.Target.ID),
+			Message: "the right to send the order has ended", NotRun: true,
+		}}
+	}
 	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
 	defer cancel()
 	err := c.engines.Order(ctx, send.Target, send.Order)
--- a/version/swapper/swapper.go
+++ b/version/swapper/swapper.go
@@ -212,7 +212,7 @@
 		}
 		ticket := mulberrybeam.Ticket(turn.Rand.Uint64())
 		s.loads[ticket] = e
-		actions = append(actions, mulberrybeam.SendOrder{Target: e.declared, Order: e.sending, Ticket: ticket})
+		actions = append(actions, mulberrybeam.SendOrder{Target: e.declared, Order: e.sending, Ticket: ticket, NotAfter: s.right.Until})
 	}
 	return actions
 }
