--- a/process/gossiper/directory.go
+++ b/process/gossiper/directory.go
@@ -22,6 +22,10 @@
 	// failure of the object API.
 	firstBackoff = 500 * time.Millisecond
 	maxBackoff   = 30 * time.Second
+	// aloneBackoff replaces maxBackoff in a process that has not heard of
+	// all facts by a peer. It is not ready until it finds one, and few
+	// processes start during an outage.
+	aloneBackoff = 4 * time.Second
 )
 
 // directory is the state of the work on the directory objects.
@@ -73,7 +77,11 @@
 		g.directory.failures++
 		return
 	}
-	backoff := min(maxBackoff, firstBackoff<<min(g.directory.failures, 10))
+	longest := maxBackoff
+	if !g.joined {
+		longest = aloneBackoff
+	}
+	backoff := min(longest, firstBackoff<<min(g.directory.failures, 10))
 	g.directory.failures++
 	g.directory.next = g.turn.Now + jitter(g.turn, backoff)
 }
