--- a/process/launcher/launcher.go
+++ b/process/launcher/launcher.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 
 	"mulberrybeam"
@@ -67,8 +66,7 @@
 
 	settings  Settings
 	begin     time.Time
-	stampLock sync.Mutex
-	stamps    *stamper.Stamper
+	stamps    *stamper.Shared
 	engines   *enginecaller.Caller
 	services  *servicecaller.Caller
 	stores    *storecaller.Caller
@@ -91,7 +89,7 @@
 		ID:       id,
 		settings: settings,
 		begin:    time.Now(),
-		stamps:   stamper.New(id),
+		stamps:   stamper.NewShared(id),
 		index:    indexer.New(),
 	}
 	for _, step := range []func() error{p.listenForCallers, p.startClients, p.startControl, p.startTraffic, p.serveCallers, p.startOperator} {
@@ -148,6 +146,7 @@
 	handler := func(ctx context.Context, from mulberrybeam.ProcessID, message mulberrybeam.Message) (mulberrybeam.Message, error) {
 		select {
 		case <-started:
+			p.seeStamps(message)
 			return p.Control.Ask(ctx, from, message)
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -209,10 +208,18 @@
 	return nil
 }
 
-func (p *Process) stamp() mulberrybeam.Stamp {
-	p.stampLock.Lock()
-	defer p.stampLock.Unlock()
-	return p.stamps.Next(time.Now())
+func (p *Process) stamp() mulberrybeam.Stamp { return p.stamps.Next(time.Now()) }
+
+// seeStamps puts the events of this process after those that a peer's facts
+// tell of.
+func (p *Process) seeStamps(message mulberrybeam.Message) {
+	exchange, ok := message.(mulberrybeam.Exchange)
+	if !ok {
+		return
+	}
+	for _, fact := range exchange.Facts {
+		p.stamps.See(fact.Stamp, time.Now())
+	}
 }
 
 func (p *Process) startForwarder(permits mulberrybeam.PermitClient) {
--- /dev/null
+++ b/process/stamper/shared.go
@@ -0,0 +1,51 @@
+package stamper
+
+import (
+	"sync/atomic"
+	"time"
+
+	"mulberrybeam"
+)
+
+// counterBits leaves 44 bits for milliseconds, until the year 2527. A counter
+// that overflows carries into the milliseconds.
+const counterBits = 20
+
+// Shared is a clock for any number of goroutines. It takes no lock, since
+// control and traffic both stamp the events of the time line.
+type Shared struct {
+	process mulberrybeam.ProcessID
+	last    atomic.Uint64
+}
+
+// NewShared returns the clock of a process.
+func NewShared(process mulberrybeam.ProcessID) *Shared { return &Shared{process: process} }
+
+// Next returns a stamp above all that were given or seen before.
+func (s *Shared) Next(wall time.Time) mulberrybeam.Stamp {
+	physical := uint64(wall.UnixMilli()) << counterBits
+	for {
+		last := s.last.Load()
+		next := max(last+1, physical)
+		if s.last.CompareAndSwap(last, next) {
+			return mulberrybeam.Stamp{
+				Wall: int64(next >> counterBits), Counter: uint32(next & (1<<counterBits - 1)), Process: s.process,
+			}
+		}
+	}
+}
+
+// See takes in a stamp of another process, unless it is more than MaxAhead
+// ahead of wall.
+func (s *Shared) See(stamp mulberrybeam.Stamp, wall time.Time) {
+	if stamp.Wall > wall.Add(MaxAhead).UnixMilli() {
+		return
+	}
+	seen := uint64(stamp.Wall)<<counterBits + uint64(min(stamp.Counter, 1<<counterBits-1))
+	for {
+		last := s.last.Load()
+		if seen <= last || s.last.CompareAndSwap(last, seen) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/process/stamper/shared_test.go
@@ -0,0 +1,46 @@
+package stamper_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/stamper"
+)
+
+// Guards against two goroutines that get the same stamp, and against stamps
+// that fall behind a stamp that was seen.
+func TestSharedStampsAreUniqueAndRise(t *testing.T) {
+	is := is.New(t)
+	clock := stamper.NewShared("h/1")
+	wall := time.UnixMilli(1_900_000_000_000)
+	var mutex sync.Mutex
+	seen := map[mulberrybeam.Stamp]bool{}
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			var last mulberrybeam.Stamp
+			for range 1000 {
+				stamp := clock.Next(wall)
+				mutex.Lock()
+				if seen[stamp] || stamper.Compare(stamp, last) <= 0 {
+					t.Errorf("%v after %v was given twice or falls back", stamp, last)
+				}
+				seen[stamp] = true
+				mutex.Unlock()
+				last = stamp
+			}
+		})
+	}
+	group.Wait()
+
+	ahead := mulberrybeam.Stamp{Wall: wall.UnixMilli() + 5000, Counter: 7, Process: "h/2"}
+	clock.See(ahead, wall)
+	is.True(stamper.Compare(clock.Next(wall), ahead) > 0)
+	broken := mulberrybeam.Stamp{Wall: wall.Add(time.Hour).UnixMilli()}
+	clock.See(broken, wall)
+	is.True(stamper.Compare(clock.Next(wall), broken) < 0)
+}
