--- /dev/null
+++ b/process/recorder/recorder_test.go
@@ -0,0 +1,52 @@
+package recorder_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/recorder"
+)
+
+// Guards against a time line that grows, loses its newest entries, or orders
+// entries of two processes by anything but their stamps.
+func TestRingKeepsTheNewestInTheOrderOfStamps(t *testing.T) {
+	is := is.New(t)
+	observed := 0
+	ring := recorder.New(recorder.WithCapacity(4), recorder.WithObserver(func(mulberrybeam.Entry) { observed++ }))
+	for i, wall := range []int64{9, 1, 5, 3, 5, 4} {
+		ring.Record(mulberrybeam.Entry{
+			Stamp: mulberrybeam.Stamp{Wall: wall, Counter: uint32(10 - i)}, Text: fmt.Sprint(i),
+		})
+	}
+	texts := ""
+	for _, entry := range ring.Entries() {
+		texts += entry.Text
+	}
+	is.Equal(texts, "3542") // of the last four: 3, 4, then the two at 5 by counter
+	is.Equal(observed, 6)
+}
+
+// Guards against entries that are lost or torn when goroutines record at once.
+func TestConcurrentRecords(t *testing.T) {
+	is := is.New(t)
+	ring := recorder.New(recorder.WithCapacity(1000))
+	var group sync.WaitGroup
+	for process := range 10 {
+		group.Go(func() {
+			for i := range 100 {
+				name := mulberrybeam.ProcessID(fmt.Sprint(process))
+				ring.Record(mulberrybeam.Entry{Process: name, Subject: string(name), Stamp: mulberrybeam.Stamp{Counter: uint32(i)}})
+			}
+		})
+	}
+	group.Wait()
+	entries := ring.Entries()
+	is.Equal(len(entries), 1000)
+	for _, entry := range entries {
+		is.Equal(entry.Subject, string(entry.Process))
+	}
+}
