Wait for a revision before permits of a reassigned target

Cause: while hosts have different revisions, two holders could own one target, and the new one waited only half a second. It now waits 15 s, the 10 s in which a revision is in force everywhere, a permit's validity and the way of its request.

--- a/process/permitter/owned.go
+++ b/process/permitter/owned.go
@@ -62,6 +62,7 @@
 	if !fresh {
 		t.owned.provedBy = turn.Now
 	}
+	t.owned.provedBy = max(t.owned.provedBy, t.notBefore)
 	if phase == mulberrybeam.PhaseWarm {
 		t.owned.phase = mulberrybeam.PhaseWarm
 		t.owned.proved = true
--- a/process/permitter/permitter.go
+++ b/process/permitter/permitter.go
@@ -154,6 +154,7 @@
 		t.declared, t.slot = event.Tables.Targets[id], p.slot(event.Tables.SlotOf[id])
 		if moved {
 			t.owned = nil
+			t.notBefore = turn.Now + p.timing.Reassignment
 		}
 		p.targets[id] = t
 		p.order = append(p.order, t)
--- a/process/permitter/permitter_test.go
+++ b/process/permitter/permitter_test.go
@@ -106,6 +106,28 @@
 	is.True(b.ask(askT0).Granted)
 }
 
+// Guards against two processes that issue permits for one target, because one
+// of them has the revision in which another slot is the target's.
+func TestTargetOfAnotherSlotWaitsForTheRevision(t *testing.T) {
+	is := is.New(t)
+	b := proven(0)
+	is.True(b.ask(askT0).Granted)
+	environment := declared(1)
+	tables := compiler.Compile(environment)
+	moved := mulberrybeam.Slot{Zone: "a", Number: 1}
+	tables.SlotOf["t0"] = moved
+	b.step(mulberrybeam.ConfigurationChanged{Environment: environment, Tables: tables})
+	b.step(mulberrybeam.RightChanged{Right: mulberrybeam.SlotRight{Slot: moved, Epoch: 1, Since: b.now, Until: b.now + time.Hour}})
+	for range 14 {
+		b.now += time.Second
+		b.report("t0", "i1", 0)
+		is.Equal(b.ask(askT0).Reason, permitter.ReasonUnproved)
+	}
+	b.now += 2 * time.Second
+	b.report("t0", "i1", 0)
+	is.True(b.ask(askT0).Granted)
+}
+
 // Guards against a ramp-up that is too fast, or survives a failure.
 func TestRampUp(t *testing.T) {
 	is := is.New(t)
--- a/process/permitter/target.go
+++ b/process/permitter/target.go
@@ -26,6 +26,9 @@
 	doubtedAt time.Duration
 	silent    bool
 	leaving   bool
+	// notBefore is when the holder of the slot that the target had in an
+	// earlier revision has surely stopped to issue permits for it.
+	notBefore time.Duration
 	// owned is set from the first right to the slot on, and counts while
 	// the right holds.
 	owned *owned
--- a/process/permitter/timing.go
+++ b/process/permitter/timing.go
@@ -13,6 +13,11 @@
 	// ended. A report measured later that shows fewer requests than such
 	// permits proves that a release was lost.
 	ReleaseGrace time.Duration
+	// Reassignment is the wait for permits of a target whose slot another
+	// revision changes. Processes that have the earlier revision may issue
+	// permits for the 10 s until the new one is in force everywhere, and
+	// these stay valid for Valid.
+	Reassignment time.Duration
 	// DriftShare is the part by which another process's clock may be off.
 	DriftShare float64
 	// WarmAfter and WarmTime are the warm-up of targets that declare none.
@@ -40,6 +45,7 @@
 		Valid:        2 * time.Second,
 		Transit:      500 * time.Millisecond,
 		ReleaseGrace: 2 * time.Second,
+		Reassignment: 15 * time.Second,
 		DriftShare:   0.05,
 		WarmAfter:    16,
 		WarmTime:     2 * time.Second,
