--- a/cmd/mulberrybeam/command/environment/apply/apply.go
+++ b/cmd/mulberrybeam/command/environment/apply/apply.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"time"
 
 	"mulberrybeam"
 	"mulberrybeam/cmd/mulberrybeam/editor"
@@ -17,12 +16,11 @@
 
 // Options are the dependencies and arguments of the command.
 type Options struct {
-	File     string        `arg:"" help:"The document, JSON with comments. Its revision is the one that the edit is based on."`
-	Platform string        `help:"URL of the object API." env:"MULBERRYBEAM_PLATFORM"`
-	Yes      bool          `help:"Do not ask."`
-	Wait     bool          `help:"Wait until every live host reports the revision in force."`
-	Entry    []string      `help:"Operators' address of an entry host, one for each zone, for --wait."`
-	Timeout  time.Duration `help:"How long --wait waits." default:"30s"`
+	File     string `arg:"" help:"The document, JSON with comments. Its revision is the one that the edit is based on."`
+	Platform string `help:"URL of the object API." env:"MULBERRYBEAM_PLATFORM"`
+	Yes      bool   `help:"Do not ask."`
+
+	waiter.Flags
 
 	factory *factory.Factory
 	run     func(*Options) error
@@ -66,10 +64,7 @@
 		return err
 	}
 	_, _ = fmt.Fprintf(o.factory.Streams.Out, "revision %d of environment %s is accepted\n", revision, environment.Name)
-	if !o.Wait {
-		return nil
-	}
-	return waiter.Wait(ctx, o.factory, o.Entry, revision, o.Timeout)
+	return o.Await(ctx, o.factory, revision)
 }
 
 func load(ctx context.Context, objects mulberrybeam.ObjectClient, environment *mulberrybeam.Environment) (*editor.Current, error) {
--- a/cmd/mulberrybeam/command/timeline/timeline.go
+++ b/cmd/mulberrybeam/command/timeline/timeline.go
@@ -2,7 +2,6 @@
 package timeline
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,6 +13,7 @@
 	"mulberrybeam/cmd/mulberrybeam/factory"
 	"mulberrybeam/cmd/mulberrybeam/reader"
 	"mulberrybeam/process/operator"
+	"mulberrybeam/process/stamper"
 )
 
 // followInterval is how often --follow asks for new events.
@@ -72,7 +72,7 @@
 	lists, failures := reader.All[[]operator.Entry](f.HTTP, entries, "/operator/timeline", query)
 	merged := slices.Concat(lists...)
 	slices.SortStableFunc(merged, func(a, b operator.Entry) int {
-		return cmp.Or(cmp.Compare(a.WallMS, b.WallMS), cmp.Compare(a.Counter, b.Counter), cmp.Compare(a.Process, b.Process))
+		return stamper.Compare(a.Stamp(), b.Stamp())
 	})
 	return merged, failures
 }
--- a/cmd/mulberrybeam/command/zone/change/change.go
+++ b/cmd/mulberrybeam/command/zone/change/change.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"mulberrybeam"
 	"mulberrybeam/cmd/mulberrybeam/editor"
@@ -18,9 +17,8 @@
 	Zone        mulberrybeam.ZoneName        `arg:"" help:"Name of the availability zone."`
 	Platform    string                       `help:"URL of the object API." env:"MULBERRYBEAM_PLATFORM"`
 	Yes         bool                         `help:"Do not ask."`
-	Wait        bool                         `help:"Wait until every live host reports the revision in force."`
-	Entry       []string                     `help:"Operators' address of an entry host, one for each zone, for --wait."`
-	Timeout     time.Duration                `help:"How long --wait waits." default:"30s"`
+
+	waiter.Flags
 
 	state   mulberrybeam.ZoneState
 	factory *factory.Factory
@@ -63,8 +61,5 @@
 		return err
 	}
 	_, _ = fmt.Fprintf(o.factory.Streams.Out, "zone %s is %q as of revision %d\n", o.Zone, o.state, revision)
-	if !o.Wait {
-		return nil
-	}
-	return waiter.Wait(ctx, o.factory, o.Entry, revision, o.Timeout)
+	return o.Await(ctx, o.factory, revision)
 }
--- a/cmd/mulberrybeam/waiter/waiter.go
+++ b/cmd/mulberrybeam/waiter/waiter.go
@@ -17,6 +17,21 @@
 // pollInterval is how often the entry hosts are asked.
 const pollInterval = 500 * time.Millisecond
 
+// Flags are the flags of commands that can wait for their change.
+type Flags struct {
+	Wait    bool          `help:"Wait until every live host reports the revision in force."`
+	Entry   []string      `help:"Operators' address of an entry host, one for each zone, for --wait."`
+	Timeout time.Duration `help:"How long --wait waits." default:"30s"`
+}
+
+// Await waits for a revision when the flags ask for it.
+func (w Flags) Await(ctx context.Context, f *factory.Factory, revision mulberrybeam.Revision) error {
+	if !w.Wait {
+		return nil
+	}
+	return Wait(ctx, f, w.Entry, revision, w.Timeout)
+}
+
 // Wait asks one entry host of each zone until all live members report the
 // revision. After timeout it returns an error that names those that do not.
 func Wait(ctx context.Context, f *factory.Factory, entries []string, revision mulberrybeam.Revision, timeout time.Duration) error {
--- a/process/operator/operator.go
+++ b/process/operator/operator.go
@@ -66,6 +66,11 @@
 	Text    string                 `json:"text"`
 }
 
+// Stamp returns the entry's hybrid logical clock stamp.
+func (e Entry) Stamp() mulberrybeam.Stamp {
+	return mulberrybeam.Stamp{Wall: e.WallMS, Counter: e.Counter, Process: e.Process}
+}
+
 // Sources are what the listener shows.
 type Sources struct {
 	Snapshot func() *mulberrybeam.Snapshot
--- a/process/recorder/recorder.go
+++ b/process/recorder/recorder.go
@@ -3,11 +3,11 @@
 package recorder
 
 import (
-	"cmp"
 	"slices"
 	"sync/atomic"
 
 	"mulberrybeam"
+	"mulberrybeam/process/stamper"
 )
 
 // defaultCapacity keeps about a minute of entries at the request rate of one
@@ -64,7 +64,8 @@
 	r.entries[at%uint64(len(r.entries))].Store(&entry)
 }
 
-// Entries returns the kept entries in the order of their stamps.
+// Entries returns the kept entries in the order of their stamps, which puts a
+// cause before its effects.
 func (r *Ring) Entries() []mulberrybeam.Entry {
 	entries := make([]mulberrybeam.Entry, 0, len(r.entries))
 	for i := range r.entries {
@@ -72,18 +73,6 @@
 			entries = append(entries, *entry)
 		}
 	}
-	Sort(entries)
+	slices.SortStableFunc(entries, func(a, b mulberrybeam.Entry) int { return stamper.Compare(a.Stamp, b.Stamp) })
 	return entries
 }
-
-// Sort orders entries of any processes by their hybrid logical clock stamps,
-// which puts a cause before its effects.
-func Sort(entries []mulberrybeam.Entry) {
-	slices.SortStableFunc(entries, func(a, b mulberrybeam.Entry) int {
-		return cmp.Or(
-			cmp.Compare(a.Stamp.Wall, b.Stamp.Wall),
-			cmp.Compare(a.Stamp.Counter, b.Stamp.Counter),
-			cmp.Compare(a.Stamp.Process, b.Stamp.Process),
-		)
-	})
-}
--- a/version/ranker/ranker.go
+++ b/version/ranker/ranker.go
@@ -20,15 +20,6 @@
 	return digest.Sum64()
 }
 
-// First returns the first node for a key, and false when there is none.
-func First[N ~string](key string, nodes []N) (N, bool) {
-	top := Top(key, nodes, 1)
-	if len(top) == 0 {
-		return "", false
-	}
-	return top[0], true
-}
-
 // Top returns the first count nodes for a key, or all when there are fewer.
 // The order of nodes does not matter.
 func Top[N ~string](key string, nodes []N, count int) []N {
--- a/version/ranker/ranker_test.go
+++ b/version/ranker/ranker_test.go
@@ -16,8 +16,8 @@
 	moved := 0
 	for i := range 1000 {
 		key := fmt.Sprint("key-", i)
-		before, _ := ranker.First(key, nodes)
-		after, _ := ranker.First(key, nodes[:3])
+		before := ranker.Top(key, nodes, 1)[0]
+		after := ranker.Top(key, nodes[:3], 1)[0]
 		if before == "d" {
 			moved++
 			continue
@@ -32,6 +32,5 @@
 	is := is.New(t)
 	is.Equal(ranker.Top("k", []string{"a", "b", "c"}, 2), ranker.Top("k", []string{"c", "a", "b"}, 2))
 	is.Equal(len(ranker.Top("k", []string{"a"}, 2)), 1)
-	_, found := ranker.First("k", []string{})
-	is.True(!found)
+	is.Equal(len(ranker.Top("k", []string{}, 1)), 0)
 }
