Leave time for other targets when an owner does not answer

Cause: a question for a permit to a paused owner in another zone took up to 2 s, all the time that a request may wait, and one request each 2 s asks it. The question now takes a quarter of that time at most.

--- a/process/permitcaller/permitcaller.go
+++ b/process/permitcaller/permitcaller.go
@@ -84,6 +84,11 @@
 	if c.silent.holds(owner) {
 		return mulberrybeam.AskPermitReply{}, noPermit(target, "the owner of the target did not answer a moment ago")
 	}
+	if limit := askLimit(snapshot); limit > 0 {
+		bounded, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		ctx = bounded
+	}
 	answer, err := c.send(ctx, snapshot, target, ask)
 	c.silent.note(owner, err)
 	if err != nil {
@@ -118,6 +123,15 @@
 	}
 }
 
+// askLimit leaves most of the time that a request may wait for other targets:
+// a paused owner in another zone took all of it. It is 0 for no limit.
+func askLimit(snapshot *mulberrybeam.Snapshot) time.Duration {
+	if snapshot.Tables == nil || snapshot.Tables.Environment == nil {
+		return 0
+	}
+	return snapshot.Tables.Environment.Limits.QueueTimeout / 4
+}
+
 func timeout(snapshot *mulberrybeam.Snapshot, target mulberrybeam.TargetID) time.Duration {
 	if declared, found := snapshot.Tables.Targets[target]; found && declared.Zone == snapshot.Zone {
 		return zoneTimeout
--- a/process/permitcaller/permitcaller_test.go
+++ b/process/permitcaller/permitcaller_test.go
@@ -68,3 +68,22 @@
 		})
 	}
 }
+
+// Guards against a question that takes all the time that a request may wait,
+// so that it is refused although other targets have room.
+func TestAskLeavesTimeForOtherTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		snapshot := &mulberrybeam.Snapshot{
+			Tables: &mulberrybeam.Tables{Environment: &mulberrybeam.Environment{
+				Limits: mulberrybeam.Limits{QueueTimeout: 2 * time.Second},
+			}},
+			Targets: map[mulberrybeam.TargetID]mulberrybeam.TargetState{"far": {Owner: "h2/1", OwnerAddress: "127.0.0.1:1"}},
+		}
+		caller := permitcaller.New(func() *mulberrybeam.Snapshot { return snapshot }, nil, hung{})
+		begin := time.Now()
+		_, err := caller.Ask(t.Context(), "far", mulberrybeam.AskPermit{Target: "far"})
+		is.True(err != nil)
+		is.Equal(time.Since(begin), 500*time.Millisecond)
+	})
+}
