--- /dev/null
+++ b/cmd/mulberryentry/main.go
@@ -0,0 +1,12 @@
+// Command mulberryentry is the entry process on a host of the platform.
+package main
+
+import (
+	"os"
+
+	"mulberrybeam/cmd/mulberryentry/command"
+)
+
+func main() {
+	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr, nil))
+}
--- /dev/null
+++ b/connection/carrier/carrier.go
@@ -0,0 +1,359 @@
+// Package carrier sends requests to targets over kept connections. It matches
+// answers to requests by their ids, and a connection on which anything
+// unexpected arrives is not used again.
+package carrier
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"mulberrybeam"
+)
+
+const (
+	// dialTimeout bounds making a connection. A round trip takes a few
+	// milliseconds, so that a longer wait means that the target is gone.
+	dialTimeout = 300 * time.Millisecond
+	// idleLimit is how long a connection is kept when the target does not
+	// say. keepShare leaves room for a request that is on its way when the
+	// target closes.
+	idleLimit = 8 * time.Second
+	keepShare = 0.6
+	// maxIdle bounds the idle connections kept to one target.
+	maxIdle = 16
+	// readBuffer and writeBuffer fit the head of a message.
+	readBuffer = 4 << 10
+	// maxForeign bounds the answers to other requests that are skipped.
+	maxForeign = 2
+)
+
+// Message is a request as it is sent.
+type Message struct {
+	ID      mulberrybeam.RequestID
+	Method  string
+	URI     string
+	Host    string
+	Header  http.Header
+	Body    []byte
+	HasBody bool
+}
+
+// Answer is the head of a target's answer and its open body.
+type Answer struct {
+	Status int
+	Header http.Header
+	Head   mulberrybeam.AnswerHead
+	body   io.ReadCloser
+	link   *link
+	whole  bool
+}
+
+// Carrier keeps the connections to targets. Its methods may be called from any
+// traffic goroutine.
+type Carrier struct {
+	codec mulberrybeam.CallCodec
+	dial  func(ctx context.Context, network, address string) (net.Conn, error)
+	now   func() time.Duration
+
+	mutex sync.Mutex
+	pools map[mulberrybeam.InstanceID]*pool
+}
+
+// pool has the connections to one run of a target.
+type pool struct {
+	idle []*link
+	open int
+}
+
+// link is one connection to a target.
+type link struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	target mulberrybeam.InstanceID
+	// until is when the target may close the connection.
+	until time.Duration
+	// written is closed when the request is written whole. Only then may the
+	// connection be used again.
+	written chan error
+}
+
+// New returns a Carrier and the function that closes its idle connections.
+func New(codec mulberrybeam.CallCodec, dial func(ctx context.Context, network, address string) (net.Conn, error), now func() time.Duration) (*Carrier, func()) {
+	c := &Carrier{codec: codec, dial: dial, now: now, pools: map[mulberrybeam.InstanceID]*pool{}}
+	return c, c.closeIdle
+}
+
+// Send sends a request and returns the answer's head. It makes at most limit
+// connections to the target. The connection is closed when ctx ends before
+// Answer.Close. Errors are Failures; NotRun says that nothing was sent.
+func (c *Carrier) Send(ctx context.Context, target mulberrybeam.FleetTarget, limit int, message Message) (*Answer, error) {
+	l, err := c.connect(ctx, target, limit)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
+	answer, err := c.exchange(l, message)
+	if err != nil {
+		stop()
+		c.discard(l)
+		return nil, err
+	}
+	answer.link = l
+	answer.body = &bodyCloser{Reader: answer.body, close: func() {
+		if stop() && answer.whole && c.reusable(answer) {
+			c.keep(l)
+			return
+		}
+		c.discard(l)
+	}}
+	return answer, nil
+}
+
+// connect returns an idle connection that is still sound, or a new one.
+func (c *Carrier) connect(ctx context.Context, target mulberrybeam.FleetTarget, limit int) (*link, error) {
+	for {
+		l, full := c.take(target.ID, limit)
+		if full {
+			return nil, failure(mulberrybeam.StepConnect, target.ID, "all connections are in use", true, nil)
+		}
+		if l == nil {
+			return c.open(ctx, target)
+		}
+		if c.now() < l.until && l.quiet() {
+			return l, nil
+		}
+		c.discard(l)
+	}
+}
+
+// take returns an idle connection, or reserves room for a new one and returns
+// nil.
+func (c *Carrier) take(id mulberrybeam.InstanceID, limit int) (*link, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	p := c.pools[id]
+	if p == nil {
+		p = &pool{}
+		c.pools[id] = p
+	}
+	if last := len(p.idle) - 1; last >= 0 {
+		l := p.idle[last]
+		p.idle = p.idle[:last]
+		return l, false
+	}
+	if limit > 0 && p.open >= limit {
+		return nil, true
+	}
+	p.open++
+	return nil, false
+}
+
+func (c *Carrier) open(ctx context.Context, target mulberrybeam.FleetTarget) (*link, error) {
+	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dial(dialing, "tcp", target.Address)
+	if err != nil {
+		c.closed(target.ID)
+		return nil, failure(mulberrybeam.StepConnect, target.ID, "no connection", true, err)
+	}
+	return &link{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), target: target.ID, until: c.now() + time.Hour}, nil
+}
+
+// exchange writes the request and reads the head of its answer. A target may
+// answer before it has read the whole request, so that the write goes on
+// beside the read.
+func (c *Carrier) exchange(l *link, message Message) (*Answer, error) {
+	l.written = make(chan error, 1)
+	head := encode(message)
+	if len(message.Body) <= readBuffer {
+		_, err := l.conn.Write(append(head, message.Body...))
+		l.written <- err
+		if err != nil {
+			return nil, failure(mulberrybeam.StepSend, l.target, "the request was cut off", false, err)
+		}
+	} else {
+		go func() {
+			buffers := net.Buffers{head, message.Body}
+			_, err := buffers.WriteTo(l.conn)
+			l.written <- err
+		}()
+	}
+	return c.readAnswer(l, message)
+}
+
+func (c *Carrier) readAnswer(l *link, message Message) (*Answer, error) {
+	for range maxForeign + 1 {
+		response, err := readFinal(l.reader, message.Method)
+		if err != nil {
+			return nil, failure(mulberrybeam.StepAnswer, l.target, "no answer", false, err)
+		}
+		head := c.codec.Answer(response.StatusCode, response.Header)
+		if head.Request == message.ID || head.Request == "" {
+			answer := &Answer{Status: response.StatusCode, Header: response.Header, Head: head, body: response.Body}
+			l.until = c.now() + idleTime(response)
+			if response.Close {
+				l.until = 0
+			}
+			return answer, nil
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+			break
+		}
+	}
+	return nil, failure(mulberrybeam.StepAnswer, l.target, "the answer is to another request", false, nil)
+}
+
+// readFinal reads an answer that is not an interim one.
+func readFinal(reader *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
+// idleTime is how long the connection may be kept idle.
+func idleTime(response *http.Response) time.Duration {
+	for field := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if seconds, err := strconv.Atoi(value); found && err == nil {
+			return time.Duration(keepShare * float64(seconds) * float64(time.Second))
+		}
+	}
+	return idleLimit
+}
+
+// Read reads the answer's body. io.EOF says that it is whole.
+func (a *Answer) Read(buffer []byte) (int, error) {
+	n, err := a.body.Read(buffer)
+	if err == io.EOF {
+		a.whole = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept when the answer was read
+// whole.
+func (a *Answer) Close() { _ = a.body.Close() }
+
+// reusable says whether nothing is left on the connection.
+func (c *Carrier) reusable(answer *Answer) bool {
+	l := answer.link
+	select {
+	case err := <-l.written:
+		return err == nil && l.until > 0 && l.reader.Buffered() == 0
+	default:
+		return false
+	}
+}
+
+func (c *Carrier) keep(l *link) {
+	c.mutex.Lock()
+	p := c.pools[l.target]
+	if len(p.idle) < maxIdle {
+		p.idle = append(p.idle, l)
+		c.mutex.Unlock()
+		return
+	}
+	c.mutex.Unlock()
+	c.discard(l)
+}
+
+func (c *Carrier) discard(l *link) {
+	_ = l.conn.Close()
+	c.closed(l.target)
+}
+
+func (c *Carrier) closed(id mulberrybeam.InstanceID) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	p := c.pools[id]
+	p.open--
+	if p.open == 0 {
+		delete(c.pools, id)
+	}
+}
+
+// Retain closes the idle connections to targets that are not in use any more,
+// and those that have been idle too long.
+func (c *Carrier) Retain(used func(id mulberrybeam.InstanceID) bool) {
+	now := c.now()
+	var old []*link
+	c.mutex.Lock()
+	for id, p := range c.pools {
+		kept := p.idle[:0]
+		for _, l := range p.idle {
+			if used(id) && now < l.until {
+				kept = append(kept, l)
+			} else {
+				old = append(old, l)
+			}
+		}
+		p.idle = kept
+	}
+	c.mutex.Unlock()
+	for _, l := range old {
+		c.discard(l)
+	}
+}
+
+func (c *Carrier) closeIdle() {
+	c.Retain(func(mulberrybeam.InstanceID) bool { return false })
+}
+
+func encode(message Message) []byte {
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", message.Method, message.URI, message.Host)
+	_ = message.Header.Write(&head)
+	if message.HasBody {
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(message.Body))
+	}
+	head.WriteString("\r\n")
+	return head.Bytes()
+}
+
+// bodyCloser runs a function once when the body is closed.
+type bodyCloser struct {
+	io.Reader
+	once  sync.Once
+	close func()
+}
+
+// Close runs the function.
+func (b *bodyCloser) Close() error {
+	b.once.Do(b.close)
+	return nil
+}
+
+func failure(step mulberrybeam.Step, target mulberrybeam.InstanceID, message string, notRun bool, cause error) error {
+	code := mulberrybeam.CodeTargetFailed
+	if notRun {
+		code = mulberrybeam.CodeTargetRefused
+	}
+	return &mulberrybeam.Failure{Code: code, Step: step, Peer: string(target), Message: message, NotRun: notRun, Cause: cause}
+}
+
+// Crashed says whether nothing listens at an address.
+func (c *Carrier) Crashed(ctx context.Context, address string) bool {
+	conn, err := c.dial(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/event.go
+++ b/event.go
@@ -136,6 +136,43 @@
 // ShutdownAsked starts a graceful shutdown.
 type ShutdownAsked struct{}
 
+// TargetCrashed says that a target crashed while it ran a request of this
+// process.
+type TargetCrashed struct {
+	Crash CrashRecord
+}
+
+// RecordsListed replaces all that is known of a kind of objects.
+type RecordsListed struct {
+	Kind    ObjectKind
+	Records map[string]Record
+	// SentAt is when the list was asked for.
+	SentAt time.Duration
+	// Regained says that the platform did not answer before.
+	Regained bool
+}
+
+// RecordChanged is a change of one object. Its record is empty when the
+// content could not be read.
+type RecordChanged struct {
+	Kind    ObjectKind
+	Name    string
+	Record  Record
+	Removed bool
+}
+
+// FeedConfirmed says that what is known of a kind was current at a time.
+type FeedConfirmed struct {
+	Kind   ObjectKind
+	SentAt time.Duration
+}
+
+// FeedLost says that the platform does not answer for a kind.
+type FeedLost struct {
+	Kind ObjectKind
+	Err  error
+}
+
 func (Tick) event()                 {}
 func (MessageReceived) event()      {}
 func (ReplyReceived) event()        {}
@@ -152,3 +189,8 @@
 func (ConfigurationChanged) event() {}
 func (RightChanged) event()         {}
 func (ShutdownAsked) event()        {}
+func (TargetCrashed) event()        {}
+func (RecordsListed) event()        {}
+func (RecordChanged) event()        {}
+func (FeedConfirmed) event()        {}
+func (FeedLost) event()             {}
--- a/failure.go
+++ b/failure.go
@@ -1,6 +1,7 @@
 package mulberrybeam
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -100,3 +101,12 @@
 
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Cause }
+
+// CodeOf returns the code of the Failure in an error's chain, or CodeInternal.
+func CodeOf(err error) Code {
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure.Code
+	}
+	return CodeInternal
+}
--- a/interface.go
+++ b/interface.go
@@ -75,6 +75,27 @@
 	Watch(ctx context.Context, kind ObjectKind, name, version string, changed func(ObjectChanged)) error
 }
 
+// ObjectFeed reads kinds of objects and their changes. Errors are those of
+// ObjectClient; CodeExpiredVersion says that the changes must be listed anew.
+type ObjectFeed interface {
+	// ListAt returns all objects of a kind and the version to follow from.
+	ListAt(ctx context.Context, kind ObjectKind) ([]Object, string, error)
+	// Changes waits for changes after a version and returns the next one.
+	Changes(ctx context.Context, kind ObjectKind, version string, wait time.Duration) ([]ObjectChanged, string, error)
+}
+
+// RecordDecoder reads the content of objects.
+type RecordDecoder interface {
+	Decode(object Object) (Record, error)
+}
+
+// RecordEncoder writes the system's own objects.
+type RecordEncoder interface {
+	Lease(name string, lease DutyLease) Object
+	Host(host EntryHost) Object
+	Crash(crash CrashRecord) Object
+}
+
 // PeerClient sends messages to other entry processes. Errors are Failures
 // with CodePeerUnreachable.
 type PeerClient interface {
@@ -94,7 +115,7 @@
 	Load(ctx context.Context, target Target) (LoadReport, error)
 	// CacheEvents returns the events after a sequence number.
 	CacheEvents(ctx context.Context, target Target, after uint64) ([]CacheEvent, error)
-	Order(ctx context.Context, target Target, order Order) error
+	OrderClient
 }
 
 // OrderKind names an order to an engine.
@@ -115,6 +136,16 @@
 	Adapter string
 	Role    string
 	Fencing Epoch
+	// Holder names the sender. Expect is the number of orders that the
+	// engine must have accepted, so that a late order does not take effect
+	// after newer ones.
+	Holder ProcessID
+	Expect uint64
+}
+
+// OrderClient sends orders to engines.
+type OrderClient interface {
+	Order(ctx context.Context, target Target, order Order) error
 }
 
 // ServiceClient calls plain services.
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -108,6 +108,12 @@
 	}
 }
 
+// Deliver hands an event to control and waits until it is taken or the
+// controller stops. It is for sources whose events must not be lost.
+func (c *Controller) Deliver(event mulberrybeam.Event) {
+	c.deliver(result{allMachines, event})
+}
+
 // Ask gives a message of a peer, or of this process's own traffic, to the
 // machines and returns their reply. It returns a Failure with CodeTimeout
 // when ctx ends first.
--- a/process/controller/option.go
+++ b/process/controller/option.go
@@ -13,7 +13,7 @@
 	zone     mulberrybeam.ZoneName
 	objects  mulberrybeam.ObjectClient
 	peers    mulberrybeam.PeerClient
-	engines  mulberrybeam.EngineClient
+	engines  mulberrybeam.OrderClient
 	observe  ObserveFunc
 	recorder mulberrybeam.Recorder
 	now      func() time.Duration
@@ -52,7 +52,7 @@
 }
 
 // WithEngines sets the client that sends orders.
-func WithEngines(engines mulberrybeam.EngineClient) Option {
+func WithEngines(engines mulberrybeam.OrderClient) Option {
 	return func(d *dependencies) { d.engines = engines }
 }
 
--- /dev/null
+++ b/process/starter/listen.go
@@ -0,0 +1,134 @@
+package starter
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/process/meter"
+)
+
+const (
+	// headerTimeout and idleTimeout are longer than any that a deployment
+	// states, so that callers may use a connection as long as they were told.
+	headerTimeout = 15 * time.Second
+	idleTimeout   = 90 * time.Second
+	// maxHeaderBytes is above the bound of deployments.
+	maxHeaderBytes = 64 << 10
+	// leaveTime is how long new connections are still accepted at a
+	// shutdown. The platform asks each second and takes a host out after two
+	// misses.
+	leaveTime = 2800 * time.Millisecond
+	// exitMargin is left of the time before the process is killed.
+	exitMargin = 700 * time.Millisecond
+	// defaultGrace is assumed when the settings state none.
+	defaultGrace = 8 * time.Second
+)
+
+// measure returns the handler of the metrics and the function that counts an
+// entry.
+func (p *Process) measure(settings mulberrybeam.HostSettings) (http.Handler, func(mulberrybeam.Entry), error) {
+	meter, handler, stop, err := meter.New("", settings.Zone)
+	if err != nil {
+		return nil, nil, err
+	}
+	p.cleanups = append(p.cleanups, stop)
+	return handler, meter.Observe, nil
+}
+
+// listen opens the callers', the platform's and the metrics' addresses.
+func (p *Process) listen(settings mulberrybeam.HostSettings, metricsPort int, metrics http.Handler) error {
+	p.newCarrier()
+	callers := &http.Server{
+		Handler:           p.relayer(settings),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	if err := p.serve(settings.CallerAddress, callers); err != nil {
+		return err
+	}
+	if err := p.serve(settings.ReadyAddress, &http.Server{Handler: http.HandlerFunc(p.ready)}); err != nil {
+		return err
+	}
+	if metricsPort == 0 {
+		return nil
+	}
+	host, _, err := net.SplitHostPort(settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", metrics)
+	return p.serve(net.JoinHostPort(host, strconv.Itoa(metricsPort)), &http.Server{Handler: mux})
+}
+
+func (p *Process) serve(address string, server *http.Server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server.ErrorLog = log.New(noteWriter{p}, "", 0)
+	p.servers = append(p.servers, server)
+	go func() {
+		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+			p.note("listener", err.Error())
+		}
+	}()
+	return nil
+}
+
+// noteWriter records what a server logs.
+type noteWriter struct{ process *Process }
+
+// Write records a line.
+func (w noteWriter) Write(line []byte) (int, error) {
+	w.process.note("server", string(line))
+	return len(line), nil
+}
+
+// ready answers the platform's question whether callers may be sent here.
+func (p *Process) ready(writer http.ResponseWriter, _ *http.Request) {
+	if !p.serves() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// serves says whether requests can be answered: the fleet is known, and keys
+// are not refused for want of word from the platform.
+func (p *Process) serves() bool {
+	fleet := p.control.Snapshot().Fleet
+	if p.draining.Load() || fleet == nil || !fleet.Complete {
+		return false
+	}
+	bounds := p.settings.Load().Bounds
+	return !bounds.FailClosed || p.now()-fleet.ConfirmedAt < bounds.RevokeWithin
+}
+
+// Shutdown stops the process without cutting requests: it is not ready any
+// more, takes connections until the platform has noticed, and waits for the
+// requests in flight.
+func (p *Process) Shutdown() {
+	begin := p.now()
+	p.draining.Store(true)
+	p.note("stop", "draining")
+	grace := p.settings.Load().Bounds.Grace
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	time.Sleep(leaveTime)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin-(p.now()-begin))
+	defer cancel()
+	if err := p.servers[0].Shutdown(ctx); err != nil {
+		p.note("stop", "requests were cut: "+err.Error())
+	}
+	for _, server := range p.servers {
+		_ = server.Close()
+	}
+	p.note("stop", "stopped")
+	p.clean()
+}
--- /dev/null
+++ b/process/starter/starter.go
@@ -0,0 +1,234 @@
+// Package starter starts and shuts down the entry process of a host of the
+// platform.
+package starter
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/carrier"
+	"mulberrybeam/connection/dialer"
+	"mulberrybeam/connection/feeder"
+	"mulberrybeam/platform"
+	"mulberrybeam/process/controller"
+	"mulberrybeam/process/gauger"
+	"mulberrybeam/process/logger"
+	"mulberrybeam/process/recorder"
+	"mulberrybeam/process/registrar"
+	"mulberrybeam/process/tracker"
+	"mulberrybeam/request/relayer"
+	"mulberrybeam/version/upgrader"
+)
+
+const (
+	// timelineEntries keeps about ten seconds of entries at the highest
+	// request rate of a host with little memory.
+	timelineEntries = 2048
+	// memoryShare is the part of the host's memory for the heap; the rest is
+	// for stacks, buffers of sockets and what is freed late.
+	memoryShare = 0.6
+	// budgetShare is the part of the retry budget that is used, since the
+	// hosts count their requests apart.
+	budgetShare = 0.7
+	// sweepInterval is the time between two sweeps of old state of traffic.
+	sweepInterval = 2 * time.Second
+	// configWait is short, since each answer confirms that no key was
+	// revoked.
+	configWait = time.Second
+	// targetWait and slowWait bound the calls of the other feeds.
+	targetWait = 5 * time.Second
+	slowWait   = 10 * time.Second
+	// settle lets changes that come together cost one call.
+	settle = 100 * time.Millisecond
+)
+
+// feeds are the kinds that are followed.
+var feeds = []struct {
+	kind mulberrybeam.ObjectKind
+	wait time.Duration
+	// settle delays the next call after changes.
+	settle time.Duration
+}{
+	{mulberrybeam.ObjectDeployment, configWait, 0},
+	{mulberrybeam.ObjectTarget, targetWait, settle},
+	{mulberrybeam.ObjectEvacuation, slowWait, 0},
+	{mulberrybeam.ObjectWeights, slowWait, 0},
+	{mulberrybeam.ObjectHost, slowWait, time.Second},
+	{mulberrybeam.ObjectLease, slowWait, settle},
+	{mulberrybeam.ObjectCrash, slowWait, settle},
+}
+
+// Process is a running entry process.
+type Process struct {
+	settings atomic.Pointer[mulberrybeam.HostSettings]
+	now      func() time.Duration
+	control  *controller.Controller
+	recorder *recorder.Ring
+	gauger   *gauger.Gauger
+	carrier  *carrier.Carrier
+	draining atomic.Bool
+	servers  []*http.Server
+	// cleanups run in reverse order at the end.
+	cleanups []func()
+	workers  sync.WaitGroup
+}
+
+// Start starts the process. out takes its log.
+func Start(settings mulberrybeam.HostSettings, metricsPort int, out io.Writer) (*Process, error) {
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
+	p := &Process{now: clock(), gauger: gauger.New()}
+	p.settings.Store(&settings)
+	log, stopLog := logger.New(out)
+	p.cleanups = append(p.cleanups, stopLog)
+	metrics, observe, err := p.measure(settings)
+	if err != nil {
+		p.clean()
+		return nil, err
+	}
+	p.recorder = recorder.New(recorder.WithCapacity(timelineEntries), recorder.WithObserver(func(entry mulberrybeam.Entry) {
+		log.Observe(entry)
+		observe(entry)
+	}))
+	p.note("start", "zone "+string(settings.Zone)+", callers at "+settings.CallerAddress)
+	p.startControl(settings)
+	if err := p.listen(settings, metricsPort, metrics); err != nil {
+		p.clean()
+		return nil, err
+	}
+	return p, nil
+}
+
+// startControl starts the control goroutine and the feeds.
+func (p *Process) startControl(settings mulberrybeam.HostSettings) {
+	client, closeClient := dialer.Client()
+	store := platform.NewStore(settings.StoreAddress, client)
+	engines := platform.NewEngines(client)
+	machines := []mulberrybeam.Machine{
+		tracker.New(settings.ID, settings.Regions),
+		upgrader.New(settings.ID, settings.Bounds.OrderLease, platform.Encoder{}),
+		registrar.New(mulberrybeam.EntryHost{ID: settings.ID, Zone: settings.Zone}, platform.Encoder{}),
+	}
+	control, stopControl := controller.New(machines,
+		controller.WithSelf(settings.ID, settings.Zone),
+		controller.WithObjects(store),
+		controller.WithEngines(engines),
+		controller.WithObserve(func(ctx context.Context, target mulberrybeam.Target, _ uint64) mulberrybeam.TargetObserved {
+			report, err := engines.Report(ctx, target)
+			return mulberrybeam.TargetObserved{Target: target.ID, Report: report, Err: err}
+		}),
+		controller.WithRecorder(p.recorder),
+		controller.WithClock(p.now),
+	)
+	p.control = control
+	p.cleanups = append(p.cleanups, closeClient, stopControl)
+	p.follow(store)
+}
+
+// follow starts the feeds.
+func (p *Process) follow(store *platform.Store) {
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, feed := range feeds {
+		running := feeder.Feed{
+			Kind: feed.kind, Objects: store, Decoder: platform.Decoder{}, Wait: feed.wait, Settle: feed.settle,
+			Now: p.now, Deliver: p.control.Deliver,
+			Skipped: func(err error) { p.note("skipped", err.Error()) },
+		}
+		p.workers.Go(func() { running.Run(ctx) })
+	}
+	p.workers.Go(func() { p.sweep(ctx) })
+	p.cleanups = append(p.cleanups, func() {
+		cancel()
+		p.workers.Wait()
+	})
+}
+
+// sweep drops old state of traffic.
+func (p *Process) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.gauger.Forget(p.now())
+			p.carrier.Retain(p.inUse())
+		}
+	}
+}
+
+// inUse returns a function that says whether a target may get requests.
+func (p *Process) inUse() func(mulberrybeam.InstanceID) bool {
+	used := map[mulberrybeam.InstanceID]bool{}
+	if fleet := p.control.Snapshot().Fleet; fleet != nil {
+		for _, targets := range fleet.Targets {
+			for _, target := range targets {
+				used[target.ID] = true
+			}
+		}
+	}
+	return func(id mulberrybeam.InstanceID) bool { return used[id] }
+}
+
+// relayer returns the handler of callers' requests.
+func (p *Process) relayer(settings mulberrybeam.HostSettings) *relayer.Relayer {
+	bounds := settings.Bounds
+	floor := 0.0
+	if bounds.RetryWindow > 0 {
+		floor = budgetShare * float64(bounds.RetryFloor) / bounds.RetryWindow.Seconds()
+	}
+	return &relayer.Relayer{
+		Settings: p.settings.Load,
+		Codec:    platform.Codec{},
+		Sender:   p.carrier,
+		Gauger:   p.gauger,
+		Purse:    gauger.NewPurse(budgetShare*bounds.RetryShare, floor),
+		Recorder: p.recorder,
+		Fleet:    func() *mulberrybeam.Fleet { return p.control.Snapshot().Fleet },
+		Post:     p.control.Post,
+		Now:      p.now,
+		Draining: p.draining.Load,
+	}
+}
+
+// newCarrier returns the connections to targets.
+func (p *Process) newCarrier() {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		return dialer.New(0).DialContext(ctx, network, address)
+	}
+	connections, closeIdle := carrier.New(platform.Codec{}, dial, p.now)
+	p.carrier = connections
+	p.cleanups = append(p.cleanups, closeIdle)
+}
+
+// Reload takes settings that were read again. Faulty ones leave the present
+// ones in force. Addresses change only with a restart.
+func (p *Process) Reload(settings mulberrybeam.HostSettings, err error) {
+	if err != nil {
+		p.note("reload", "settings not changed: "+err.Error())
+		return
+	}
+	p.settings.Store(&settings)
+	p.note("reload", "settings read again")
+}
+
+// note records an event of the process itself.
+func (p *Process) note(subject, text string) {
+	p.recorder.Record(mulberrybeam.Entry{Kind: mulberrybeam.EntryShutdown, Subject: subject, Text: text})
+}
+
+func (p *Process) clean() {
+	for i := len(p.cleanups) - 1; i >= 0; i-- {
+		p.cleanups[i]()
+	}
+	p.cleanups = nil
+}
--- /dev/null
+++ b/process/tracker/tracker.go
@@ -0,0 +1,288 @@
+// Package tracker is the control state machine that keeps what the platform's
+// store says of the deployment, its targets, evacuated zones, weights and entry
+// hosts. It fills the part of the snapshot that routes requests.
+package tracker
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"mulberrybeam"
+)
+
+// Settle is how long targets that vanished from the store are kept after the
+// store answers again. Live ones whose entries lapsed during an outage register
+// anew within about two seconds.
+const Settle = 2500 * time.Millisecond
+
+// crashRetention is how long a crash counts after this process learned of it.
+const crashRetention = 2 * time.Minute
+
+// required are the kinds without which requests cannot be routed.
+var required = []mulberrybeam.ObjectKind{
+	mulberrybeam.ObjectDeployment, mulberrybeam.ObjectTarget,
+	mulberrybeam.ObjectEvacuation, mulberrybeam.ObjectWeights,
+}
+
+// Tracker keeps the fleet's state. Only the control goroutine may use it.
+type Tracker struct {
+	self       mulberrybeam.ProcessID
+	regions    map[mulberrybeam.ZoneName]mulberrybeam.RegionName
+	listed     map[mulberrybeam.ObjectKind]bool
+	lost       map[mulberrybeam.ObjectKind]bool
+	regainedAt time.Duration
+
+	deployment  *mulberrybeam.Deployment
+	confirmedAt time.Duration
+	targets     map[mulberrybeam.InstanceID]*entry
+	evacuated   map[mulberrybeam.ZoneName]bool
+	weights     map[mulberrybeam.ModelName]mulberrybeam.WeightGoal
+	hosts       map[mulberrybeam.ProcessID]bool
+	crashes     map[mulberrybeam.CrashRecord]time.Duration
+
+	// fleet is rebuilt when stale is set.
+	fleet mulberrybeam.Fleet
+	stale bool
+}
+
+var _ mulberrybeam.Machine = (*Tracker)(nil)
+
+// entry is a target with what follows from its history.
+type entry struct {
+	target    mulberrybeam.LiveTarget
+	coldUntil time.Duration
+	// goneAt is when a vanished target is dropped, 0 while it is listed.
+	goneAt time.Duration
+}
+
+// New returns the machine of a process.
+func New(self mulberrybeam.ProcessID, regions map[mulberrybeam.ZoneName]mulberrybeam.RegionName) *Tracker {
+	return &Tracker{
+		self: self, regions: regions, stale: true,
+		listed:    map[mulberrybeam.ObjectKind]bool{},
+		lost:      map[mulberrybeam.ObjectKind]bool{},
+		targets:   map[mulberrybeam.InstanceID]*entry{},
+		evacuated: map[mulberrybeam.ZoneName]bool{},
+		weights:   map[mulberrybeam.ModelName]mulberrybeam.WeightGoal{},
+		hosts:     map[mulberrybeam.ProcessID]bool{},
+		crashes:   map[mulberrybeam.CrashRecord]time.Duration{},
+	}
+}
+
+// Step takes one event.
+func (t *Tracker) Step(turn mulberrybeam.Turn, event mulberrybeam.Event) []mulberrybeam.Action {
+	var notes []mulberrybeam.Action
+	switch event := event.(type) {
+	case mulberrybeam.RecordsListed:
+		notes = t.list(turn, event)
+	case mulberrybeam.RecordChanged:
+		notes = t.change(turn, event.Kind, event.Name, event.Record, event.Removed)
+		t.stale = true
+	case mulberrybeam.FeedConfirmed:
+		notes = t.confirm(turn, event.Kind, event.SentAt)
+		if event.Kind != mulberrybeam.ObjectDeployment && len(notes) == 0 {
+			return nil
+		}
+	case mulberrybeam.FeedLost:
+		t.lost[event.Kind] = true
+		return []mulberrybeam.Action{note(mulberrybeam.EntryPlatform, string(event.Kind), "feed lost: "+event.Err.Error())}
+	case mulberrybeam.Tick:
+		notes = t.expire(turn.Now)
+		if len(notes) == 0 {
+			return nil
+		}
+	default:
+		return nil
+	}
+	return append(notes, mulberrybeam.Publish{})
+}
+
+// Fill writes the fleet.
+func (t *Tracker) Fill(snapshot *mulberrybeam.Snapshot) {
+	if t.stale {
+		t.rebuild()
+		t.stale = false
+	}
+	fleet := t.fleet
+	fleet.ConfirmedAt = t.confirmedAt
+	fleet.Complete = t.complete()
+	snapshot.Fleet = &fleet
+	snapshot.Ready = fleet.Complete
+}
+
+func (t *Tracker) complete() bool {
+	for _, kind := range required {
+		if !t.listed[kind] {
+			return false
+		}
+	}
+	return t.deployment != nil
+}
+
+// confirm notes that a kind was current at a time.
+func (t *Tracker) confirm(turn mulberrybeam.Turn, kind mulberrybeam.ObjectKind, sentAt time.Duration) []mulberrybeam.Action {
+	if kind == mulberrybeam.ObjectDeployment {
+		t.confirmedAt = max(t.confirmedAt, sentAt)
+	}
+	if !t.lost[kind] {
+		return nil
+	}
+	delete(t.lost, kind)
+	if kind == mulberrybeam.ObjectTarget {
+		t.regainedAt = turn.Now
+	}
+	return []mulberrybeam.Action{note(mulberrybeam.EntryPlatform, string(kind), "feed regained")}
+}
+
+// list replaces a kind. What vanished is treated as removed.
+func (t *Tracker) list(turn mulberrybeam.Turn, event mulberrybeam.RecordsListed) []mulberrybeam.Action {
+	notes := t.confirm(turn, event.Kind, event.SentAt)
+	for _, name := range t.names(event.Kind) {
+		if _, kept := event.Records[name]; !kept {
+			notes = append(notes, t.change(turn, event.Kind, name, mulberrybeam.Record{}, true)...)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(event.Records)) {
+		notes = append(notes, t.change(turn, event.Kind, name, event.Records[name], false)...)
+	}
+	t.listed[event.Kind] = true
+	t.stale = true
+	return notes
+}
+
+// names returns the known objects of a kind that a list may lack.
+func (t *Tracker) names(kind mulberrybeam.ObjectKind) []string {
+	var names []string
+	switch kind {
+	case mulberrybeam.ObjectTarget:
+		for id := range t.targets {
+			names = append(names, string(id))
+		}
+	case mulberrybeam.ObjectEvacuation:
+		for zone := range t.evacuated {
+			names = append(names, string(zone))
+		}
+	case mulberrybeam.ObjectHost:
+		for id := range t.hosts {
+			names = append(names, string(id))
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// change takes one object's new state.
+func (t *Tracker) change(turn mulberrybeam.Turn, kind mulberrybeam.ObjectKind, name string, record mulberrybeam.Record, removed bool) []mulberrybeam.Action {
+	switch kind {
+	case mulberrybeam.ObjectDeployment:
+		return t.deploy(record.Deployment)
+	case mulberrybeam.ObjectTarget:
+		return t.changeTarget(turn, mulberrybeam.InstanceID(name), record.Target)
+	case mulberrybeam.ObjectEvacuation:
+		return t.evacuate(turn, mulberrybeam.ZoneName(name), !removed)
+	case mulberrybeam.ObjectWeights:
+		return t.nameWeights(turn, record.Weights)
+	case mulberrybeam.ObjectHost:
+		if removed {
+			delete(t.hosts, mulberrybeam.ProcessID(name))
+		} else {
+			t.hosts[mulberrybeam.ProcessID(name)] = true
+		}
+	case mulberrybeam.ObjectCrash:
+		if record.Crash != nil {
+			t.crashes[*record.Crash] = turn.Now
+		}
+	}
+	return nil
+}
+
+// deploy takes a configuration unless a newer one is in force.
+func (t *Tracker) deploy(deployment *mulberrybeam.Deployment) []mulberrybeam.Action {
+	if deployment == nil || t.deployment != nil && deployment.Revision <= t.deployment.Revision {
+		return nil
+	}
+	t.deployment = deployment
+	return []mulberrybeam.Action{note(mulberrybeam.EntryConfiguration, "", "revision "+format(deployment.Revision)+" is in force")}
+}
+
+func (t *Tracker) changeTarget(turn mulberrybeam.Turn, id mulberrybeam.InstanceID, target *mulberrybeam.LiveTarget) []mulberrybeam.Action {
+	known := t.targets[id]
+	if target == nil {
+		return t.removeTarget(turn, id, known)
+	}
+	next := &entry{target: *target, coldUntil: turn.Now + target.ColdFor}
+	t.targets[id] = next
+	if known == nil || known.target.StartedAt != target.StartedAt {
+		return []mulberrybeam.Action{note(mulberrybeam.EntryMember, string(id),
+			"target registered: "+string(target.Service)+" at "+target.Address+" in "+string(target.Zone)+", cold for "+target.ColdFor.String())}
+	}
+	next.coldUntil = max(next.coldUntil, known.coldUntil)
+	if target.Draining && !known.target.Draining {
+		return []mulberrybeam.Action{note(mulberrybeam.EntryMember, string(id), "target drains")}
+	}
+	return nil
+}
+
+func (t *Tracker) removeTarget(turn mulberrybeam.Turn, id mulberrybeam.InstanceID, known *entry) []mulberrybeam.Action {
+	if known == nil || known.goneAt > 0 {
+		return nil
+	}
+	if settled := t.regainedAt + Settle; t.regainedAt > 0 && turn.Now < settled {
+		known.goneAt = settled
+		return []mulberrybeam.Action{note(mulberrybeam.EntryMember, string(id), "target vanished during an outage, kept for now")}
+	}
+	delete(t.targets, id)
+	return []mulberrybeam.Action{note(mulberrybeam.EntryMember, string(id), "target gone")}
+}
+
+// evacuate takes a zone out or back. Its targets may have turned cold while
+// they got nothing.
+func (t *Tracker) evacuate(turn mulberrybeam.Turn, zone mulberrybeam.ZoneName, out bool) []mulberrybeam.Action {
+	if t.evacuated[zone] == out {
+		return nil
+	}
+	if out {
+		t.evacuated[zone] = true
+		return []mulberrybeam.Action{note(mulberrybeam.EntryMember, string(zone), "zone out")}
+	}
+	delete(t.evacuated, zone)
+	for _, known := range t.targets {
+		if known.target.Zone == zone && t.deployment != nil {
+			pool := t.deployment.Pools[known.target.Service]
+			known.coldUntil = max(known.coldUntil, turn.Now+pool.ColdTime)
+		}
+	}
+	return []mulberrybeam.Action{note(mulberrybeam.EntryMember, string(zone), "zone back")}
+}
+
+func (t *Tracker) nameWeights(turn mulberrybeam.Turn, goal *mulberrybeam.WeightGoal) []mulberrybeam.Action {
+	if goal == nil || goal.Version <= t.weights[goal.Model].Version {
+		return nil
+	}
+	t.weights[goal.Model] = mulberrybeam.WeightGoal{Model: goal.Model, Version: goal.Version, SeenAt: turn.Now}
+	return []mulberrybeam.Action{note(mulberrybeam.EntryConfiguration, string(goal.Model), "weights "+format(goal.Version)+" are named")}
+}
+
+// expire drops targets whose time to come back has passed, and old crashes.
+func (t *Tracker) expire(now time.Duration) []mulberrybeam.Action {
+	var notes []mulberrybeam.Action
+	for id, known := range t.targets {
+		if known.goneAt > 0 && now >= known.goneAt {
+			delete(t.targets, id)
+			t.stale = true
+			notes = append(notes, note(mulberrybeam.EntryMember, string(id), "target gone"))
+		}
+	}
+	for crash, seenAt := range t.crashes {
+		if now-seenAt > crashRetention {
+			delete(t.crashes, crash)
+			t.stale = true
+		}
+	}
+	return notes
+}
+
+func note(kind mulberrybeam.EntryKind, subject, text string) mulberrybeam.Action {
+	return mulberrybeam.Note{Entry: mulberrybeam.Entry{Kind: kind, Subject: subject, Text: text}}
+}
--- /dev/null
+++ b/request/matcher/matcher.go
@@ -0,0 +1,96 @@
+// Package matcher decides which rule and workspace a caller's request belongs
+// to.
+package matcher
+
+import (
+	"math/rand/v2"
+	"net"
+	"strings"
+	"time"
+
+	"mulberrybeam"
+)
+
+// Query is what is known of a request and of this process.
+type Query struct {
+	Host string
+	Path string
+	Key  string
+	Now  time.Duration
+	// FailClosed refuses keyed requests when the deployment was last
+	// confirmed longer than KeysWithin ago.
+	FailClosed bool
+	KeysWithin time.Duration
+}
+
+// Match is where a request belongs.
+type Match struct {
+	Rule *mulberrybeam.Rule
+	// Workspace is nil for a request without one.
+	Workspace *mulberrybeam.Tenancy
+}
+
+// Decide returns the match, or a Failure that says why there is none.
+func Decide(fleet *mulberrybeam.Fleet, query Query) (Match, error) {
+	if fleet == nil || !fleet.Complete {
+		return Match{}, refusal(mulberrybeam.CodeNotReady, "no configuration is known yet")
+	}
+	rule := findRule(fleet, query.Host, query.Path)
+	if rule == nil {
+		return Match{}, refusal(mulberrybeam.CodeNotFound, "no route matches the host and path")
+	}
+	if len(fleet.Deployment.Workspaces) == 0 {
+		return Match{Rule: rule}, nil
+	}
+	workspace := fleet.Keys[query.Key]
+	if rule.Public {
+		return Match{Rule: rule, Workspace: workspace}, nil
+	}
+	if query.FailClosed && query.Now-fleet.ConfirmedAt > query.KeysWithin {
+		return Match{}, refusal(mulberrybeam.CodePlatformDown, "the key may have been revoked since the platform last answered")
+	}
+	if workspace == nil {
+		return Match{}, refusal(mulberrybeam.CodeUnauthorized, "the key is unknown")
+	}
+	return Match{Rule: rule, Workspace: workspace}, nil
+}
+
+// findRule returns the rule with the longest prefix. Prefixes end with a
+// slash, so that a path without one matches only shorter prefixes.
+func findRule(fleet *mulberrybeam.Fleet, host, path string) *mulberrybeam.Rule {
+	rules := fleet.Hosts[host]
+	if rules == nil {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			rules = fleet.Hosts[name]
+		}
+	}
+	for _, rule := range rules {
+		if strings.HasPrefix(path, rule.Prefix) {
+			return rule
+		}
+	}
+	return nil
+}
+
+// PickService chooses among the services of a rule by their weights.
+func PickService(random *rand.Rand, rule *mulberrybeam.Rule) (mulberrybeam.ServiceName, bool) {
+	total := 0
+	for _, share := range rule.Shares {
+		total += max(share.Weight, 0)
+	}
+	if total == 0 {
+		return "", false
+	}
+	at := random.IntN(total)
+	for _, share := range rule.Shares {
+		at -= max(share.Weight, 0)
+		if at < 0 {
+			return share.Service, true
+		}
+	}
+	return "", false
+}
+
+func refusal(code mulberrybeam.Code, message string) error {
+	return &mulberrybeam.Failure{Code: code, Step: mulberrybeam.StepAccept, Message: message, NotRun: true}
+}
--- /dev/null
+++ b/request/relayer/answer.go
@@ -0,0 +1,188 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/carrier"
+)
+
+const (
+	// maxHeld bounds the part of an answer that is held back until it is
+	// known to be whole.
+	maxHeld = 64 << 10
+	// streamBuffer is the size of one read of a stream.
+	streamBuffer = 8 << 10
+	// stallLimit is how long a resumable stream may be silent before it goes
+	// on at another target. Callers leave after two seconds at least.
+	stallLimit = 1600 * time.Millisecond
+	// retryPause is when callers may come again after a refusal.
+	retryPause = 300 * time.Millisecond
+)
+
+// deliver passes an answer on that is not a stream. It is held back until it is
+// whole, so that one that breaks off can be replaced.
+func (t *try) deliver(ctx context.Context, answer *carrier.Answer) error {
+	held, err := io.ReadAll(io.LimitReader(answer, maxHeld+1))
+	if err != nil {
+		return t.broke(ctx, "the answer broke off", err)
+	}
+	t.writeHead(answer)
+	if len(held) <= maxHeld {
+		_, err = t.writer.Write(held)
+	} else if _, err = t.writer.Write(held); err == nil {
+		_, err = io.Copy(t.writer, answer)
+	}
+	if err != nil {
+		t.note(mulberrybeam.EntryCompletion, string(t.target.ID), "answer cut off: "+err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	t.completed(answer.Status)
+	return nil
+}
+
+// stream passes events on as they arrive. Only whole events of a resumable
+// stream are passed on, so that it can go on at another target.
+func (t *try) stream(ctx context.Context, cancel context.CancelCauseFunc, answer *carrier.Answer) error {
+	if !t.started {
+		t.writeHead(answer)
+	}
+	t.splitter.Drop()
+	flusher := http.NewResponseController(t.writer)
+	buffer := make([]byte, streamBuffer)
+	var stalled *time.Timer
+	if t.plain.Repeatable {
+		stalled = time.AfterFunc(stallLimit, func() { cancel(errNoAnswer) })
+		defer stalled.Stop()
+	}
+	for {
+		n, err := answer.Read(buffer)
+		if stalled != nil {
+			stalled.Reset(stallLimit)
+		}
+		if n > 0 {
+			if writeErr := t.forward(flusher, buffer[:n]); writeErr != nil {
+				return t.callerLeft(writeErr)
+			}
+		}
+		if err == io.EOF {
+			return t.endStream(flusher, answer)
+		}
+		if err != nil {
+			return t.broke(ctx, fmt.Sprintf("the stream broke off after event %q", t.splitter.LastID), err)
+		}
+	}
+}
+
+func (t *try) forward(flusher *http.ResponseController, chunk []byte) error {
+	if t.plain.Repeatable {
+		chunk = t.splitter.Feed(chunk)
+		if len(chunk) == 0 {
+			return nil
+		}
+	}
+	if _, err := t.writer.Write(chunk); err != nil {
+		return err
+	}
+	return flusher.Flush()
+}
+
+func (t *try) endStream(flusher *http.ResponseController, answer *carrier.Answer) error {
+	if rest := t.splitter.Rest(); len(rest) > 0 {
+		if _, err := t.writer.Write(rest); err != nil {
+			return t.callerLeft(err)
+		}
+	}
+	_ = flusher.Flush()
+	t.completed(answer.Status)
+	return nil
+}
+
+func (t *try) callerLeft(cause error) error {
+	t.noteAttempt(true, false)
+	return &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeCancelled, Step: mulberrybeam.StepAnswer,
+		Message: "the caller left", Cause: cause,
+	}
+}
+
+func (t *try) writeHead(answer *carrier.Answer) {
+	header := t.writer.Header()
+	reply := answer.Header.Clone()
+	t.Codec.Reply(reply)
+	maps.Copy(header, reply)
+	if _, typed := reply["Content-Type"]; !typed {
+		// net/http would guess a type that the target did not state.
+		header["Content-Type"] = nil
+	}
+	t.writer.WriteHeader(answer.Status)
+	t.started = true
+}
+
+func (t *try) completed(status int) {
+	t.note(mulberrybeam.EntryCompletion, string(t.target.ID), fmt.Sprintf("status %d after %d attempts in %s",
+		status, len(t.history.Attempts)+1, (t.Now()-t.arrived).Round(time.Millisecond)))
+}
+
+// giveUp ends a request without an answer of a target.
+func (x *exchange) giveUp(ctx context.Context, err error) {
+	if x.started {
+		x.note(mulberrybeam.EntryCompletion, "", "answer cut off: "+err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	if x.request.Context().Err() != nil {
+		x.note(mulberrybeam.EntryCompletion, "", "the caller left")
+		panic(http.ErrAbortHandler)
+	}
+	failure := &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeOf(err), Step: mulberrybeam.StepOutcome, Message: "no target gave an answer",
+		NotRun: !x.mayHaveRun, RetryAfter: retryPause, Cause: err,
+	}
+	if ctx.Err() != nil {
+		failure.Code = mulberrybeam.CodeTimeout
+	}
+	x.refuse(failure)
+}
+
+// refuse answers with a status of the process's own.
+func (x *exchange) refuse(err error) {
+	failure, ok := err.(*mulberrybeam.Failure)
+	if !ok {
+		failure = &mulberrybeam.Failure{Code: mulberrybeam.CodeInternal, Cause: err}
+	}
+	x.Recorder.Record(mulberrybeam.Entry{
+		Kind: mulberrybeam.EntryRefusal, Request: x.inbound.ID, Code: failure.Code, Text: failure.Error(),
+	})
+	status := statusOf(failure)
+	if status == http.StatusServiceUnavailable {
+		x.Codec.RetryAfter(x.writer.Header(), max(failure.RetryAfter, retryPause))
+	}
+	x.writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	x.writer.WriteHeader(status)
+	_, _ = io.WriteString(x.writer, string(failure.Code)+"\n")
+}
+
+// statusOf returns the status of a refusal. 503 says that the request did not
+// run and never will.
+func statusOf(failure *mulberrybeam.Failure) int {
+	switch failure.Code {
+	case mulberrybeam.CodeNotFound:
+		return http.StatusNotFound
+	case mulberrybeam.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case mulberrybeam.CodeBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	}
+	switch {
+	case failure.NotRun:
+		return http.StatusServiceUnavailable
+	case failure.Code == mulberrybeam.CodeTimeout:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/request/relayer/attempt.go
@@ -0,0 +1,311 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/carrier"
+	"mulberrybeam/request/chooser"
+	"mulberrybeam/request/retrier"
+)
+
+const (
+	// connectionShare is the part of a target's connections that the entry
+	// hosts use together.
+	connectionShare = 0.85
+	// minConnections lets a host reach a target whose connections are few.
+	minConnections = 2
+	// plainPatience and streamPatience are how long an idempotent request
+	// waits for an answer before another target gets it, in latency goals.
+	plainPatience  = 2.5
+	streamPatience = 2
+	// avoidFull and avoidGone are how long a target that refused a request,
+	// or cannot be reached, gets no other.
+	avoidFull = 40 * time.Millisecond
+	avoidBusy = 300 * time.Millisecond
+	avoidGone = time.Second
+	// suspectSlack is added to the cold start of a target that could not be
+	// reached and may have started again unseen.
+	suspectSlack = 500 * time.Millisecond
+	// crashCheck bounds the question whether a target has crashed.
+	crashCheck = 300 * time.Millisecond
+)
+
+// attempt sends the request to one target and passes on the answer. It returns
+// a Failure when the caller has no whole answer.
+func (x *exchange) attempt(ctx context.Context) error {
+	query := x.query()
+	choice, err := chooser.Choose(x.Now(), x.random, x.fleet, x.Gauger, query)
+	if err != nil {
+		return err
+	}
+	target := choice.Target
+	tokens := x.newTokens()
+	if !x.Gauger.Reserve(target.ID, x.Now(), tokens, choice.ColdLimit) {
+		return &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeNoTarget, Step: mulberrybeam.StepRoute, Peer: string(target.ID),
+			Message: "the rate of the cold target is used up", NotRun: true,
+		}
+	}
+	x.note(mulberrybeam.EntryRoute, string(target.ID), fmt.Sprintf("%s, attempt %d of rule %s at revision %d",
+		choice.Reason, len(x.history.Attempts)+1, x.match.Rule.Name, x.fleet.Deployment.Revision))
+	try := &try{exchange: x, target: target, tokens: tokens, sentAt: x.Now(), strict: query.Strict}
+	err = try.run(ctx)
+	x.Gauger.Finished(target.ID, x.Now(), err != nil && ctx.Err() == nil && !isRefusal(err))
+	return err
+}
+
+func (x *exchange) query() chooser.Query {
+	query := chooser.Query{
+		Rule: x.match.Rule, Service: x.service, Zone: x.settings.Zone, Self: x.settings.ID,
+		Model: x.inbound.Model, Tried: x.tried,
+		ColdOvershoot: x.settings.Bounds.ColdOvershoot, ColdSlack: x.settings.Bounds.ColdSlack,
+	}
+	if parts := x.inbound.Parts; len(parts) > 1 {
+		query.SharedPart = parts[len(parts)-2].ID
+	} else if len(parts) == 1 {
+		query.SharedPart = parts[0].ID
+	}
+	if goal, known := x.fleet.Weights[x.inbound.Model]; known {
+		query.Strict = x.Now()-goal.SeenAt > x.settings.Bounds.VersionWithin-strictMargin
+	}
+	return query
+}
+
+// newTokens is the part of the prompt that the target has to read anew.
+func (x *exchange) newTokens() int {
+	if len(x.inbound.Parts) == 0 {
+		return 0
+	}
+	return x.inbound.Parts[len(x.inbound.Parts)-1].Tokens
+}
+
+// try is one attempt at one target.
+type try struct {
+	*exchange
+	target mulberrybeam.FleetTarget
+	tokens int
+	sentAt time.Duration
+	// strict ties the attempt to the named weights.
+	strict bool
+}
+
+func (t *try) run(ctx context.Context) error {
+	sending, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	patience := t.patience()
+	var timer *time.Timer
+	if patience > 0 {
+		timer = time.AfterFunc(patience, func() { cancel(errNoAnswer) })
+		defer timer.Stop()
+	}
+	answer, err := t.Sender.Send(sending, t.target, t.connectionLimit(), t.message())
+	if err != nil {
+		t.Gauger.Abandoned(t.target.ID, t.Now(), t.tokens)
+		return t.failed(ctx, context.Cause(sending), err)
+	}
+	defer answer.Close()
+	if timer != nil {
+		timer.Stop()
+	}
+	t.Gauger.Started(t.target.ID, t.Now(), t.tokens, t.Now()-t.sentAt, answer.Head.Load)
+	return t.judge(ctx, cancel, answer)
+}
+
+var errNoAnswer = &mulberrybeam.Failure{
+	Code: mulberrybeam.CodeTimeout, Step: mulberrybeam.StepAnswer, Message: "the target did not answer in time",
+}
+
+// patience is how long the target may take to answer while another could
+// still be asked, 0 when the request cannot go elsewhere.
+func (t *try) patience() time.Duration {
+	runs := 0
+	for _, attempt := range t.history.Attempts {
+		if attempt.Sent && !attempt.Refused {
+			runs++
+		}
+	}
+	if !t.plain.Repeatable || runs+1 >= t.history.RunLimit {
+		return 0
+	}
+	factor := plainPatience
+	if t.match.Rule.Streaming {
+		factor = streamPatience
+	}
+	return time.Duration(factor * float64(t.match.Rule.LatencyGoal))
+}
+
+func (t *try) connectionLimit() int {
+	pool := t.fleet.Deployment.Pools[t.service]
+	if pool.MaxConnections <= 0 {
+		return 0
+	}
+	return max(int(connectionShare*float64(pool.MaxConnections))/len(t.fleet.EntryHosts), minConnections)
+}
+
+func (t *try) message() carrier.Message {
+	call := mulberrybeam.OutboundCall{
+		Deadline: t.plain.Deadline - t.Now(), Instance: t.target.ID, LastEvent: t.inbound.LastEvent,
+		Priority: t.match.Rule.Priority, HasPriority: true,
+	}
+	if workspace := t.match.Workspace; workspace != nil {
+		call.Workspace = workspace.Name
+		if workspace.HasPriority {
+			call.Priority = workspace.Priority
+		}
+		if workspace.Isolated {
+			call.Salt = "workspace-" + string(workspace.Name)
+		}
+	}
+	if t.strict {
+		call.Version = t.fleet.Weights[t.inbound.Model].Version
+	}
+	if t.splitter.LastID != "" {
+		call.LastEvent = t.splitter.LastID
+	}
+	return carrier.Message{
+		ID: t.inbound.ID, Method: t.request.Method, URI: requestURI(t.request), Host: t.request.Host,
+		Header: t.Codec.Outbound(t.request.Header, call), Body: t.body,
+		HasBody: len(t.body) > 0 || t.request.ContentLength != 0 || t.request.Method == http.MethodPost,
+	}
+}
+
+// judge decides what the head of an answer means.
+func (t *try) judge(ctx context.Context, cancel context.CancelCauseFunc, answer *carrier.Answer) error {
+	switch {
+	case answer.Head.NotRun && answer.Status != http.StatusBadRequest:
+		return t.refused(answer)
+	case answer.Status < http.StatusMultipleChoices && !answer.Head.Stamped:
+		return t.broke(ctx, "the answer is not the target's own", nil)
+	case answer.Status >= http.StatusInternalServerError && t.plain.Repeatable && !t.started:
+		return t.failedAnswer(answer)
+	case t.started && answer.Status != http.StatusOK:
+		return t.broke(ctx, fmt.Sprintf("the stream cannot go on, status %d", answer.Status), nil)
+	case promisesNotRun(answer.Status) && !answer.Head.NotRun:
+		return t.broke(ctx, fmt.Sprintf("status %d without the word that the request did not run", answer.Status), nil)
+	case t.match.Rule.Streaming && answer.Status == http.StatusOK:
+		return t.stream(ctx, cancel, answer)
+	}
+	return t.deliver(ctx, answer)
+}
+
+// promisesNotRun says whether callers take a status as the word that the
+// request did not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// refused notes that the target did not run the request.
+func (t *try) refused(answer *carrier.Answer) error {
+	_, _ = io.Copy(io.Discard, answer)
+	now := t.Now()
+	avoid := avoidFull
+	switch {
+	case answer.Status == http.StatusMisdirectedRequest:
+		avoid = avoidGone
+	case t.inbound.Model != "":
+		avoid = avoidBusy
+	}
+	t.Gauger.Avoid(t.target.ID, now, now+avoid)
+	t.noteAttempt(true, true)
+	return &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeTargetRefused, Step: mulberrybeam.StepAnswer, Peer: string(t.target.ID),
+		Message: fmt.Sprintf("the target refused the request with status %d", answer.Status), NotRun: true,
+	}
+}
+
+// failedAnswer gives a repeatable request another attempt when its target
+// answered with a failure, and passes the failure on when there is none.
+func (t *try) failedAnswer(answer *carrier.Answer) error {
+	t.noteAttempt(true, false)
+	failure := &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeTargetFailed, Step: mulberrybeam.StepAnswer, Peer: string(t.target.ID),
+		Message: fmt.Sprintf("the target answered with status %d", answer.Status),
+	}
+	turn := mulberrybeam.Turn{Now: t.Now(), Rand: t.random}
+	if decision := t.Purse.Decide(turn, t.service, len(t.fleet.EntryHosts), &t.plain, t.history, failure); !decision.Retry {
+		return t.deliver(t.request.Context(), answer)
+	}
+	return &repeat{failure}
+}
+
+// repeat is a failure whose next attempt is already granted.
+type repeat struct{ *mulberrybeam.Failure }
+
+// Unwrap returns the failure.
+func (r *repeat) Unwrap() error { return r.Failure }
+
+// failed classifies an exchange that ended before the head of an answer.
+func (t *try) failed(ctx context.Context, cause, err error) error {
+	if !isRefusal(err) {
+		if cause == errNoAnswer {
+			t.noteAttempt(true, false)
+			return errNoAnswer
+		}
+		return t.broke(ctx, "no answer", err)
+	}
+	now := t.Now()
+	t.noteAttempt(false, true)
+	if ctx.Err() == nil {
+		pool := t.fleet.Deployment.Pools[t.service]
+		t.Gauger.Avoid(t.target.ID, now, now+avoidGone)
+		if pool.ColdTime > 0 {
+			t.Gauger.Suspect(t.target.ID, now, now+pool.ColdTime+suspectSlack)
+		}
+	}
+	return err
+}
+
+// broke notes that the target may have run the request without a whole answer.
+func (t *try) broke(ctx context.Context, message string, cause error) error {
+	t.noteAttempt(true, false)
+	if ctx.Err() == nil && cause != nil {
+		t.checkCrash()
+	}
+	return &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeTargetFailed, Step: mulberrybeam.StepAnswer, Peer: string(t.target.ID),
+		Message: message, Cause: cause,
+	}
+}
+
+// checkCrash reports the request to control when its target has crashed. A
+// target that still takes connections only lost the answer.
+func (t *try) checkCrash() {
+	crash := mulberrybeam.CrashRecord{Fingerprint: t.plain.Fingerprint, Target: t.target.ID}
+	address, post, sender := t.target.Address, t.Post, t.Sender
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), crashCheck)
+		defer cancel()
+		if sender.Crashed(ctx, address) {
+			post(mulberrybeam.TargetCrashed{Crash: crash})
+		}
+	}()
+}
+
+func (t *try) noteAttempt(sent, refused bool) {
+	t.history.Attempts = append(t.history.Attempts, retrier.Attempt{
+		Target: mulberrybeam.TargetID(t.target.ID), Sent: sent, Refused: refused,
+	})
+	t.tried = append(t.tried, t.target.ID)
+	t.mayHaveRun = t.mayHaveRun || sent && !refused
+}
+
+func isRefusal(err error) bool {
+	return mulberrybeam.CodeOf(err) == mulberrybeam.CodeTargetRefused
+}
+
+// requestURI is the request line's target in origin form.
+func requestURI(request *http.Request) string {
+	if request.URL.Host == "" {
+		return request.RequestURI
+	}
+	return request.URL.RequestURI()
+}
--- a/request/retrier/retrier.go
+++ b/request/retrier/retrier.go
@@ -23,6 +23,8 @@
 	Target mulberrybeam.TargetID
 	// Sent says that the request may have reached the target.
 	Sent bool
+	// Refused says that the target did not run it.
+	Refused bool
 }
 
 // History is what has happened to a request so far.
@@ -32,6 +34,9 @@
 	// LastSequence is the last sequence number that the caller of a stream
 	// got, 0 before the first token.
 	LastSequence uint64
+	// RunLimit bounds the targets that may run the request, 0 for
+	// MaxAttempts.
+	RunLimit int
 	// Ended says that the caller already has the whole answer.
 	Ended bool
 }
@@ -89,11 +94,14 @@
 		decision.Delay = jitter(turn, failure.RetryAfter)
 		decision.Reason = "a target may become free"
 	}
-	attempts := 0
+	attempts, runs := 0, 0
 	for _, attempt := range history.Attempts {
 		if attempt.Sent {
 			attempts++
 		}
+		if attempt.Sent && !attempt.Refused {
+			runs++
+		}
 		// After a wait, a target that only declined a permit may be
 		// routed to again.
 		if attempt.Target != "" && (attempt.Sent || decision.Delay == 0) {
@@ -103,13 +111,17 @@
 	if attempts >= MaxAttempts || len(history.Attempts)-attempts >= MaxReroutes {
 		return stop("the request was tried often enough"), budget
 	}
+	if history.RunLimit > 0 && runs >= history.RunLimit {
+		return stop("as many targets ran the request as may"), budget
+	}
 	if turn.Now+decision.Delay >= request.Deadline {
 		return stop("the deadline leaves no time"), budget
 	}
 	// A route that ended before the send has put no load on a target, so
 	// only its number is bounded. Charging it would refuse requests while
 	// the cold engines of a returning zone decline permits.
-	if !sent && failure.NotRun && failure.Code == mulberrybeam.CodeNoPermit {
+	unsent := failure.Code == mulberrybeam.CodeNoPermit || failure.Code == mulberrybeam.CodeTargetRefused
+	if !sent && failure.NotRun && unsent {
 		return decision, budget
 	}
 	next, granted := budget.take(turn.Now)
--- a/snapshot.go
+++ b/snapshot.go
@@ -23,6 +23,8 @@
 	Members []Member
 	Relays  []Member
 	Rights  []SlotRight
+	// Fleet is set where the platform's store holds the deployment.
+	Fleet *Fleet
 }
 
 // Tables are the lookup tables of one revision. They are immutable.
--- a/target.go
+++ b/target.go
@@ -52,6 +52,10 @@
 	// WeightVersions are the loaded versions by model.
 	WeightVersions map[ModelName]WeightVersion
 	Leaving        bool
+	// Orders counts the orders that the instance accepted, and OrderBusy
+	// says that one is being carried out.
+	Orders    uint64
+	OrderBusy bool
 }
 
 // TargetState is what control knows of a target.
