Confirm the deployment after the changes that came with it

Late watches and the freshness bound were ruled out by the log: the requests ran in the turn between the two events.

--- a/connection/feeder/feeder.go
+++ b/connection/feeder/feeder.go
@@ -90,7 +90,6 @@
 	if err != nil {
 		return version, false, err
 	}
-	f.Deliver(mulberrybeam.FeedConfirmed{Kind: f.Kind, SentAt: sentAt})
 	for _, change := range changes {
 		changed := mulberrybeam.RecordChanged{Kind: f.Kind, Name: change.Object.Name, Removed: change.Deleted}
 		if !change.Deleted {
@@ -98,6 +97,9 @@
 		}
 		f.Deliver(changed)
 	}
+	// The confirmation follows the changes, so that it never covers a state
+	// that lacks them.
+	f.Deliver(mulberrybeam.FeedConfirmed{Kind: f.Kind, SentAt: sentAt})
 	return next, len(changes) > 0, nil
 }
 
