--- a/call.go
+++ b/call.go
@@ -35,9 +35,13 @@
 	Deadline  time.Duration
 	Instance  InstanceID
 	Workspace WorkspaceName
-	// Salt separates the kept context of workspaces; empty for the shared
-	// one.
+	// Salt separates kept context.
 	Salt string
+	// FetchFrom and SaveTo have, for each part of the prompt, the address
+	// of the store from which it is read and to which it is written; empty
+	// for none.
+	FetchFrom []string
+	SaveTo    []string
 	// Priority is sent when HasPriority is set.
 	Priority    int
 	HasPriority bool
--- a/fleet.go
+++ b/fleet.go
@@ -189,6 +189,8 @@
 	Hosts map[string][]*Rule
 	// Targets are those that may get new requests.
 	Targets map[ServiceName][]FleetTarget
+	// ContextStores are in the order of their addresses.
+	ContextStores []ContextStore
 	// Weights are the goals by model.
 	Weights map[ModelName]WeightGoal
 	// EntryHosts are the processes that share limits, this one included,
--- a/process/starter/listen.go
+++ b/process/starter/listen.go
@@ -101,7 +101,7 @@
 // serves says whether requests can be answered: the fleet is known, and keys
 // are not refused for want of word from the platform.
 func (p *Process) serves() bool {
-	fleet := p.control.Snapshot().Fleet
+	fleet := p.fleet()
 	if p.draining.Load() || fleet == nil || !fleet.Complete {
 		return false
 	}
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -17,6 +17,7 @@
 	"mulberrybeam/connection/dialer"
 	"mulberrybeam/connection/feeder"
 	"mulberrybeam/platform"
+	"mulberrybeam/process/cataloger"
 	"mulberrybeam/process/controller"
 	"mulberrybeam/process/gauger"
 	"mulberrybeam/process/logger"
@@ -73,6 +74,7 @@
 	recorder *recorder.Ring
 	gauger   *gauger.Gauger
 	carrier  *carrier.Carrier
+	catalog  *cataloger.Cataloger
 	draining atomic.Bool
 	servers  []*http.Server
 	// cleanups run in reverse order at the end.
@@ -86,6 +88,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
 	p := &Process{now: clock(), gauger: gauger.New()}
+	p.catalog = cataloger.New(p.now)
 	p.settings.Store(&settings)
 	log, stopLog := logger.New(out)
 	p.cleanups = append(p.cleanups, stopLog)
@@ -130,11 +133,15 @@
 	)
 	p.control = control
 	p.cleanups = append(p.cleanups, closeClient, stopControl)
-	p.follow(store)
+	p.follow(store, &cataloger.Follower{
+		Catalog: p.catalog, Client: platform.NewContextStores(client), Self: settings.ID, Fleet: p.fleet, Note: p.note,
+	})
 }
 
+func (p *Process) fleet() *mulberrybeam.Fleet { return p.control.Snapshot().Fleet }
+
 // follow starts the feeds.
-func (p *Process) follow(store *platform.Store) {
+func (p *Process) follow(store *platform.Store, stores *cataloger.Follower) {
 	ctx, cancel := context.WithCancel(context.Background())
 	for _, feed := range feeds {
 		running := feeder.Feed{
@@ -145,6 +152,7 @@
 		p.workers.Go(func() { running.Run(ctx) })
 	}
 	p.workers.Go(func() { p.sweep(ctx) })
+	p.workers.Go(func() { stores.Run(ctx) })
 	p.cleanups = append(p.cleanups, func() {
 		cancel()
 		p.workers.Wait()
@@ -169,7 +177,7 @@
 // inUse returns a function that says whether a target may get requests.
 func (p *Process) inUse() func(mulberrybeam.InstanceID) bool {
 	used := map[mulberrybeam.InstanceID]bool{}
-	if fleet := p.control.Snapshot().Fleet; fleet != nil {
+	if fleet := p.fleet(); fleet != nil {
 		for _, targets := range fleet.Targets {
 			for _, target := range targets {
 				used[target.ID] = true
@@ -193,7 +201,8 @@
 		Gauger:   p.gauger,
 		Purse:    gauger.NewPurse(budgetShare*bounds.RetryShare, floor),
 		Recorder: p.recorder,
-		Fleet:    func() *mulberrybeam.Fleet { return p.control.Snapshot().Fleet },
+		Catalog:  p.catalog,
+		Fleet:    p.fleet,
 		Post:     p.control.Post,
 		Now:      p.now,
 		Draining: p.draining.Load,
--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -26,6 +26,7 @@
 	if t.deployment != nil {
 		t.fleet.Keys = keysOf(t.deployment)
 		t.fleet.Hosts = hostsOf(t.deployment)
+		t.fleet.ContextStores = contextStoresOf(t.deployment)
 	}
 }
 
@@ -73,4 +74,15 @@
 	return hosts
 }
 
+func contextStoresOf(deployment *mulberrybeam.Deployment) []mulberrybeam.ContextStore {
+	var stores []mulberrybeam.ContextStore
+	for _, pool := range deployment.Pools {
+		if pool.ContextStore != nil {
+			stores = append(stores, *pool.ContextStore)
+		}
+	}
+	slices.SortFunc(stores, func(a, b mulberrybeam.ContextStore) int { return cmp.Compare(a.Address, b.Address) })
+	return stores
+}
+
 func format[V ~int | ~uint64](value V) string { return fmt.Sprint(value) }
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -10,6 +10,7 @@
 	"mulberrybeam"
 	"mulberrybeam/connection/carrier"
 	"mulberrybeam/request/chooser"
+	"mulberrybeam/request/fetcher"
 	"mulberrybeam/request/retrier"
 )
 
@@ -157,13 +158,8 @@
 		if workspace.HasPriority {
 			call.Priority = workspace.Priority
 		}
-		if workspace.Isolated {
-			call.Salt = "workspace-" + string(workspace.Name)
-		}
-	}
-	if t.strict {
-		call.Version = t.fleet.Weights[t.inbound.Model].Version
 	}
+	t.planContext(&call)
 	if t.splitter.LastID != "" {
 		call.LastEvent = t.splitter.LastID
 	}
@@ -174,6 +170,27 @@
 	}
 }
 
+// planContext says which kept context the engine uses. Context of a version is
+// only exchanged with stores while the engine surely has that version.
+func (t *try) planContext(call *mulberrybeam.OutboundCall) {
+	if t.inbound.Model == "" {
+		return
+	}
+	goal := t.fleet.Weights[t.inbound.Model].Version
+	version := t.target.Versions[t.inbound.Model]
+	call.Salt = fetcher.Salt(version, t.match.Workspace)
+	if t.strict {
+		call.Version = goal
+	}
+	if version == 0 || version < goal {
+		return
+	}
+	plan := fetcher.Decide(t.Catalog, fetcher.Query{
+		Model: t.inbound.Model, Salt: call.Salt, Parts: t.inbound.Parts, Stores: t.fleet.ContextStores,
+	})
+	call.FetchFrom, call.SaveTo, call.Version = plan.FetchFrom, plan.SaveTo, version
+}
+
 // judge decides what the head of an answer means.
 func (t *try) judge(ctx context.Context, cancel context.CancelCauseFunc, answer *carrier.Answer) error {
 	switch {
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"mulberrybeam"
 	"mulberrybeam/connection/carrier"
 	"mulberrybeam/process/gauger"
+	"mulberrybeam/request/fetcher"
 )
 
 // Sender sends a request to a target.
@@ -28,6 +29,7 @@
 	Sender   Sender
 	Gauger   *gauger.Gauger
 	Purse    *gauger.Purse
+	Catalog  fetcher.Catalog
 	Recorder mulberrybeam.Recorder
 	// Fleet returns the latest fleet.
 	Fleet func() *mulberrybeam.Fleet
