Change weights in small waves while runs go on

A change-over took over six seconds: each engine first finished its runs while the others answered on old weights. The holder's lease now tells which engines have changed, the next two waves get no new requests, and runs go on.

--- a/fleet.go
+++ b/fleet.go
@@ -148,10 +148,20 @@
 	Token uint64
 	// Renewals rises while the holder works.
 	Renewals uint64
+	// Changed are the engines that have the newest weights, which their own
+	// entries show later.
+	Changed []ChangedEngine
 	// Version is the version of the lease's object.
 	Version string
 }
 
+// ChangedEngine is an engine with the version that it was brought to.
+type ChangedEngine struct {
+	Engine  InstanceID
+	Model   ModelName
+	Version int
+}
+
 // CrashRecord names a request during which a target crashed.
 type CrashRecord struct {
 	Fingerprint Fingerprint
@@ -191,6 +201,8 @@
 	Targets map[ServiceName][]FleetTarget
 	// ContextStores are in the order of their addresses.
 	ContextStores []ContextStore
+	// Leaving are the engines that change over to new weights now or soon.
+	Leaving map[InstanceID]bool
 	// Weights are the goals by model.
 	Weights map[ModelName]WeightGoal
 	// EntryHosts are the processes that share limits, this one included,
@@ -242,6 +254,8 @@
 	// ColdOvershoot and ColdSlack widen the rate of a cold target.
 	ColdOvershoot float64
 	ColdSlack     int
+	// Fenced says that engines refuse orders with an old fencing number.
+	Fenced bool
 	// OrderLease is the shortest time between orders of two holders.
 	OrderLease time.Duration
 	// VersionWithin bounds the time in which new weights replace old ones.
--- a/interface.go
+++ b/interface.go
@@ -141,6 +141,9 @@
 	// after newer ones.
 	Holder ProcessID
 	Expect uint64
+	// KeepRuns lets runs go on under the new weights; otherwise they finish
+	// first.
+	KeepRuns bool
 }
 
 // OrderClient sends orders to engines.
--- a/process/logger/logger.go
+++ b/process/logger/logger.go
@@ -37,7 +37,7 @@
 func New(out io.Writer) (*Logger, func()) {
 	buffered := bufio.NewWriterSize(out, writeBuffer)
 	log := logrus.New()
-	log.SetOutput(buffered)
+	log.SetOutput(lineWriter{buffered})
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "15:04:05.000"})
 	l := &Logger{entries: make(chan mulberrybeam.Entry, backlog), done: make(chan struct{}), log: log, out: buffered}
 	stop := make(chan struct{})
@@ -48,6 +48,20 @@
 	}
 }
 
+// lineWriter keeps lines whole: the buffer is written out before a line that
+// does not fit.
+type lineWriter struct{ out *bufio.Writer }
+
+// Write takes one line.
+func (w lineWriter) Write(line []byte) (int, error) {
+	if w.out.Available() < len(line) {
+		if err := w.out.Flush(); err != nil {
+			return 0, err
+		}
+	}
+	return w.out.Write(line)
+}
+
 // Observe writes an entry, or counts it as dropped when too many wait.
 func (l *Logger) Observe(entry mulberrybeam.Entry) {
 	select {
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -117,7 +117,7 @@
 	engines := platform.NewEngines(client)
 	machines := []mulberrybeam.Machine{
 		tracker.New(settings.ID, settings.Regions),
-		upgrader.New(settings.ID, settings.Bounds.OrderLease, platform.Encoder{}),
+		upgrader.New(settings.ID, settings.Bounds, platform.Encoder{}),
 		registrar.New(mulberrybeam.EntryHost{ID: settings.ID, Zone: settings.Zone}, platform.Encoder{}),
 	}
 	control, stopControl := controller.New(machines,
--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"mulberrybeam"
+	"mulberrybeam/version/waver"
 )
 
 // rebuild derives the fleet from what is known. Nothing in it is shared with
@@ -20,6 +21,7 @@
 		EntryHosts: t.entryHosts(),
 		Crashes:    make(map[mulberrybeam.Fingerprint]int, len(t.crashes)),
 	}
+	t.fleet.Leaving = leavingEngines(t.fleet.Targets, t.weights)
 	for crash := range t.crashes {
 		t.fleet.Crashes[crash.Fingerprint]++
 	}
@@ -38,12 +40,36 @@
 		if known.target.Draining || t.evacuated[known.target.Zone] {
 			continue
 		}
-		service := known.target.Service
-		targets[service] = append(targets[service], mulberrybeam.FleetTarget{LiveTarget: known.target, ColdUntil: known.coldUntil})
+		target := mulberrybeam.FleetTarget{LiveTarget: known.target, ColdUntil: known.coldUntil}
+		if changed, told := t.changed[id]; told && changed.Version > target.Versions[changed.Model] {
+			target.Versions = maps.Clone(target.Versions)
+			target.Versions[changed.Model] = changed.Version
+		}
+		targets[target.Service] = append(targets[target.Service], target)
 	}
 	return targets
 }
 
+// leavingEngines returns the engines that change over to new weights now or
+// soon.
+func leavingEngines(targets map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget, goals map[mulberrybeam.ModelName]mulberrybeam.WeightGoal) map[mulberrybeam.InstanceID]bool {
+	leaving := map[mulberrybeam.InstanceID]bool{}
+	for model, goal := range goals {
+		var engines []waver.Engine
+		for _, pool := range targets {
+			for _, target := range pool {
+				if version, serves := target.Versions[model]; serves {
+					engines = append(engines, waver.Engine{ID: target.ID, Version: version})
+				}
+			}
+		}
+		for _, id := range waver.Leaving(model, goal.Version, engines) {
+			leaving[id] = true
+		}
+	}
+	return leaving
+}
+
 func (t *Tracker) entryHosts() []mulberrybeam.ProcessID {
 	hosts := maps.Clone(t.hosts)
 	hosts[t.self] = true
--- a/process/tracker/tracker.go
+++ b/process/tracker/tracker.go
@@ -39,6 +39,7 @@
 	evacuated   map[mulberrybeam.ZoneName]bool
 	weights     map[mulberrybeam.ModelName]mulberrybeam.WeightGoal
 	hosts       map[mulberrybeam.ProcessID]bool
+	changed     map[mulberrybeam.InstanceID]mulberrybeam.ChangedEngine
 	crashes     map[mulberrybeam.CrashRecord]time.Duration
 
 	// fleet is rebuilt when stale is set.
@@ -66,6 +67,7 @@
 		evacuated: map[mulberrybeam.ZoneName]bool{},
 		weights:   map[mulberrybeam.ModelName]mulberrybeam.WeightGoal{},
 		hosts:     map[mulberrybeam.ProcessID]bool{},
+		changed:   map[mulberrybeam.InstanceID]mulberrybeam.ChangedEngine{},
 		crashes:   map[mulberrybeam.CrashRecord]time.Duration{},
 	}
 }
@@ -189,6 +191,8 @@
 		} else {
 			t.hosts[mulberrybeam.ProcessID(name)] = true
 		}
+	case mulberrybeam.ObjectLease:
+		t.learnChanged(record.Lease)
 	case mulberrybeam.ObjectCrash:
 		if record.Crash != nil {
 			t.crashes[*record.Crash] = turn.Now
@@ -256,6 +260,18 @@
 	return []mulberrybeam.Action{note(mulberrybeam.EntryMember, string(zone), "zone back")}
 }
 
+// learnChanged takes the lease holder's word on engines with new weights, which
+// comes before that of their own entries.
+func (t *Tracker) learnChanged(lease *mulberrybeam.DutyLease) {
+	if lease == nil {
+		return
+	}
+	clear(t.changed)
+	for _, changed := range lease.Changed {
+		t.changed[changed.Engine] = changed
+	}
+}
+
 func (t *Tracker) nameWeights(turn mulberrybeam.Turn, goal *mulberrybeam.WeightGoal) []mulberrybeam.Action {
 	if goal == nil || goal.Version <= t.weights[goal.Model].Version {
 		return nil
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -132,9 +132,15 @@
 	return now < c.target.ColdUntil || now < c.gauge.SuspectUntil
 }
 
-// current leaves out engines with old weights once enough others have the new
-// ones.
+// current leaves out engines that change over to new weights soon, so that they
+// have little to finish, and all with old weights once enough others have the
+// new ones.
 func current(fleet *mulberrybeam.Fleet, query Query, warm []candidate) []candidate {
+	staying := slices.Clone(warm)
+	staying = slices.DeleteFunc(staying, func(c candidate) bool { return fleet.Leaving[c.target.ID] })
+	if len(staying) > 0 {
+		warm = staying
+	}
 	fresh := slices.Clone(warm)
 	fresh = slices.DeleteFunc(fresh, func(c candidate) bool { return outdated(fleet, query.Model, c.target) })
 	if float64(len(fresh)) >= moveShare*float64(len(fleet.Targets[query.Service])) {
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -52,9 +52,7 @@
 			Message: "the rate of the cold target is used up", NotRun: true,
 		}
 	}
-	x.note(mulberrybeam.EntryRoute, string(target.ID), fmt.Sprintf("%s, attempt %d of rule %s at revision %d",
-		choice.Reason, len(x.history.Attempts)+1, x.match.Rule.Name, x.fleet.Deployment.Revision))
-	try := &try{exchange: x, target: target, tokens: tokens, sentAt: x.Now(), strict: query.Strict}
+	try := &try{exchange: x, target: target, reason: choice.Reason, tokens: tokens, sentAt: x.Now(), strict: query.Strict}
 	err = try.run(ctx)
 	x.Gauger.Finished(target.ID, x.Now(), err != nil && ctx.Err() == nil && !isRefusal(err))
 	return err
@@ -89,6 +87,7 @@
 type try struct {
 	*exchange
 	target mulberrybeam.FleetTarget
+	reason string
 	tokens int
 	sentAt time.Duration
 	// strict ties the attempt to the named weights.
@@ -163,6 +162,10 @@
 	if t.splitter.LastID != "" {
 		call.LastEvent = t.splitter.LastID
 	}
+	t.note(mulberrybeam.EntryRoute, string(t.target.ID), fmt.Sprintf(
+		"%s, attempt %d of rule %s at revision %d, version %d, fetch %v, save %v, %s left",
+		t.reason, len(t.history.Attempts)+1, t.match.Rule.Name, t.fleet.Deployment.Revision,
+		call.Version, call.FetchFrom, call.SaveTo, call.Deadline.Round(time.Millisecond)))
 	return carrier.Message{
 		ID: t.inbound.ID, Method: t.request.Method, URI: requestURI(t.request), Host: t.request.Host,
 		Header: t.Codec.Outbound(t.request.Header, call), Body: t.body,
--- a/version/upgrader/upgrader.go
+++ b/version/upgrader/upgrader.go
@@ -11,6 +11,7 @@
 
 	"mulberrybeam"
 	"mulberrybeam/version/ranker"
+	"mulberrybeam/version/waver"
 )
 
 // LeaseName is the name of the lease's object.
@@ -32,18 +33,22 @@
 	callPause = 400 * time.Millisecond
 	// checkAfter is when an engine is asked whether an order is done, and
 	// retryAfter when an engine that did not answer is asked again.
-	checkAfter = 500 * time.Millisecond
+	checkAfter = 250 * time.Millisecond
 	retryAfter = 700 * time.Millisecond
-	// waves is the number of parts in which a service's engines change over.
-	// The others serve meanwhile.
-	waves = 3
+	// fencedGap stands for the time between orders of two holders where
+	// engines refuse an old fencing number: a holder that has lost the store
+	// cannot order any more.
+	fencedGap = 500 * time.Millisecond
+	// tellAfter is the shortest time between two renewals that tell which
+	// engines have changed over.
+	tellAfter = 200 * time.Millisecond
 )
 
 // Upgrader orders new weights. Only the control goroutine may use it.
 type Upgrader struct {
 	self    mulberrybeam.ProcessID
 	encoder mulberrybeam.RecordEncoder
-	// lease is the shortest time between orders of two holders.
+	// gap is the shortest time between orders of two holders.
 	gap     time.Duration
 	engines map[mulberrybeam.InstanceID]*engine
 	goals   map[mulberrybeam.ModelName]int
@@ -57,6 +62,7 @@
 	pendingAt  time.Duration
 	validUntil time.Duration
 	renewAt    time.Duration
+	toldAt     time.Duration
 	callAt     time.Duration
 	// claim is the lease that a call in flight writes.
 	claim  mulberrybeam.DutyLease
@@ -87,9 +93,12 @@
 	stepLoading  step = "loading"
 )
 
-// New returns the machine of a process. gap is the shortest time between orders
-// of two holders.
-func New(self mulberrybeam.ProcessID, gap time.Duration, encoder mulberrybeam.RecordEncoder) *Upgrader {
+// New returns the machine of a process.
+func New(self mulberrybeam.ProcessID, bounds mulberrybeam.HostBounds, encoder mulberrybeam.RecordEncoder) *Upgrader {
+	gap := bounds.OrderLease
+	if bounds.Fenced {
+		gap = min(gap, fencedGap)
+	}
 	return &Upgrader{
 		self: self, encoder: encoder, gap: gap,
 		engines: map[mulberrybeam.InstanceID]*engine{},
@@ -152,9 +161,10 @@
 		u.hosts[mulberrybeam.ProcessID(name)] = true
 	case kind == mulberrybeam.ObjectHost:
 		delete(u.hosts, mulberrybeam.ProcessID(name))
-	case record.Lease != nil && name == LeaseName && *record.Lease != u.lease:
+	case record.Lease != nil && name == LeaseName && record.Lease.Version != u.lease.Version:
 		u.lease = *record.Lease
 		u.changedAt = turn.Now
+		u.learnChanged(record.Lease.Changed)
 	}
 }
 
@@ -171,6 +181,15 @@
 	known.target = *target
 }
 
+// learnChanged takes the holder's word on engines that have changed over.
+func (u *Upgrader) learnChanged(changed []mulberrybeam.ChangedEngine) {
+	for _, c := range changed {
+		if e := u.engines[c.Engine]; e != nil {
+			e.done[c.Model] = max(e.done[c.Model], c.Version)
+		}
+	}
+}
+
 // work claims or renews the lease while there is work, and sends orders while
 // it is held.
 func (u *Upgrader) work(turn mulberrybeam.Turn) []mulberrybeam.Action {
@@ -215,7 +234,10 @@
 	if u.ticket != 0 || turn.Now < u.callAt || !u.leaseKnown {
 		return nil
 	}
-	next := mulberrybeam.DutyLease{Holder: u.self, Token: u.lease.Token, Renewals: u.lease.Renewals + 1, Version: u.lease.Version}
+	next := mulberrybeam.DutyLease{
+		Holder: u.self, Token: u.lease.Token, Renewals: u.lease.Renewals + 1,
+		Changed: u.changed(), Version: u.lease.Version,
+	}
 	switch {
 	case turn.Now < u.validUntil && turn.Now < u.renewAt:
 		return nil
@@ -269,31 +291,55 @@
 	u.changedAt = turn.Now
 	u.validUntil = reply.SentAt + validity
 	u.renewAt = reply.SentAt + renewEvery
+	u.toldAt = reply.SentAt
 	if !first {
 		return nil
 	}
 	return []mulberrybeam.Action{note("lease held, fencing number " + strconv.FormatUint(u.lease.Token, 10))}
 }
 
-// advance asks and orders as many engines as may change over at once.
-func (u *Upgrader) advance(turn mulberrybeam.Turn, pending []*engine) []mulberrybeam.Action {
-	atOnce := (len(u.engines) + waves - 1) / waves
-	active := 0
-	for _, e := range pending {
-		if e.step != stepIdle {
-			active++
+// changed returns the engines whose entries do not show yet that they have
+// changed over.
+func (u *Upgrader) changed() []mulberrybeam.ChangedEngine {
+	var changed []mulberrybeam.ChangedEngine
+	for _, id := range slices.Sorted(maps.Keys(u.engines)) {
+		e := u.engines[id]
+		for _, model := range slices.Sorted(maps.Keys(e.done)) {
+			if e.done[model] > e.target.Versions[model] {
+				changed = append(changed, mulberrybeam.ChangedEngine{Engine: id, Model: model, Version: e.done[model]})
+			}
 		}
 	}
+	return changed
+}
+
+// next returns the engines that change over now.
+func (u *Upgrader) next() map[mulberrybeam.InstanceID]bool {
+	next := map[mulberrybeam.InstanceID]bool{}
+	for model, goal := range u.goals {
+		var engines []waver.Engine
+		for id, e := range u.engines {
+			if version, serves := e.target.Versions[model]; serves {
+				engines = append(engines, waver.Engine{ID: id, Version: max(version, e.done[model])})
+			}
+		}
+		for _, id := range waver.Next(model, goal, engines) {
+			next[id] = true
+		}
+	}
+	return next
+}
+
+// advance asks and orders the engines that change over now.
+func (u *Upgrader) advance(turn mulberrybeam.Turn, pending []*engine) []mulberrybeam.Action {
+	next := u.next()
 	var actions []mulberrybeam.Action
 	for _, e := range pending {
 		if turn.Now < e.nextAt || e.step == stepAsking || e.step == stepOrdering {
 			continue
 		}
-		if e.step == stepIdle {
-			if active >= atOnce {
-				continue
-			}
-			active++
+		if e.step == stepIdle && !next[e.target.ID] {
+			continue
 		}
 		e.step = stepAsking
 		actions = append(actions, mulberrybeam.Observe{Target: plain(e.target)})
@@ -318,6 +364,7 @@
 	}
 	model, goal := u.lacks(e)
 	if model == "" {
+		u.renewAt = min(u.renewAt, u.toldAt+tellAfter)
 		return nil
 	}
 	if event.Report.OrderBusy {
@@ -335,6 +382,11 @@
 		Order: mulberrybeam.Order{
 			Kind: mulberrybeam.OrderLoadWeights, Model: model, Version: mulberrybeam.WeightVersion(strconv.Itoa(goal)),
 			Fencing: mulberrybeam.Epoch(u.lease.Token), Holder: u.self, Expect: event.Report.Orders,
+			// Waiting for the runs to finish keeps an engine from
+			// serving for seconds, while all others still have old
+			// weights. Few runs are left on engines that got no new
+			// requests for a while.
+			KeepRuns: true,
 		},
 	}}
 }
--- /dev/null
+++ b/version/waver/waver_test.go
@@ -0,0 +1,49 @@
+package waver_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/version/waver"
+)
+
+// Guards against a change-over that leaves too few engines to serve, and
+// against one that never reaches some engine.
+func TestWavesCoverAllEngines(t *testing.T) {
+	for _, count := range []int{1, 2, 3, 9, 18, 60} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			is := is.New(t)
+			engines := make([]waver.Engine, count)
+			for i := range engines {
+				engines[i] = waver.Engine{ID: mulberrybeam.InstanceID(fmt.Sprint("e", i)), Version: 1}
+			}
+			for changed := 0; changed < count; {
+				next := waver.Next("m", 2, engines)
+				is.True(len(next) > 0)
+				is.Equal(waver.Leaving("m", 2, engines)[:len(next)], next)
+				is.True(len(next) <= (count+5)/6)
+				for i := range engines {
+					if slices.Contains(next, engines[i].ID) {
+						engines[i].Version = 2
+						changed++
+					}
+				}
+			}
+			is.Equal(len(waver.Next("m", 2, engines)), 0)
+		})
+	}
+}
+
+// Guards against processes that disagree on the order because they list the
+// engines differently.
+func TestOrderDoesNotDependOnTheList(t *testing.T) {
+	is := is.New(t)
+	engines := []waver.Engine{{"a", 1}, {"b", 1}, {"c", 1}, {"d", 1}, {"e", 2}}
+	want := waver.Next("m", 2, engines)
+	slices.Reverse(engines)
+	is.Equal(waver.Next("m", 2, engines), want)
+}
