Bound fetches from context stores and free old context sooner

Slow stores held first tokens up for seconds, and context of replaced weights filled the stores for 10 s after a change.

--- a/call.go
+++ b/call.go
@@ -42,6 +42,9 @@
 	// for none.
 	FetchFrom []string
 	SaveTo    []string
+	// FetchUntil is when a fetch that is not finished is given up, 0 for
+	// never.
+	FetchUntil EngineClock
 	// Priority is sent when HasPriority is set.
 	Priority    int
 	HasPriority bool
--- a/context.go
+++ b/context.go
@@ -30,10 +30,15 @@
 	Parts []PartChange
 }
 
+// EngineClock is a reading of the clock that engines and stores share.
+type EngineClock time.Duration
+
 // PartChanges are the changes after a place in a store's history.
 type PartChanges struct {
 	Boot uint64
 	Next uint64
+	// Clock is when the store answered.
+	Clock EngineClock
 	// Lost says that changes are missing.
 	Lost    bool
 	Changes []PartChange
--- a/process/cataloger/cataloger.go
+++ b/process/cataloger/cataloger.go
@@ -31,6 +31,8 @@
 	stores map[string]*shelf
 	holder map[mulberrybeam.PartKey]string
 	claims map[mulberrybeam.PartKey]time.Duration
+	// clock is the engines' clock at local time 0, 0 while it is not known.
+	clock mulberrybeam.EngineClock
 }
 
 // shelf is the content of one store.
@@ -90,6 +92,14 @@
 	return s != nil && s.known && c.now()-s.confirmedAt < fresh
 }
 
+// Clock returns the present reading of the engines' clock, or false when no
+// store has told it yet.
+func (c *Cataloger) Clock() (mulberrybeam.EngineClock, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.clock + mulberrybeam.EngineClock(c.now()), c.clock != 0
+}
+
 // replace takes a whole list of a store.
 func (c *Cataloger) replace(address string, list mulberrybeam.PartList) {
 	c.mutex.Lock()
@@ -120,6 +130,9 @@
 		return false
 	}
 	s.confirmedAt = c.now()
+	if changes.Clock > 0 {
+		c.clock = changes.Clock - mulberrybeam.EngineClock(s.confirmedAt)
+	}
 	for _, change := range changes.Changes {
 		if change.Stored {
 			c.add(address, s, change)
@@ -151,6 +164,20 @@
 	}
 }
 
+// removed takes parts out that the process itself has removed, since the
+// store's events may not arrive.
+func (c *Cataloger) removed(address string, boot uint64, keys []mulberrybeam.PartKey) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	s := c.stores[address]
+	if s == nil || s.boot != boot {
+		return
+	}
+	for _, key := range keys {
+		c.remove(address, s, key)
+	}
+}
+
 // lose forgets the content of a store that does not answer, so that it is
 // listed anew.
 func (c *Cataloger) lose(address string) {
--- a/process/cataloger/follow.go
+++ b/process/cataloger/follow.go
@@ -27,7 +27,7 @@
 	manageInterval = time.Second
 	// replacedFor is how long all engines must have new weights before
 	// context of the old ones is removed. A fetch takes less.
-	replacedFor = 3 * time.Second
+	replacedFor = 1500 * time.Millisecond
 	// removalTurn is the time after which the next process removes it.
 	removalTurn = 3 * time.Second
 	// maxRemoved bounds the parts of one call.
@@ -181,6 +181,7 @@
 		f.Note(address, "context of replaced weights not removed: "+err.Error())
 		return
 	}
+	f.Catalog.removed(address, boot, keys)
 	f.Note(address, fmt.Sprintf("%d parts of replaced weights of %s removed", len(keys), model))
 }
 
--- a/request/fetcher/fetcher.go
+++ b/request/fetcher/fetcher.go
@@ -8,11 +8,16 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"mulberrybeam"
 	"mulberrybeam/version/ranker"
 )
 
+// FetchLimit bounds a fetch. A usual one takes about 0.1 s, and what is left of
+// a first token's time is enough to read the prompt.
+const FetchLimit = 450 * time.Millisecond
+
 // choices is how many stores, in rendezvous order, a part may be written to
 // when the ones before them are full.
 const choices = 3
@@ -47,6 +52,9 @@
 	// Claim says whether this process should have the part written now. It
 	// is false for a while after it was true.
 	Claim(key mulberrybeam.PartKey) bool
+	// Clock returns the present reading of the engines' clock, or false
+	// when it is not known.
+	Clock() (mulberrybeam.EngineClock, bool)
 }
 
 // Query is a prompt whose context is looked for.
@@ -61,6 +69,8 @@
 type Plan struct {
 	FetchFrom []string
 	SaveTo    []string
+	// Until is when the engine reads the prompt instead.
+	Until mulberrybeam.EngineClock
 }
 
 // Decide returns the plan for a prompt. The last part belongs to the request
@@ -80,6 +90,9 @@
 			plan.SaveTo[i] = address
 		}
 	}
+	if now, known := catalog.Clock(); known {
+		plan.Until = now + mulberrybeam.EngineClock(FetchLimit)
+	}
 	return plan
 }
 
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -192,6 +192,7 @@
 		Model: t.inbound.Model, Salt: call.Salt, Parts: t.inbound.Parts, Stores: t.fleet.ContextStores,
 	})
 	call.FetchFrom, call.SaveTo, call.Version = plan.FetchFrom, plan.SaveTo, version
+	call.FetchUntil = plan.Until
 }
 
 // judge decides what the head of an answer means.
--- a/version/upgrader/upgrader.go
+++ b/version/upgrader/upgrader.go
@@ -63,7 +63,9 @@
 	validUntil time.Duration
 	renewAt    time.Duration
 	toldAt     time.Duration
-	callAt     time.Duration
+	// untold says that an engine has changed over since the last renewal.
+	untold bool
+	callAt time.Duration
 	// claim is the lease that a call in flight writes.
 	claim  mulberrybeam.DutyLease
 	ticket mulberrybeam.Ticket
@@ -196,6 +198,9 @@
 	pending := u.pending()
 	if len(pending) == 0 {
 		u.pendingAt = 0
+		if turn.Now < u.validUntil && u.untold {
+			return u.hold(turn)
+		}
 		return nil
 	}
 	if u.pendingAt == 0 {
@@ -247,6 +252,7 @@
 		next.Token++
 	}
 	u.claim = next
+	u.untold = false
 	u.ticket = mulberrybeam.Ticket(turn.Rand.Uint64() | 1)
 	op := mulberrybeam.OpUpdate
 	if u.lease.Version == "" {
@@ -365,6 +371,7 @@
 	model, goal := u.lacks(e)
 	if model == "" {
 		u.renewAt = min(u.renewAt, u.toldAt+tellAfter)
+		u.untold = true
 		return nil
 	}
 	if event.Report.OrderBusy {
