--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -158,6 +158,8 @@
 // again.
 func (x *exchange) serve(ctx context.Context) {
 	for {
+		// Targets may have left since the request arrived or was sent.
+		x.fleet = x.Fleet()
 		err := x.attempt(ctx)
 		if err == nil {
 			return
@@ -217,7 +219,6 @@
 	if x.waits >= forgiveAfter && !x.mayHaveRun {
 		x.tried = nil
 	}
-	x.fleet = x.Fleet()
 	return true
 }
 
