Share loads between entry hosts and balance engines by memory

Requests waited for seconds at engines whose memory was full while others had room: each host saw a ninth of the traffic, and counted requests, of which one may hold ten times the memory of another.

--- a/call.go
+++ b/call.go
@@ -62,15 +62,6 @@
 	NotRun bool
 	// Stamped says that the answer is the target's own work.
 	Stamped bool
-	// Load is the target's load when it reports it.
-	Load *LoadSample
-}
-
-// LoadSample is a target's count of requests when it answered.
-type LoadSample struct {
-	Running int
-	Waiting int
-	Slots   int
 }
 
 // CallCodec reads and writes the heads of calls.
--- /dev/null
+++ b/connection/loadencoder/loadencoder.go
@@ -0,0 +1,64 @@
+// Package loadencoder is the form in which entry hosts tell each other of their
+// work at targets, one datagram each time. Structs are arrays, to which new
+// fields are only appended.
+package loadencoder
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"mulberrybeam"
+)
+
+// version is the first field of a datagram. Others are not read.
+const version = 1
+
+type wireShare struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Version  int
+	From     string
+	Sequence uint64
+	Targets  []wireLoad
+}
+
+type wireLoad struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Target   string
+	Requests int
+	Unread   int
+	Held     int
+}
+
+// Encode returns the datagram of a share.
+func Encode(share mulberrybeam.LoadShare) ([]byte, error) {
+	wire := wireShare{Version: version, From: string(share.From), Sequence: share.Sequence}
+	for _, shared := range share.Targets {
+		wire.Targets = append(wire.Targets, wireLoad{
+			Target: string(shared.Target), Requests: shared.Load.Requests, Unread: shared.Load.Unread, Held: shared.Load.Held,
+		})
+	}
+	return msgpack.Marshal(&wire)
+}
+
+// Decode reads a datagram.
+func Decode(datagram []byte) (mulberrybeam.LoadShare, error) {
+	var wire wireShare
+	if err := msgpack.Unmarshal(datagram, &wire); err != nil {
+		return mulberrybeam.LoadShare{}, fmt.Errorf("load share: %w", err)
+	}
+	if wire.Version != version {
+		return mulberrybeam.LoadShare{}, fmt.Errorf("load share of version %d", wire.Version)
+	}
+	share := mulberrybeam.LoadShare{From: mulberrybeam.ProcessID(wire.From), Sequence: wire.Sequence}
+	for _, load := range wire.Targets {
+		if load.Requests < 0 || load.Unread < 0 || load.Held < 0 {
+			return mulberrybeam.LoadShare{}, fmt.Errorf("load share of %q has a negative load", wire.From)
+		}
+		share.Targets = append(share.Targets, mulberrybeam.SharedLoad{
+			Target: mulberrybeam.InstanceID(load.Target),
+			Load:   mulberrybeam.TargetLoad{Requests: load.Requests, Unread: load.Unread, Held: load.Held},
+		})
+	}
+	return share, nil
+}
--- a/fleet.go
+++ b/fleet.go
@@ -72,8 +72,10 @@
 	// per second it takes meanwhile from all callers.
 	ColdTime time.Duration
 	ColdRate float64
-	// Models are set for engines.
+	// Models are set for engines, and Memory is an engine's room for the
+	// context of requests, in tokens.
 	Models []ModelName
+	Memory int
 	// ContextStore is set for a store of kept context.
 	ContextStore *ContextStore
 }
@@ -139,6 +141,8 @@
 type EntryHost struct {
 	ID   ProcessID
 	Zone ZoneName
+	// Address is where it takes datagrams of its peers, "ip:port".
+	Address string
 }
 
 // DutyLease names the process that sends orders to engines.
@@ -208,6 +212,8 @@
 	// EntryHosts are the processes that share limits, this one included,
 	// in a fixed order.
 	EntryHosts []ProcessID
+	// PeerAddresses are those of the other entry hosts, in a fixed order.
+	PeerAddresses []string
 	// Regions maps zones to their regions.
 	Regions map[ZoneName]RegionName
 	// Crashes counts the targets that broke off during a request.
@@ -230,8 +236,10 @@
 	ID      ProcessID
 	Zone    ZoneName
 	Regions map[ZoneName]RegionName
-	// CallerAddress, ReadyAddress and StoreAddress are "ip:port".
+	// CallerAddress, ReadyAddress, PeerAddress and StoreAddress are
+	// "ip:port". PeerAddress may be empty.
 	CallerAddress string
+	PeerAddress   string
 	ReadyAddress  string
 	StoreAddress  string
 	MemoryBytes   int64
--- a/process/gauger/gauger.go
+++ b/process/gauger/gauger.go
@@ -1,9 +1,12 @@
 // Package gauger keeps what the traffic of this process has seen of each
-// target: requests in flight, reported load, latency and failures.
+// target: work in flight, latency and failures, and the work of the other entry
+// hosts as they tell it.
 package gauger
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,13 +23,19 @@
 	coldWindow = time.Second
 	// forgetAfter is when an idle target's state is dropped.
 	forgetAfter = time.Minute
+	// peerLife is how long a peer's word counts. It is several rounds, and
+	// short enough that the work of a host that died does not hold others
+	// off for long.
+	peerLife = 1500 * time.Millisecond
 )
 
 // Gauger keeps one gauge a target. Its methods may be called from any traffic
 // goroutine. Control never takes its lock.
 type Gauger struct {
+	now    func() time.Duration
 	mutex  sync.Mutex
 	gauges map[mulberrybeam.InstanceID]*gauge
+	peers  map[mulberrybeam.ProcessID]peer
 }
 
 type gauge struct {
@@ -37,49 +46,61 @@
 	sends []time.Duration
 }
 
+// peer is what another entry host told last.
+type peer struct {
+	sequence uint64
+	at       time.Duration
+	targets  map[mulberrybeam.InstanceID]mulberrybeam.TargetLoad
+}
+
 // New returns a Gauger without state.
-func New() *Gauger { return &Gauger{gauges: map[mulberrybeam.InstanceID]*gauge{}} }
+func New(now func() time.Duration) *Gauger {
+	return &Gauger{
+		now: now, gauges: map[mulberrybeam.InstanceID]*gauge{}, peers: map[mulberrybeam.ProcessID]peer{},
+	}
+}
 
 // Gauge returns the state of a target.
-func (g *Gauger) Gauge(id mulberrybeam.InstanceID, now time.Duration) mulberrybeam.Gauge {
+func (g *Gauger) Gauge(id mulberrybeam.InstanceID) mulberrybeam.Gauge {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	state, known := g.gauges[id]
-	if !known {
-		return mulberrybeam.Gauge{}
+	now := g.now()
+	copied := mulberrybeam.Gauge{}
+	if state, known := g.gauges[id]; known {
+		state.trim(now)
+		copied = state.Gauge
+		copied.ErrorShare = state.errorShare(now)
+		copied.ColdSends = len(state.sends)
+	}
+	for _, peer := range g.peers {
+		if now-peer.at < peerLife {
+			copied.Peers = copied.Peers.Plus(peer.targets[id])
+		}
 	}
-	state.trim(now)
-	copied := state.Gauge
-	copied.ErrorShare = state.errorShare(now)
-	copied.ColdSends = len(state.sends)
 	return copied
 }
 
 // Reserve counts a request as sent unless the target got limit requests
 // within the last second. A limit of 0 is no bound.
-func (g *Gauger) Reserve(id mulberrybeam.InstanceID, now time.Duration, tokens, limit int) bool {
+func (g *Gauger) Reserve(id mulberrybeam.InstanceID, load mulberrybeam.TargetLoad, limit int) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	state := g.at(id, now)
-	state.trim(now)
+	state := g.at(id)
+	state.trim(state.usedAt)
 	if limit > 0 && len(state.sends) >= limit {
 		return false
 	}
-	state.sends = append(state.sends, now)
-	state.InFlight++
-	state.PromptTokens += tokens
+	state.sends = append(state.sends, state.usedAt)
+	state.Own = state.Own.Plus(load)
 	return true
 }
 
 // Started notes that a request got its first byte, so that its prompt is read.
-func (g *Gauger) Started(id mulberrybeam.InstanceID, now time.Duration, tokens int, latency time.Duration, load *mulberrybeam.LoadSample) {
+func (g *Gauger) Started(id mulberrybeam.InstanceID, unread int, latency time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	state := g.at(id, now)
-	state.PromptTokens = max(state.PromptTokens-tokens, 0)
-	if load != nil {
-		state.Load, state.SeenAt, state.SentBefore = *load, now, state.InFlight
-	}
+	state := g.at(id)
+	state.Own.Unread -= unread
 	if state.Latency == 0 {
 		state.Latency = latency
 		return
@@ -87,63 +108,96 @@
 	state.Latency += time.Duration(smoothing * float64(latency-state.Latency))
 }
 
-// Finished notes the end of a request.
-func (g *Gauger) Finished(id mulberrybeam.InstanceID, now time.Duration, failed bool) {
+// Finished takes back what is left of a request's load at its end.
+func (g *Gauger) Finished(id mulberrybeam.InstanceID, left mulberrybeam.TargetLoad, failed bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	state := g.at(id, now)
-	state.InFlight = max(state.InFlight-1, 0)
+	state := g.at(id)
+	state.Own.Requests -= left.Requests
+	state.Own.Unread -= left.Unread
+	state.Own.Held -= left.Held
 	outcome := 0.0
 	if failed {
 		outcome = 1
 	}
-	share := state.errorShare(now)
-	state.ErrorShare, state.errorAt = share+smoothing*(outcome-share), now
+	share := state.errorShare(state.usedAt)
+	state.ErrorShare, state.errorAt = share+smoothing*(outcome-share), state.usedAt
 }
 
-// Abandoned takes back the prompt of a request that ended before its first
-// byte.
-func (g *Gauger) Abandoned(id mulberrybeam.InstanceID, now time.Duration, tokens int) {
+// Avoid keeps new requests from a target for a while.
+func (g *Gauger) Avoid(id mulberrybeam.InstanceID, length time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	state := g.at(id, now)
-	state.PromptTokens = max(state.PromptTokens-tokens, 0)
+	state := g.at(id)
+	state.AvoidUntil = max(state.AvoidUntil, state.usedAt+length)
 }
 
-// Avoid keeps new requests from a target until a time.
-func (g *Gauger) Avoid(id mulberrybeam.InstanceID, now, until time.Duration) {
+// Suspect treats a target as cold for a while.
+func (g *Gauger) Suspect(id mulberrybeam.InstanceID, length time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	state := g.at(id, now)
-	state.AvoidUntil = max(state.AvoidUntil, until)
+	state := g.at(id)
+	state.SuspectUntil = max(state.SuspectUntil, state.usedAt+length)
 }
 
-// Suspect treats a target as cold until a time.
-func (g *Gauger) Suspect(id mulberrybeam.InstanceID, now, until time.Duration) {
+// Loads returns this process's work at targets, in a fixed order.
+func (g *Gauger) Loads() []mulberrybeam.SharedLoad {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	state := g.at(id, now)
-	state.SuspectUntil = max(state.SuspectUntil, until)
+	var loads []mulberrybeam.SharedLoad
+	for id, state := range g.gauges {
+		if state.Own.Requests > 0 {
+			loads = append(loads, mulberrybeam.SharedLoad{Target: id, Load: state.Own})
+		}
+	}
+	slices.SortFunc(loads, func(a, b mulberrybeam.SharedLoad) int {
+		return strings.Compare(string(a.Target), string(b.Target))
+	})
+	return loads
 }
 
-// Forget drops the state of targets that were not used for a while.
-func (g *Gauger) Forget(now time.Duration) {
+// Take accepts what a peer told, unless it told something newer. A sequence far
+// below the last one is that of a new run of the peer.
+func (g *Gauger) Take(share mulberrybeam.LoadShare) {
+	const newRun = 20
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	known, told := g.peers[share.From]
+	if told && share.Sequence < known.sequence && known.sequence-share.Sequence < newRun {
+		return
+	}
+	targets := make(map[mulberrybeam.InstanceID]mulberrybeam.TargetLoad, len(share.Targets))
+	for _, shared := range share.Targets {
+		targets[shared.Target] = shared.Load
+	}
+	g.peers[share.From] = peer{sequence: share.Sequence, at: g.now(), targets: targets}
+}
+
+// Forget drops the state of targets that were not used for a while, and of
+// peers that fell silent.
+func (g *Gauger) Forget() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
 	for id, state := range g.gauges {
-		if state.InFlight == 0 && now-state.usedAt > forgetAfter {
+		if state.Own.Requests == 0 && now-state.usedAt > forgetAfter {
 			delete(g.gauges, id)
 		}
 	}
+	for id, peer := range g.peers {
+		if now-peer.at > forgetAfter {
+			delete(g.peers, id)
+		}
+	}
 }
 
-func (g *Gauger) at(id mulberrybeam.InstanceID, now time.Duration) *gauge {
+func (g *Gauger) at(id mulberrybeam.InstanceID) *gauge {
 	state := g.gauges[id]
 	if state == nil {
 		state = &gauge{}
 		g.gauges[id] = state
 	}
-	state.usedAt = now
+	state.usedAt = g.now()
 	return state
 }
 
--- a/process/logger/logger.go
+++ b/process/logger/logger.go
@@ -20,7 +20,7 @@
 	// writes about 200.
 	maxPerSecond = 500
 	// writeBuffer collects lines, so that a burst costs few writes.
-	writeBuffer = 32 << 10
+	writeBuffer = 4 << 10
 )
 
 // Logger writes entries. Its methods may be called from any goroutine.
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -27,6 +27,8 @@
 	pending []mulberrybeam.Object
 	// written are crash records to be deleted later.
 	written []writtenCrash
+	// replace says that the first pending object exists already.
+	replace bool
 	ticket  mulberrybeam.Ticket
 	sending mulberrybeam.Object
 	nextAt  time.Duration
@@ -72,6 +74,10 @@
 	}
 	op := mulberrybeam.OpCreate
 	switch {
+	case r.replace:
+		// An object of an earlier run may have an old address.
+		op = mulberrybeam.OpUpdate
+		r.sending = r.pending[0]
 	case len(r.pending) > 0:
 		r.sending = r.pending[0]
 	case len(r.written) > 0 && turn.Now >= r.written[0].deleteAt:
@@ -89,22 +95,28 @@
 // written by an earlier call whose answer was lost, or by an earlier run.
 func (r *Registrar) replied(turn mulberrybeam.Turn, reply mulberrybeam.ObjectReplied) []mulberrybeam.Action {
 	r.ticket = 0
-	creating := len(r.pending) > 0 && r.pending[0].Name == r.sending.Name
-	if !creating {
+	if len(r.pending) == 0 || r.pending[0].Name != r.sending.Name {
 		return nil
 	}
-	if reply.Err != nil && mulberrybeam.CodeOf(reply.Err) != mulberrybeam.CodeExists {
+	exists := mulberrybeam.CodeOf(reply.Err) == mulberrybeam.CodeExists
+	switch {
+	case exists && r.sending.Kind == mulberrybeam.ObjectHost:
+		r.replace = true
+		return nil
+	case reply.Err != nil && !exists:
+		r.replace = false
 		r.nextAt = turn.Now + retryPause
-		return []mulberrybeam.Action{mulberrybeam.Note{Entry: mulberrybeam.Entry{
-			Kind: mulberrybeam.EntryPlatform, Subject: r.sending.Name, Text: "record not written: " + reply.Err.Error(),
-		}}}
+		return []mulberrybeam.Action{note(mulberrybeam.EntryPlatform, r.sending.Name, "record not written: "+reply.Err.Error())}
 	}
+	r.replace = false
 	r.pending = r.pending[1:]
 	if r.sending.Kind != mulberrybeam.ObjectCrash {
 		return nil
 	}
 	r.written = append(r.written, writtenCrash{r.sending, turn.Now + retention})
-	return []mulberrybeam.Action{mulberrybeam.Note{Entry: mulberrybeam.Entry{
-		Kind: mulberrybeam.EntryCrash, Subject: r.sending.Name, Text: "a target crashed while it ran a request",
-	}}}
+	return []mulberrybeam.Action{note(mulberrybeam.EntryCrash, r.sending.Name, "a target crashed while it ran a request")}
+}
+
+func note(kind mulberrybeam.EntryKind, subject, text string) mulberrybeam.Action {
+	return mulberrybeam.Note{Entry: mulberrybeam.Entry{Kind: kind, Subject: subject, Text: text}}
 }
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -17,6 +17,7 @@
 	"mulberrybeam/connection/dialer"
 	"mulberrybeam/connection/feeder"
 	"mulberrybeam/platform"
+	"mulberrybeam/process/broadcaster"
 	"mulberrybeam/process/cataloger"
 	"mulberrybeam/process/controller"
 	"mulberrybeam/process/gauger"
@@ -87,7 +88,8 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
-	p := &Process{now: clock(), gauger: gauger.New()}
+	p := &Process{now: clock()}
+	p.gauger = gauger.New(p.now)
 	p.catalog = cataloger.New(p.now)
 	p.settings.Store(&settings)
 	log, stopLog := logger.New(out)
@@ -107,9 +109,30 @@
 		p.clean()
 		return nil, err
 	}
+	if err := p.broadcast(settings); err != nil {
+		p.clean()
+		return nil, err
+	}
 	return p, nil
 }
 
+// broadcast starts to share loads with the other entry hosts.
+func (p *Process) broadcast(settings mulberrybeam.HostSettings) error {
+	if settings.PeerAddress == "" {
+		return nil
+	}
+	b := &broadcaster.Broadcaster{
+		Self: settings.ID, Fleet: p.fleet, Loads: p.gauger.Loads, Take: p.gauger.Take,
+		Dropped: func(err error) { p.note("load share dropped", err.Error()) },
+	}
+	stop, err := b.Listen(settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	p.cleanups = append(p.cleanups, stop)
+	return nil
+}
+
 // startControl starts the control goroutine and the feeds.
 func (p *Process) startControl(settings mulberrybeam.HostSettings) {
 	client, closeClient := dialer.Client()
@@ -118,7 +141,7 @@
 	machines := []mulberrybeam.Machine{
 		tracker.New(settings.ID, settings.Regions),
 		upgrader.New(settings.ID, settings.Bounds, platform.Encoder{}),
-		registrar.New(mulberrybeam.EntryHost{ID: settings.ID, Zone: settings.Zone}, platform.Encoder{}),
+		registrar.New(mulberrybeam.EntryHost{ID: settings.ID, Zone: settings.Zone, Address: settings.PeerAddress}, platform.Encoder{}),
 	}
 	control, stopControl := controller.New(machines,
 		controller.WithSelf(settings.ID, settings.Zone),
@@ -168,7 +191,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			p.gauger.Forget(p.now())
+			p.gauger.Forget()
 			p.carrier.Retain(p.inUse())
 		}
 	}
--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -19,7 +19,9 @@
 		Regions:    t.regions,
 		Targets:    t.usable(),
 		EntryHosts: t.entryHosts(),
-		Crashes:    make(map[mulberrybeam.Fingerprint]int, len(t.crashes)),
+
+		PeerAddresses: t.peerAddresses(),
+		Crashes:       make(map[mulberrybeam.Fingerprint]int, len(t.crashes)),
 	}
 	t.fleet.Leaving = leavingEngines(t.fleet.Targets, t.weights)
 	for crash := range t.crashes {
@@ -72,10 +74,21 @@
 
 func (t *Tracker) entryHosts() []mulberrybeam.ProcessID {
 	hosts := maps.Clone(t.hosts)
-	hosts[t.self] = true
+	hosts[t.self] = mulberrybeam.EntryHost{}
 	return slices.Sorted(maps.Keys(hosts))
 }
 
+func (t *Tracker) peerAddresses() []string {
+	var addresses []string
+	for id, host := range t.hosts {
+		if id != t.self && host.Address != "" {
+			addresses = append(addresses, host.Address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
 func keysOf(deployment *mulberrybeam.Deployment) map[string]*mulberrybeam.Tenancy {
 	keys := map[string]*mulberrybeam.Tenancy{}
 	for i := range deployment.Workspaces {
--- a/process/tracker/tracker.go
+++ b/process/tracker/tracker.go
@@ -38,7 +38,7 @@
 	targets     map[mulberrybeam.InstanceID]*entry
 	evacuated   map[mulberrybeam.ZoneName]bool
 	weights     map[mulberrybeam.ModelName]mulberrybeam.WeightGoal
-	hosts       map[mulberrybeam.ProcessID]bool
+	hosts       map[mulberrybeam.ProcessID]mulberrybeam.EntryHost
 	changed     map[mulberrybeam.InstanceID]mulberrybeam.ChangedEngine
 	crashes     map[mulberrybeam.CrashRecord]time.Duration
 
@@ -66,7 +66,7 @@
 		targets:   map[mulberrybeam.InstanceID]*entry{},
 		evacuated: map[mulberrybeam.ZoneName]bool{},
 		weights:   map[mulberrybeam.ModelName]mulberrybeam.WeightGoal{},
-		hosts:     map[mulberrybeam.ProcessID]bool{},
+		hosts:     map[mulberrybeam.ProcessID]mulberrybeam.EntryHost{},
 		changed:   map[mulberrybeam.InstanceID]mulberrybeam.ChangedEngine{},
 		crashes:   map[mulberrybeam.CrashRecord]time.Duration{},
 	}
@@ -186,10 +186,10 @@
 	case mulberrybeam.ObjectWeights:
 		return t.nameWeights(turn, record.Weights)
 	case mulberrybeam.ObjectHost:
-		if removed {
+		if record.Host == nil {
 			delete(t.hosts, mulberrybeam.ProcessID(name))
 		} else {
-			t.hosts[mulberrybeam.ProcessID(name)] = true
+			t.hosts[record.Host.ID] = *record.Host
 		}
 	case mulberrybeam.ObjectLease:
 		t.learnChanged(record.Lease)
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -3,7 +3,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,9 +12,6 @@
 )
 
 const (
-	// homes is how many engines, in rendezvous order, a shared prompt may be
-	// kept at. More would keep each prompt in more of the engines' memory.
-	homes = 2
 	// weakErrorShare is the share of failures from which a target is left
 	// out while others can take the load.
 	weakErrorShare = 0.3
@@ -29,15 +25,17 @@
 	hopCost = 4 * time.Millisecond
 	// usualLatency is assumed of a target that has not answered yet.
 	usualLatency = 15 * time.Millisecond
-	// waitingWeight is how much a waiting request counts against running
-	// ones at an engine.
-	waitingWeight = 4
-	// tokensPerLoad is the prompt tokens that count as much as one running
-	// request.
-	tokensPerLoad = 2000
-	// homeSlack is the load by which an engine may exceed the least loaded
-	// one of its zone before a shared prompt is read anew elsewhere.
-	homeSlack = 14
+	// otherEngineCost stands for context that only the first engine may
+	// still have, and otherZoneCost for transfers that take twice as long
+	// between zones, both in tokens to be read.
+	otherEngineCost = 3000
+	otherZoneCost   = 2000
+	// heldWeight is the cost of a token in memory against that of one to be
+	// read, and fullWeight that of one beyond fullShare of the memory, for
+	// which others must finish first.
+	heldWeight = 0.25
+	fullWeight = 3
+	fullShare  = 0.85
 	// moveShare is the part of engines with new weights from which the
 	// others get no new requests.
 	moveShare = 0.4
@@ -54,7 +52,12 @@
 	// SharedPart is the last prompt part that other requests share, empty
 	// for a plain call.
 	SharedPart string
-	Model      mulberrybeam.ModelName
+	// ContextZone is where the part's context is kept, empty for nowhere.
+	ContextZone mulberrybeam.ZoneName
+	// PromptTokens is the prompt's length, and Memory an engine's room.
+	PromptTokens int
+	Memory       int
+	Model        mulberrybeam.ModelName
 	// Strict leaves out engines without the named weights.
 	Strict bool
 	Tried  []mulberrybeam.InstanceID
@@ -65,7 +68,7 @@
 
 // View is what the process knows of targets.
 type View interface {
-	Gauge(id mulberrybeam.InstanceID, now time.Duration) mulberrybeam.Gauge
+	Gauge(id mulberrybeam.InstanceID) mulberrybeam.Gauge
 }
 
 // Choice is a target for an attempt.
@@ -110,7 +113,7 @@
 		if query.Strict && outdated(fleet, query.Model, target) {
 			continue
 		}
-		gauge := view.Gauge(target.ID, now)
+		gauge := view.Gauge(target.ID)
 		if now < gauge.AvoidUntil {
 			continue
 		}
@@ -184,7 +187,7 @@
 	if query.SharedPart == "" {
 		return cheapest(warm, query.Zone), "least expected wait"
 	}
-	return home(warm, query.SharedPart)
+	return home(warm, query)
 }
 
 // cheapest returns the target with the least expected time to answer.
@@ -201,7 +204,7 @@
 		latency = usualLatency
 	}
 	slots := max(c.target.Slots, 1)
-	load := float64(c.gauge.InFlight+c.gauge.Others()) / float64(slots)
+	load := float64(c.gauge.Load().Requests) / float64(slots)
 	wait := time.Duration(float64(latency) * (1 + load*load))
 	if c.target.Zone != zone {
 		wait += hopCost
@@ -209,27 +212,50 @@
 	return wait
 }
 
-// home returns the first engine in rendezvous order for the shared part that
-// is not overloaded. All processes derive the same order, so that requests
-// that share a prompt meet where it is kept.
-func home(warm []candidate, part string) (candidate, string) {
-	ranked := slices.Clone(warm)
-	slices.SortFunc(ranked, func(a, b candidate) int {
-		return cmp.Compare(ranker.Score(part, string(b.target.ID)), ranker.Score(part, string(a.target.ID)))
+// home returns the engine with the least cost for a shared prompt: its load,
+// and what it costs to get the prompt's context there. All processes derive the
+// same first engine for a prompt, so that requests meet where its context was
+// used last.
+func home(warm []candidate, query Query) (candidate, string) {
+	first := slices.MaxFunc(warm, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.preference(query), b.preference(query)), cmp.Compare(a.target.ID, b.target.ID))
 	})
-	least := slices.MinFunc(warm, func(a, b candidate) int { return cmp.Compare(a.load(), b.load()) })
-	for i, c := range ranked[:min(homes, len(ranked))] {
-		if c.load() <= least.load()+homeSlack {
-			return c, fmt.Sprintf("home %d of the shared prompt", i+1)
-		}
+	best := slices.MinFunc(warm, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.cost(query, first), b.cost(query, first)), cmp.Compare(a.target.ID, b.target.ID))
+	})
+	switch {
+	case best.target.ID == first.target.ID:
+		return best, "first engine for the shared prompt"
+	case best.target.Zone == query.ContextZone:
+		return best, "less loaded engine near the prompt's store"
+	}
+	return best, "less loaded engine in another zone"
+}
+
+// preference orders engines for a prompt: by rendezvous, those near the
+// prompt's store before the others.
+func (c candidate) preference(query Query) uint64 {
+	score := ranker.Score(query.SharedPart, string(c.target.ID)) >> 1
+	if c.target.Zone == query.ContextZone {
+		score |= 1 << 63
 	}
-	return least, "least loaded, the homes of the shared prompt are busy"
+	return score
 }
 
-// load is an engine's load in running requests.
-func (c candidate) load() int {
-	waiting := max(c.gauge.Load.Waiting, 0)
-	return c.gauge.InFlight + c.gauge.Others() + waitingWeight*waiting + c.gauge.PromptTokens/tokensPerLoad
+// cost is what it takes an engine to start the request, in tokens to be read.
+func (c candidate) cost(query Query, first candidate) float64 {
+	load := c.gauge.Load()
+	cost := float64(load.Unread) + heldWeight*float64(load.Held)
+	if room := fullShare * float64(query.Memory); query.Memory > 0 {
+		cost += fullWeight * max(float64(load.Held+query.PromptTokens)-room, 0)
+	}
+	if c.target.ID != first.target.ID {
+		cost += otherEngineCost
+	}
+	if query.ContextZone != "" && c.target.Zone != query.ContextZone {
+		cost += otherZoneCost
+	}
+	return cost
 }
 
 // chooseCold returns a cold target that this process may use. The target's
--- a/request/fetcher/fetcher.go
+++ b/request/fetcher/fetcher.go
@@ -14,9 +14,13 @@
 	"mulberrybeam/version/ranker"
 )
 
-// FetchLimit bounds a fetch. A usual one takes about 0.1 s, and what is left of
-// a first token's time is enough to read the prompt.
-const FetchLimit = 450 * time.Millisecond
+const (
+	// baseLimit and tokenLimit bound a fetch: it may take longer the more
+	// reading it saves, since engines that read prompts again delay all
+	// other requests.
+	baseLimit  = 1500 * time.Millisecond
+	tokenLimit = 150 * time.Microsecond
+)
 
 // choices is how many stores, in rendezvous order, a part may be written to
 // when the ones before them are full.
@@ -79,11 +83,13 @@
 	if len(query.Stores) == 0 || len(query.Parts) < 2 {
 		return Plan{}
 	}
+	limit := baseLimit
 	plan := Plan{FetchFrom: make([]string, len(query.Parts)), SaveTo: make([]string, len(query.Parts))}
 	for i, part := range query.Parts[:len(query.Parts)-1] {
 		key := mulberrybeam.PartKey{Salt: query.Salt, Model: query.Model, ID: part.ID}
 		if address, found := catalog.Holder(key); found {
 			plan.FetchFrom[i] = address
+			limit += time.Duration(part.Tokens) * tokenLimit
 			continue
 		}
 		if address, found := home(catalog, query.Stores, part); found && catalog.Claim(key) {
@@ -91,11 +97,23 @@
 		}
 	}
 	if now, known := catalog.Clock(); known {
-		plan.Until = now + mulberrybeam.EngineClock(FetchLimit)
+		plan.Until = now + mulberrybeam.EngineClock(limit)
 	}
 	return plan
 }
 
+// Zone returns the zone of the store that a part is written to while it has
+// room, or "" without stores.
+func Zone(stores []mulberrybeam.ContextStore, part string) mulberrybeam.ZoneName {
+	if len(stores) == 0 {
+		return ""
+	}
+	first := slices.MaxFunc(stores, func(a, b mulberrybeam.ContextStore) int {
+		return cmp.Compare(weight(a, part), weight(b, part))
+	})
+	return first.Zone
+}
+
 // home returns the first store with room, in the part's rendezvous order
 // weighted by capacity.
 func home(catalog Catalog, stores []mulberrybeam.ContextStore, part mulberrybeam.PromptPart) (string, bool) {
--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -125,8 +125,20 @@
 }
 
 func (t *try) completed(status int) {
-	t.note(mulberrybeam.EntryCompletion, string(t.target.ID), fmt.Sprintf("status %d after %d attempts in %s",
-		status, len(t.history.Attempts)+1, (t.Now()-t.arrived).Round(time.Millisecond)))
+	duration := t.Now() - t.arrived
+	attempts := len(t.history.Attempts) + 1
+	measure := &mulberrybeam.Measure{
+		Model: t.inbound.Model, Service: t.service, Duration: duration, Attempts: attempts,
+		FirstToken: t.firstByte - t.arrived,
+	}
+	if t.match.Workspace != nil {
+		measure.Workspace = t.match.Workspace.Name
+	}
+	t.Recorder.Record(mulberrybeam.Entry{
+		Kind: mulberrybeam.EntryCompletion, Request: t.inbound.ID, Subject: string(t.target.ID), Measure: measure,
+		Text: fmt.Sprintf("status %d after %d attempts in %s, first byte after %s", status, attempts,
+			duration.Round(time.Millisecond), measure.FirstToken.Round(time.Millisecond)),
+	})
 }
 
 // giveUp ends a request without an answer of a target.
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -44,17 +44,16 @@
 	if err != nil {
 		return err
 	}
-	target := choice.Target
-	tokens := x.newTokens()
-	if !x.Gauger.Reserve(target.ID, x.Now(), tokens, choice.ColdLimit) {
+	try := &try{exchange: x, target: choice.Target, reason: choice.Reason, sentAt: x.Now(), strict: query.Strict}
+	message := try.message()
+	if !x.Gauger.Reserve(try.target.ID, try.load, choice.ColdLimit) {
 		return &mulberrybeam.Failure{
-			Code: mulberrybeam.CodeNoTarget, Step: mulberrybeam.StepRoute, Peer: string(target.ID),
+			Code: mulberrybeam.CodeNoTarget, Step: mulberrybeam.StepRoute, Peer: string(try.target.ID),
 			Message: "the rate of the cold target is used up", NotRun: true,
 		}
 	}
-	try := &try{exchange: x, target: target, reason: choice.Reason, tokens: tokens, sentAt: x.Now(), strict: query.Strict}
-	err = try.run(ctx)
-	x.Gauger.Finished(target.ID, x.Now(), err != nil && ctx.Err() == nil && !isRefusal(err))
+	err = try.run(ctx, message)
+	x.Gauger.Finished(try.target.ID, try.load, err != nil && ctx.Err() == nil && !isRefusal(err))
 	return err
 }
 
@@ -62,6 +61,7 @@
 	query := chooser.Query{
 		Rule: x.match.Rule, Service: x.service, Zone: x.settings.Zone, Self: x.settings.ID,
 		Model: x.inbound.Model, Tried: x.tried,
+		PromptTokens: x.inbound.PromptTokens, Memory: x.fleet.Deployment.Pools[x.service].Memory,
 		ColdOvershoot: x.settings.Bounds.ColdOvershoot, ColdSlack: x.settings.Bounds.ColdSlack,
 	}
 	if parts := x.inbound.Parts; len(parts) > 1 {
@@ -69,32 +69,26 @@
 	} else if len(parts) == 1 {
 		query.SharedPart = parts[0].ID
 	}
+	query.ContextZone = fetcher.Zone(x.fleet.ContextStores, query.SharedPart)
 	if goal, known := x.fleet.Weights[x.inbound.Model]; known {
 		query.Strict = x.Now()-goal.SeenAt > x.settings.Bounds.VersionWithin-strictMargin
 	}
 	return query
 }
 
-// newTokens is the part of the prompt that the target has to read anew.
-func (x *exchange) newTokens() int {
-	if len(x.inbound.Parts) == 0 {
-		return 0
-	}
-	return x.inbound.Parts[len(x.inbound.Parts)-1].Tokens
-}
-
 // try is one attempt at one target.
 type try struct {
 	*exchange
 	target mulberrybeam.FleetTarget
 	reason string
-	tokens int
+	// load is what the attempt still adds to the target's load.
+	load   mulberrybeam.TargetLoad
 	sentAt time.Duration
 	// strict ties the attempt to the named weights.
 	strict bool
 }
 
-func (t *try) run(ctx context.Context) error {
+func (t *try) run(ctx context.Context, message carrier.Message) error {
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	patience := t.patience()
@@ -103,16 +97,17 @@
 		timer = time.AfterFunc(patience, func() { cancel(errNoAnswer) })
 		defer timer.Stop()
 	}
-	answer, err := t.Sender.Send(sending, t.target, t.connectionLimit(), t.message())
+	answer, err := t.Sender.Send(sending, t.target, t.connectionLimit(), message)
 	if err != nil {
-		t.Gauger.Abandoned(t.target.ID, t.Now(), t.tokens)
 		return t.failed(ctx, context.Cause(sending), err)
 	}
 	defer answer.Close()
 	if timer != nil {
 		timer.Stop()
 	}
-	t.Gauger.Started(t.target.ID, t.Now(), t.tokens, t.Now()-t.sentAt, answer.Head.Load)
+	t.firstByte = t.Now()
+	t.Gauger.Started(t.target.ID, t.load.Unread, t.firstByte-t.sentAt)
+	t.load.Unread = 0
 	return t.judge(ctx, cancel, answer)
 }
 
@@ -159,13 +154,14 @@
 		}
 	}
 	t.planContext(&call)
+	t.load = t.expectedLoad(call)
 	if t.splitter.LastID != "" {
 		call.LastEvent = t.splitter.LastID
 	}
 	t.note(mulberrybeam.EntryRoute, string(t.target.ID), fmt.Sprintf(
-		"%s, attempt %d of rule %s at revision %d, version %d, fetch %v, save %v, %s left",
+		"%s, attempt %d of rule %s at revision %d, version %d, parts %v, fetch %v, save %v, %s left",
 		t.reason, len(t.history.Attempts)+1, t.match.Rule.Name, t.fleet.Deployment.Revision,
-		call.Version, call.FetchFrom, call.SaveTo, call.Deadline.Round(time.Millisecond)))
+		call.Version, t.inbound.Parts, call.FetchFrom, call.SaveTo, call.Deadline.Round(time.Millisecond)))
 	return carrier.Message{
 		ID: t.inbound.ID, Method: t.request.Method, URI: requestURI(t.request), Host: t.request.Host,
 		Header: t.Codec.Outbound(t.request.Header, call), Body: t.body,
@@ -195,6 +191,18 @@
 	call.FetchUntil = plan.Until
 }
 
+// expectedLoad is what the attempt adds to the target's load. Parts that are
+// fetched need not be read.
+func (t *try) expectedLoad(call mulberrybeam.OutboundCall) mulberrybeam.TargetLoad {
+	load := mulberrybeam.TargetLoad{Requests: 1, Held: t.inbound.PromptTokens}
+	for i, part := range t.inbound.Parts {
+		if i >= len(call.FetchFrom) || call.FetchFrom[i] == "" {
+			load.Unread += part.Tokens
+		}
+	}
+	return load
+}
+
 // judge decides what the head of an answer means.
 func (t *try) judge(ctx context.Context, cancel context.CancelCauseFunc, answer *carrier.Answer) error {
 	switch {
@@ -227,7 +235,6 @@
 // refused notes that the target did not run the request.
 func (t *try) refused(answer *carrier.Answer) error {
 	_, _ = io.Copy(io.Discard, answer)
-	now := t.Now()
 	avoid := avoidFull
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest:
@@ -235,7 +242,7 @@
 	case t.inbound.Model != "":
 		avoid = avoidBusy
 	}
-	t.Gauger.Avoid(t.target.ID, now, now+avoid)
+	t.Gauger.Avoid(t.target.ID, avoid)
 	t.noteAttempt(true, true)
 	return &mulberrybeam.Failure{
 		Code: mulberrybeam.CodeTargetRefused, Step: mulberrybeam.StepAnswer, Peer: string(t.target.ID),
@@ -273,13 +280,12 @@
 		}
 		return t.broke(ctx, "no answer", err)
 	}
-	now := t.Now()
 	t.noteAttempt(false, true)
 	if ctx.Err() == nil {
 		pool := t.fleet.Deployment.Pools[t.service]
-		t.Gauger.Avoid(t.target.ID, now, now+avoidGone)
+		t.Gauger.Avoid(t.target.ID, avoidGone)
 		if pool.ColdTime > 0 {
-			t.Gauger.Suspect(t.target.ID, now, now+pool.ColdTime+suspectSlack)
+			t.Gauger.Suspect(t.target.ID, pool.ColdTime+suspectSlack)
 		}
 	}
 	return err
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -51,6 +51,8 @@
 	tried      []mulberrybeam.InstanceID
 	waits      int
 	mayHaveRun bool
+	// firstByte is when the target of the last attempt began to answer.
+	firstByte time.Duration
 	// started says that the caller has the head of an answer.
 	started  bool
 	splitter resumer.Splitter
