--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -25,10 +25,10 @@
 	hopCost = 4 * time.Millisecond
 	// usualLatency is assumed of a target that has not answered yet.
 	usualLatency = 15 * time.Millisecond
-	// otherEngineCost stands for context that only the first engine may
-	// still have, and otherZoneCost for transfers that take twice as long
-	// between zones, both in tokens to be read.
-	otherEngineCost = 3000
+	// otherEngineCost stands for the transfer of stored context that the
+	// first engine may still have, and otherZoneCost for transfers that take
+	// twice as long between zones, both in tokens to be read.
+	otherEngineCost = 1500
 	otherZoneCost   = 2000
 	// heldWeight is the cost of a token in memory against that of one to be
 	// read, and fullWeight that of one beyond fullShare of the memory, for
@@ -52,6 +52,10 @@
 	// SharedPart is the last prompt part that other requests share, empty
 	// for a plain call.
 	SharedPart string
+	// SharedTokens are those of all shared parts, and Stored says that a
+	// store has their context.
+	SharedTokens int
+	Stored       bool
 	// ContextZone is where the part's context is kept, empty for nowhere.
 	ContextZone mulberrybeam.ZoneName
 	// PromptTokens is the prompt's length, and Memory an engine's room.
@@ -249,8 +253,13 @@
 	if room := fullShare * float64(query.Memory); query.Memory > 0 {
 		cost += fullWeight * max(float64(load.Held+query.PromptTokens)-room, 0)
 	}
-	if c.target.ID != first.target.ID {
+	switch {
+	case c.target.ID == first.target.ID:
+	case query.Stored:
 		cost += otherEngineCost
+	default:
+		// The first engine has read the shared parts or is reading them.
+		cost += float64(query.SharedTokens)
 	}
 	if query.ContextZone != "" && c.target.Zone != query.ContextZone {
 		cost += otherZoneCost
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// firstVersion is that of a model's weights before any are named.
+	firstVersion = 1
 	// connectionShare is the part of a target's connections that the entry
 	// hosts use together.
 	connectionShare = 0.85
@@ -64,18 +66,35 @@
 		PromptTokens: x.inbound.PromptTokens, Memory: x.fleet.Deployment.Pools[x.service].Memory,
 		ColdOvershoot: x.settings.Bounds.ColdOvershoot, ColdSlack: x.settings.Bounds.ColdSlack,
 	}
-	if parts := x.inbound.Parts; len(parts) > 1 {
-		query.SharedPart = parts[len(parts)-2].ID
-	} else if len(parts) == 1 {
-		query.SharedPart = parts[0].ID
-	}
-	query.ContextZone = fetcher.Zone(x.fleet.ContextStores, query.SharedPart)
-	if goal, known := x.fleet.Weights[x.inbound.Model]; known {
+	goal, named := x.fleet.Weights[x.inbound.Model]
+	if named {
 		query.Strict = x.Now()-goal.SeenAt > x.settings.Bounds.VersionWithin-strictMargin
 	}
+	x.describePrompt(&query, goal.Version)
 	return query
 }
 
+// describePrompt tells where context of the prompt's shared parts may be.
+func (x *exchange) describePrompt(query *chooser.Query, version int) {
+	parts := x.inbound.Parts
+	if len(parts) == 0 {
+		return
+	}
+	shared := parts[:max(len(parts)-1, 1)]
+	last := shared[len(shared)-1]
+	query.SharedPart = last.ID
+	for _, part := range shared {
+		query.SharedTokens += part.Tokens
+	}
+	query.ContextZone = fetcher.Zone(x.fleet.ContextStores, last.ID)
+	if version == 0 {
+		version = firstVersion
+	}
+	_, query.Stored = x.Catalog.Holder(mulberrybeam.PartKey{
+		Salt: fetcher.Salt(version, x.match.Workspace), Model: x.inbound.Model, ID: last.ID,
+	})
+}
+
 // try is one attempt at one target.
 type try struct {
 	*exchange
