Hold requests for a moment while no engine has room

Requests bound to a full engine waited there while others became free. A target that answers other requests is left later than one that is silent.

--- a/gauge.go
+++ b/gauge.go
@@ -8,6 +8,8 @@
 	// other entry hosts as they last told.
 	Own   TargetLoad
 	Peers TargetLoad
+	// HeardAt is when the target last sent a byte to this process.
+	HeardAt time.Duration
 	// Latency averages the time to the first byte of recent answers.
 	Latency time.Duration
 	// ErrorShare averages recent failures, from 0 to 1.
--- a/process/gauger/gauger.go
+++ b/process/gauger/gauger.go
@@ -101,6 +101,7 @@
 	defer g.mutex.Unlock()
 	state := g.at(id)
 	state.Own.Unread -= unread
+	state.HeardAt = state.usedAt
 	if state.Latency == 0 {
 		state.Latency = latency
 		return
@@ -108,6 +109,14 @@
 	state.Latency += time.Duration(smoothing * float64(latency-state.Latency))
 }
 
+// Heard notes that a target sent something.
+func (g *Gauger) Heard(id mulberrybeam.InstanceID) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	state := g.at(id)
+	state.HeardAt = state.usedAt
+}
+
 // Finished takes back what is left of a request's load at its end.
 func (g *Gauger) Finished(id mulberrybeam.InstanceID, left mulberrybeam.TargetLoad, failed bool) {
 	g.mutex.Lock()
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -36,6 +36,9 @@
 	heldWeight = 0.25
 	fullWeight = 3
 	fullShare  = 0.85
+	// maxUnread is the tokens that an engine may still have to read when it
+	// gets a request that could wait. An engine reads them in about 0.3 s.
+	maxUnread = 20000
 	// moveShare is the part of engines with new weights from which the
 	// others get no new requests.
 	moveShare = 0.4
@@ -65,6 +68,8 @@
 	// Strict leaves out engines without the named weights.
 	Strict bool
 	Tried  []mulberrybeam.InstanceID
+	// MayWait says that the request can wait for an engine with room.
+	MayWait bool
 	// ColdOvershoot and ColdSlack widen a cold target's rate.
 	ColdOvershoot float64
 	ColdSlack     int
@@ -102,6 +107,9 @@
 	if len(warm) > 0 {
 		warm = sound(random, warm)
 		chosen, reason := pick(warm, query)
+		if query.MayWait && chosen.full(query) {
+			return Choice{}, noTarget(query.Service, "no engine has room")
+		}
 		return Choice{Target: chosen.target, Reason: reason}, nil
 	}
 	return chooseCold(fleet, query, known)
@@ -246,6 +254,14 @@
 	return score
 }
 
+// full says whether the request would wait at the engine. While it waits here
+// it can still go to another engine, and context of its prompt may reach a
+// store.
+func (c candidate) full(query Query) bool {
+	load := c.gauge.Load()
+	return query.Memory > 0 && (load.Held+query.PromptTokens > query.Memory || load.Unread > maxUnread)
+}
+
 // cost is what it takes an engine to start the request, in tokens to be read.
 func (c candidate) cost(query Query, first candidate) float64 {
 	load := c.gauge.Load()
--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -18,9 +18,6 @@
 	maxHeld = 64 << 10
 	// streamBuffer is the size of one read of a stream.
 	streamBuffer = 8 << 10
-	// stallLimit is how long a resumable stream may be silent before it goes
-	// on at another target. Callers leave after two seconds at least.
-	stallLimit = 1600 * time.Millisecond
 	// retryPause is when callers may come again after a refusal.
 	retryPause = 300 * time.Millisecond
 )
@@ -55,16 +52,15 @@
 	t.splitter.Drop()
 	flusher := http.NewResponseController(t.writer)
 	buffer := make([]byte, streamBuffer)
-	var stalled *time.Timer
+	limit := time.Duration(0)
 	if t.plain.Repeatable {
-		stalled = time.AfterFunc(stallLimit, func() { cancel(errNoAnswer) })
-		defer stalled.Stop()
+		limit = stallLimit
 	}
+	watch := t.watch(limit, func() { cancel(errNoAnswer) })
+	defer watch.stop()
 	for {
 		n, err := answer.Read(buffer)
-		if stalled != nil {
-			stalled.Reset(stallLimit)
-		}
+		watch.heard()
 		if n > 0 {
 			if writeErr := t.forward(flusher, buffer[:n]); writeErr != nil {
 				return t.callerLeft(writeErr)
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -22,10 +22,9 @@
 	connectionShare = 0.85
 	// minConnections lets a host reach a target whose connections are few.
 	minConnections = 2
-	// plainPatience and streamPatience are how long an idempotent request
-	// waits for an answer before another target gets it, in latency goals.
-	plainPatience  = 2.5
-	streamPatience = 2
+	// plainPatience is how long an idempotent plain request waits for an
+	// answer before another target gets it, in latency goals.
+	plainPatience = 2.5
 	// avoidFull and avoidGone are how long a target that refused a request,
 	// or cannot be reached, gets no other.
 	avoidFull = 40 * time.Millisecond
@@ -63,6 +62,7 @@
 	query := chooser.Query{
 		Rule: x.match.Rule, Service: x.service, Zone: x.settings.Zone, Self: x.settings.ID,
 		Model: x.inbound.Model, Tried: x.tried,
+		MayWait:      x.match.Rule.Streaming && !x.started && x.Now()+waitPause <= x.waitLimit(),
 		PromptTokens: x.inbound.PromptTokens, Memory: x.fleet.Deployment.Pools[x.service].Memory,
 		ColdOvershoot: x.settings.Bounds.ColdOvershoot, ColdSlack: x.settings.Bounds.ColdSlack,
 	}
@@ -110,20 +110,14 @@
 func (t *try) run(ctx context.Context, message carrier.Message) error {
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	patience := t.patience()
-	var timer *time.Timer
-	if patience > 0 {
-		timer = time.AfterFunc(patience, func() { cancel(errNoAnswer) })
-		defer timer.Stop()
-	}
+	watch := t.watch(t.patience(), func() { cancel(errNoAnswer) })
+	defer watch.stop()
 	answer, err := t.Sender.Send(sending, t.target, t.connectionLimit(), message)
 	if err != nil {
 		return t.failed(ctx, context.Cause(sending), err)
 	}
 	defer answer.Close()
-	if timer != nil {
-		timer.Stop()
-	}
+	watch.stop()
 	t.firstByte = t.Now()
 	t.Gauger.Started(t.target.ID, t.load.Unread, t.firstByte-t.sentAt)
 	t.load.Unread = 0
@@ -146,11 +140,10 @@
 	if !t.plain.Repeatable || runs+1 >= t.history.RunLimit {
 		return 0
 	}
-	factor := plainPatience
 	if t.match.Rule.Streaming {
-		factor = streamPatience
+		return stallLimit
 	}
-	return time.Duration(factor * float64(t.match.Rule.LatencyGoal))
+	return time.Duration(plainPatience * float64(t.match.Rule.LatencyGoal))
 }
 
 func (t *try) connectionLimit() int {
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -195,7 +195,7 @@
 const (
 	// waitShare is the part of the latency goal for which a request that
 	// has not run waits for a target to become free.
-	waitShare = 0.5
+	waitShare = 0.6
 	// waitPause is the time between two looks for a free target.
 	waitPause = 25 * time.Millisecond
 	// forgiveAfter is the number of waits after which targets that refused
@@ -203,11 +203,15 @@
 	forgiveAfter = 2
 )
 
+// waitLimit is until when the request waits for a target.
+func (x *exchange) waitLimit() time.Duration {
+	return x.arrived + time.Duration(waitShare*float64(x.match.Rule.LatencyGoal))
+}
+
 // waitForTarget waits a little for a target to become free. Such a wait puts
 // no load on a target, so that it is not charged to the retry budget.
 func (x *exchange) waitForTarget(ctx context.Context, turn mulberrybeam.Turn) bool {
-	limit := x.arrived + time.Duration(waitShare*float64(x.match.Rule.LatencyGoal))
-	if turn.Now+waitPause > limit || x.mayHaveRun && !x.plain.Repeatable {
+	if turn.Now+waitPause > x.waitLimit() || x.mayHaveRun && !x.plain.Repeatable {
 		return false
 	}
 	timer := time.NewTimer(waitPause)
