Wait longer for an engine with room and stay near the store

Engines were full of requests that waited for transfers while their links and those of the stores were busy.

--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -28,8 +28,8 @@
 	// otherEngineCost stands for the transfer of stored context that the
 	// first engine may still have, and otherZoneCost for transfers that take
 	// twice as long between zones, both in tokens to be read.
-	otherEngineCost = 1500
-	otherZoneCost   = 2000
+	otherEngineCost = 6000
+	otherZoneCost   = 8000
 	// heldWeight is the cost of a token in memory against that of one to be
 	// read, and fullWeight that of one beyond fullShare of the memory, for
 	// which others must finish first.
@@ -38,7 +38,7 @@
 	fullShare  = 0.85
 	// maxUnread is the tokens that an engine may still have to read when it
 	// gets a request that could wait. An engine reads them in about 0.3 s.
-	maxUnread = 20000
+	maxUnread = 12000
 	// moveShare is the part of engines with new weights from which the
 	// others get no new requests.
 	moveShare = 0.4
@@ -259,7 +259,7 @@
 // store.
 func (c candidate) full(query Query) bool {
 	load := c.gauge.Load()
-	return query.Memory > 0 && (load.Held+query.PromptTokens > query.Memory || load.Unread > maxUnread)
+	return query.Memory > 0 && (float64(load.Held+query.PromptTokens) > fullShare*float64(query.Memory) || load.Unread > maxUnread)
 }
 
 // cost is what it takes an engine to start the request, in tokens to be read.
