--- /dev/null
+++ b/process/broadcaster/broadcaster_test.go
@@ -0,0 +1,63 @@
+package broadcaster_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/broadcaster"
+)
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().String()
+}
+
+// Guards against hosts that do not hear of each other's load, and against one
+// that stops telling after a datagram that it cannot read.
+func TestHostsTellEachOther(t *testing.T) {
+	is := is.New(t)
+	own, peer := freeAddress(t), freeAddress(t)
+	taken := make(chan mulberrybeam.LoadShare, 100)
+	dropped := make(chan error, 100)
+	start := func(self mulberrybeam.ProcessID, address, other string) {
+		b := &broadcaster.Broadcaster{
+			Self:  self,
+			Fleet: func() *mulberrybeam.Fleet { return &mulberrybeam.Fleet{PeerAddresses: []string{other}} },
+			Loads: func() []mulberrybeam.SharedLoad {
+				return []mulberrybeam.SharedLoad{{Target: "t", Load: mulberrybeam.TargetLoad{Requests: 3}}}
+			},
+			Take:    func(share mulberrybeam.LoadShare) { taken <- share },
+			Dropped: func(err error) { dropped <- err },
+		}
+		stop, err := b.Listen(address)
+		is.NoErr(err)
+		t.Cleanup(stop)
+	}
+	start("a", own, peer)
+	start("b", peer, own)
+	conn, err := net.Dial("udp", own)
+	is.NoErr(err)
+	_, err = conn.Write([]byte("hello"))
+	is.NoErr(err)
+	heard := map[mulberrybeam.ProcessID]uint64{}
+	limit := time.After(5 * time.Second)
+	for len(heard) < 2 || heard["a"] < 2 || heard["b"] < 2 {
+		select {
+		case share := <-taken:
+			is.Equal(share.Targets[0].Load.Requests, 3)
+			heard[share.From] = share.Sequence
+		case <-limit:
+			t.Fatalf("heard %v", heard)
+		}
+	}
+	is.True(len(dropped) > 0)
+}
--- /dev/null
+++ b/process/cataloger/cataloger_test.go
@@ -0,0 +1,170 @@
+package cataloger_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/cataloger"
+)
+
+// store is a fake of one context store.
+type store struct {
+	mutex   sync.Mutex
+	boot    uint64
+	parts   []mulberrybeam.PartChange
+	changes []mulberrybeam.PartChange
+	down    bool
+	lists   int
+	freed   []mulberrybeam.PartKey
+}
+
+func (s *store) Parts(context.Context, string) (mulberrybeam.PartList, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return mulberrybeam.PartList{}, errors.New("down")
+	}
+	s.lists++
+	return mulberrybeam.PartList{Boot: s.boot, Parts: slices.Clone(s.parts)}, nil
+}
+
+func (s *store) PartChanges(_ context.Context, _ string, since uint64, _ time.Duration) (mulberrybeam.PartChanges, error) {
+	time.Sleep(5 * time.Millisecond)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return mulberrybeam.PartChanges{}, errors.New("down")
+	}
+	changes := mulberrybeam.PartChanges{Boot: s.boot, Next: since, Clock: mulberrybeam.EngineClock(time.Hour), Changes: s.changes}
+	s.changes = nil
+	return changes, nil
+}
+
+func (s *store) FreeParts(_ context.Context, _ string, boot uint64, keys []mulberrybeam.PartKey) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if boot != s.boot {
+		return errors.New("another run")
+	}
+	s.freed = append(s.freed, keys...)
+	return nil
+}
+
+func (s *store) set(change func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change()
+}
+
+func key(salt, id string) mulberrybeam.PartKey {
+	return mulberrybeam.PartKey{Salt: salt, Model: "m", ID: id}
+}
+
+func stored(salt, id string, tokens int) mulberrybeam.PartChange {
+	return mulberrybeam.PartChange{Key: key(salt, id), Tokens: tokens, Stored: true}
+}
+
+// start follows a store of 100 tokens whose engines have version 2.
+func start(t *testing.T, s *store) *cataloger.Cataloger {
+	begin := time.Now()
+	catalog := cataloger.New(func() time.Duration { return time.Since(begin) })
+	fleet := &mulberrybeam.Fleet{
+		Complete:      true,
+		ContextStores: []mulberrybeam.ContextStore{{Address: "s:1", Capacity: 100}},
+		EntryHosts:    []mulberrybeam.ProcessID{"self"},
+		Weights:       map[mulberrybeam.ModelName]mulberrybeam.WeightGoal{"m": {Model: "m", Version: 2}},
+		Targets: map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget{"e": {
+			{LiveTarget: mulberrybeam.LiveTarget{Versions: map[mulberrybeam.ModelName]int{"m": 2}}},
+		}},
+	}
+	follower := &cataloger.Follower{
+		Catalog: catalog, Client: s, Self: "self",
+		Fleet: func() *mulberrybeam.Fleet { return fleet }, Note: func(string, string) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		follower.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return catalog
+}
+
+// until waits for a condition.
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 600 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal(what)
+}
+
+func holds(c *cataloger.Cataloger, key mulberrybeam.PartKey) func() bool {
+	return func() bool {
+		_, found := c.Holder(key)
+		return found
+	}
+}
+
+// Guards against parts that are fetched from a store that lost them at a
+// restart or does not answer.
+func TestContentOfAStore(t *testing.T) {
+	is := is.New(t)
+	s := &store{boot: 1, parts: []mulberrybeam.PartChange{stored("2", "a", 60)}}
+	catalog := start(t, s)
+	until(t, "listed part is not known", holds(catalog, key("2", "a")))
+	is.True(!catalog.Writable("s:1", 50))
+	is.True(catalog.Writable("s:1", 30))
+	_, clock := catalog.Clock()
+	until(t, "clock is not known", func() bool { _, clock = catalog.Clock(); return clock })
+	s.set(func() { s.changes = []mulberrybeam.PartChange{stored("2", "b", 10)} })
+	until(t, "stored part is not known", holds(catalog, key("2", "b")))
+	s.set(func() { s.changes = []mulberrybeam.PartChange{{Key: key("2", "b")}} })
+	until(t, "removed part is still known", func() bool { return !holds(catalog, key("2", "b"))() })
+	s.set(func() { s.boot, s.parts = 2, nil })
+	until(t, "part of an earlier run is still known", func() bool { return !holds(catalog, key("2", "a"))() })
+	s.set(func() { s.down = true })
+	until(t, "store that does not answer is written to", func() bool { return !catalog.Writable("s:1", 1) })
+}
+
+// Guards against a part that many requests write at once.
+func TestClaims(t *testing.T) {
+	is := is.New(t)
+	now := time.Second
+	catalog := cataloger.New(func() time.Duration { return now })
+	is.True(catalog.Claim(key("2", "a")))
+	is.True(!catalog.Claim(key("2", "a")))
+	now += 3 * time.Second
+	is.True(catalog.Claim(key("2", "a")))
+}
+
+// Guards against context of replaced weights that fills the stores, and against
+// the removal of other context.
+func TestContextOfReplacedWeightsIsRemoved(t *testing.T) {
+	s := &store{boot: 1, parts: []mulberrybeam.PartChange{
+		stored("1", "old", 10), stored("1/w", "old", 10), stored("2", "new", 10), stored("else", "other", 10),
+	}}
+	start(t, s)
+	until(t, "old context is not removed", func() bool {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		return len(s.freed) == 2
+	})
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	is.New(t).True(!slices.Contains(s.freed, key("2", "new")) && !slices.Contains(s.freed, key("else", "other")))
+}
--- /dev/null
+++ b/process/gauger/gauger_test.go
@@ -0,0 +1,101 @@
+package gauger_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/gauger"
+	"mulberrybeam/request/retrier"
+)
+
+func newGauger() (*gauger.Gauger, *time.Duration) {
+	now := time.Second
+	return gauger.New(func() time.Duration { return now }), &now
+}
+
+// Guards against load that stays after its request has ended.
+func TestLoadOfARequest(t *testing.T) {
+	is := is.New(t)
+	g, _ := newGauger()
+	load := mulberrybeam.TargetLoad{Requests: 1, Unread: 300, Held: 1000}
+	is.True(g.Reserve("t", load, 0))
+	is.Equal(g.Gauge("t").Own, load)
+	is.Equal(g.Loads(), []mulberrybeam.SharedLoad{{Target: "t", Load: load}})
+	g.Started("t", load.Unread, time.Millisecond)
+	load.Unread = 0
+	is.Equal(g.Gauge("t").Own, load)
+	g.Finished("t", load, false)
+	is.Equal(g.Gauge("t").Own, mulberrybeam.TargetLoad{})
+	is.Equal(len(g.Loads()), 0)
+}
+
+// Guards against more requests a second than a cold target takes.
+func TestColdLimit(t *testing.T) {
+	is := is.New(t)
+	g, now := newGauger()
+	is.True(g.Reserve("t", mulberrybeam.TargetLoad{}, 2))
+	is.True(g.Reserve("t", mulberrybeam.TargetLoad{}, 2))
+	is.True(!g.Reserve("t", mulberrybeam.TargetLoad{}, 2))
+	*now += 999 * time.Millisecond
+	is.True(!g.Reserve("t", mulberrybeam.TargetLoad{}, 2))
+	*now += time.Millisecond
+	is.True(g.Reserve("t", mulberrybeam.TargetLoad{}, 2))
+}
+
+// Guards against the word of a peer that is late, doubled or long silent, and
+// against a restarted peer that is not heard.
+func TestPeers(t *testing.T) {
+	is := is.New(t)
+	g, now := newGauger()
+	tell := func(sequence uint64, requests int) {
+		g.Take(mulberrybeam.LoadShare{From: "p", Sequence: sequence, Targets: []mulberrybeam.SharedLoad{
+			{Target: "t", Load: mulberrybeam.TargetLoad{Requests: requests}},
+		}})
+	}
+	tell(100, 5)
+	is.Equal(g.Gauge("t").Load().Requests, 5)
+	tell(99, 7)
+	is.Equal(g.Gauge("t").Load().Requests, 5)
+	tell(1, 2)
+	is.Equal(g.Gauge("t").Load().Requests, 2)
+	*now += 2 * time.Second
+	is.Equal(g.Gauge("t").Load().Requests, 0)
+}
+
+// Guards against a target that is left out for ever after failures.
+func TestFailuresAreForgotten(t *testing.T) {
+	is := is.New(t)
+	g, now := newGauger()
+	for range 10 {
+		g.Reserve("t", mulberrybeam.TargetLoad{Requests: 1}, 0)
+		g.Finished("t", mulberrybeam.TargetLoad{Requests: 1}, true)
+	}
+	is.True(g.Gauge("t").ErrorShare > 0.8)
+	*now += 10 * time.Second
+	is.True(g.Gauge("t").ErrorShare < 0.1)
+}
+
+// Guards against one service that spends the retries of another, and against
+// hosts that together spend more than there is.
+func TestBudgetsOfServices(t *testing.T) {
+	is := is.New(t)
+	purse := gauger.NewPurse(0.1, 10)
+	request := &mulberrybeam.Request{Repeatable: true, Deadline: time.Hour}
+	failure := &mulberrybeam.Failure{Code: mulberrybeam.CodeTargetFailed}
+	history := retrier.History{Attempts: []retrier.Attempt{{Target: "t", Sent: true}}}
+	granted := func(service mulberrybeam.ServiceName) int {
+		count := 0
+		for range 20 {
+			if purse.Decide(mulberrybeam.Turn{Now: time.Second}, service, 5, request, history, failure).Retry {
+				count++
+			}
+		}
+		return count
+	}
+	is.Equal(granted("a"), 2)
+	is.Equal(granted("a"), 0)
+	is.Equal(granted("b"), 2)
+}
--- /dev/null
+++ b/process/registrar/registrar_test.go
@@ -0,0 +1,81 @@
+package registrar_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/platform"
+	"mulberrybeam/process/registrar"
+)
+
+type driver struct {
+	machine *registrar.Registrar
+	now     time.Duration
+}
+
+func newDriver() *driver {
+	host := mulberrybeam.EntryHost{ID: "h", Zone: "a", Address: "10.0.0.1:7740"}
+	return &driver{machine: registrar.New(host, platform.Encoder{}), now: time.Second}
+}
+
+// step returns the calls that follow an event.
+func (d *driver) step(event mulberrybeam.Event) []mulberrybeam.CallObject {
+	var calls []mulberrybeam.CallObject
+	turn := mulberrybeam.Turn{Now: d.now, Rand: rand.New(rand.NewPCG(1, uint64(d.now)))}
+	for _, action := range d.machine.Step(turn, event) {
+		if call, ok := action.(mulberrybeam.CallObject); ok {
+			calls = append(calls, call)
+		}
+	}
+	return calls
+}
+
+func (d *driver) reply(call mulberrybeam.CallObject, err error) []mulberrybeam.CallObject {
+	return d.step(mulberrybeam.ObjectReplied{Ticket: call.Ticket, Err: err})
+}
+
+// Guards against a restarted host that keeps the address of its earlier run.
+func TestHostReplacesItsEarlierRecord(t *testing.T) {
+	is := is.New(t)
+	d := newDriver()
+	calls := d.step(mulberrybeam.Tick{})
+	is.Equal(calls[0].Op, mulberrybeam.OpCreate)
+	calls = d.reply(calls[0], &mulberrybeam.Failure{Code: mulberrybeam.CodeExists})
+	is.Equal(calls[0].Op, mulberrybeam.OpUpdate)
+	is.Equal(len(d.reply(calls[0], nil)), 0)
+	d.now += time.Minute
+	is.Equal(len(d.step(mulberrybeam.Tick{})), 0)
+}
+
+// Guards against a host that is never registered after the store was down, and
+// against calls in quick succession.
+func TestHostTriesAgain(t *testing.T) {
+	is := is.New(t)
+	d := newDriver()
+	calls := d.step(mulberrybeam.Tick{})
+	is.Equal(len(d.reply(calls[0], errors.New("down"))), 0)
+	is.Equal(len(d.step(mulberrybeam.Tick{})), 0)
+	d.now += time.Second
+	is.Equal(len(d.step(mulberrybeam.Tick{})), 1)
+}
+
+// Guards against crash records that stay in the store for ever.
+func TestCrashRecordsAreWrittenAndDeleted(t *testing.T) {
+	is := is.New(t)
+	d := newDriver()
+	d.reply(d.step(mulberrybeam.Tick{})[0], nil)
+	calls := d.step(mulberrybeam.TargetCrashed{Crash: mulberrybeam.CrashRecord{Fingerprint: mulberrybeam.Fingerprint{7}, Target: "i"}})
+	is.Equal(calls[0].Op, mulberrybeam.OpCreate)
+	is.Equal(calls[0].Object.Kind, mulberrybeam.ObjectCrash)
+	d.reply(calls[0], nil)
+	d.now += 3 * time.Minute
+	calls = d.step(mulberrybeam.Tick{})
+	is.Equal(calls[0].Op, mulberrybeam.OpDelete)
+	d.reply(calls[0], nil)
+	is.Equal(len(d.step(mulberrybeam.Tick{})), 0)
+}
--- /dev/null
+++ b/process/standin/metastore/metastore.go
@@ -0,0 +1,258 @@
+// Package metastore is a stand-in for the platform's metadata store, over HTTP
+// as the platform speaks it.
+package metastore
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Faults are what the store does wrong.
+type Faults struct {
+	// Status answers all calls, 0 for none.
+	Status int
+	// LoseAnswers carries calls out and closes the connection.
+	LoseAnswers bool
+	// Forgotten makes watches from before this revision expire.
+	Forgotten uint64
+}
+
+// Store is a store with a history of changes. Its methods may be called from
+// any goroutine.
+type Store struct {
+	mutex    sync.Mutex
+	revision uint64
+	objects  map[string]map[string]object
+	history  []change
+	changed  chan struct{}
+	faults   Faults
+	calls    int
+}
+
+type object struct {
+	Metadata metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+type metadata struct {
+	Name           string   `json:"name"`
+	Revision       uint64   `json:"revision"`
+	CreateRevision uint64   `json:"create_revision"`
+	Finalizers     []string `json:"finalizers"`
+}
+
+type change struct {
+	Removed bool   `json:"removed"`
+	Object  object `json:"object"`
+	kind    string
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(faults Faults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = faults
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
+// Put writes an object whatever its revision.
+func (s *Store) Put(kind, name, spec string) uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.write(kind, name, json.RawMessage(spec)).Metadata.Revision
+}
+
+// Remove removes an object.
+func (s *Store) Remove(kind, name string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.remove(kind, name)
+}
+
+// Get returns the content of an object.
+func (s *Store) Get(kind, name string) (string, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	found, ok := s.objects[kind][name]
+	return string(found.Spec), ok
+}
+
+// ServeHTTP answers a call.
+func (s *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	s.mutex.Lock()
+	s.calls++
+	faults := s.faults
+	s.mutex.Unlock()
+	if faults.Status != 0 {
+		writer.WriteHeader(faults.Status)
+		return
+	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(request.URL.Path, "/-/objects/"), "/")
+	status, answer := s.call(request, kind, name)
+	if faults.LoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	if answer != nil {
+		_ = json.NewEncoder(writer).Encode(answer)
+	}
+}
+
+func (s *Store) call(request *http.Request, kind, name string) (int, any) {
+	switch request.Method {
+	case http.MethodGet:
+		if request.URL.Query().Has("watch") {
+			return s.watch(request, kind)
+		}
+		return s.read(request, kind, name)
+	case http.MethodPost, http.MethodPut:
+		return s.change(request, kind, name)
+	case http.MethodDelete:
+		s.Remove(kind, name)
+		return http.StatusOK, nil
+	}
+	return http.StatusMethodNotAllowed, nil
+}
+
+// pageSize is small, so that tests meet several pages.
+const pageSize = 3
+
+func (s *Store) read(request *http.Request, kind, name string) (int, any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if name != "" {
+		found, ok := s.objects[kind][name]
+		if !ok {
+			return http.StatusNotFound, nil
+		}
+		return http.StatusOK, found
+	}
+	var names []string
+	for name := range s.objects[kind] {
+		if name > request.URL.Query().Get("after") {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	page := map[string]any{"has_more": len(names) > pageSize, "store_revision": s.revision}
+	items := []object{}
+	for _, name := range names[:min(len(names), pageSize)] {
+		items = append(items, s.objects[kind][name])
+	}
+	page["items"] = items
+	return http.StatusOK, page
+}
+
+func (s *Store) change(request *http.Request, kind, name string) (int, any) {
+	body, err := io.ReadAll(request.Body)
+	var sent object
+	if err != nil || json.Unmarshal(body, &sent) != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if name == "" {
+		name = sent.Metadata.Name
+	}
+	found, exists := s.objects[kind][name]
+	switch {
+	case request.Method == http.MethodPost && exists:
+		return http.StatusConflict, found
+	case request.Method == http.MethodPut && !exists:
+		return http.StatusNotFound, nil
+	case sent.Metadata.Revision != 0 && sent.Metadata.Revision != found.Metadata.Revision:
+		return http.StatusConflict, found
+	}
+	return http.StatusOK, s.write(kind, name, sent.Spec)
+}
+
+func (s *Store) watch(request *http.Request, kind string) (int, any) {
+	query := request.URL.Query()
+	from, err := strconv.ParseUint(query.Get("watch"), 10, 64)
+	wait, waitErr := strconv.Atoi(query.Get("wait_ms"))
+	if err != nil || waitErr != nil {
+		return http.StatusBadRequest, nil
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mutex.Lock()
+		events, revision, changed := s.since(kind, from), s.revision, s.changed
+		forgotten := from < s.faults.Forgotten
+		s.mutex.Unlock()
+		answer := map[string]any{"events": events, "store_revision": revision}
+		if forgotten {
+			return http.StatusGone, nil
+		}
+		if len(events) > 0 {
+			return http.StatusOK, answer
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return http.StatusOK, answer
+		case <-request.Context().Done():
+			return http.StatusOK, answer
+		}
+	}
+}
+
+func (s *Store) since(kind string, from uint64) []change {
+	events := []change{}
+	for _, change := range s.history {
+		if change.kind == kind && change.Object.Metadata.Revision > from {
+			events = append(events, change)
+		}
+	}
+	return events
+}
+
+func (s *Store) write(kind, name string, spec json.RawMessage) object {
+	s.revision++
+	written := s.objects[kind][name]
+	if written.Metadata.Name == "" {
+		written.Metadata = metadata{Name: name, CreateRevision: s.revision, Finalizers: []string{}}
+	}
+	written.Metadata.Revision, written.Spec = s.revision, spec
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]object{}
+	}
+	s.objects[kind][name] = written
+	s.publish(change{Object: written, kind: kind})
+	return written
+}
+
+func (s *Store) remove(kind, name string) {
+	removed, found := s.objects[kind][name]
+	if !found {
+		return
+	}
+	s.revision++
+	delete(s.objects[kind], name)
+	removed.Metadata.Revision = s.revision
+	s.publish(change{Removed: true, Object: removed, kind: kind})
+}
+
+func (s *Store) publish(change change) {
+	s.history = append(s.history, change)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/process/tracker/tracker_test.go
@@ -0,0 +1,169 @@
+package tracker_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/tracker"
+)
+
+// fleet drives a tracker in virtual time.
+type fleet struct {
+	machine *tracker.Tracker
+	now     time.Duration
+}
+
+func newFleet() *fleet {
+	f := &fleet{machine: tracker.New("self", map[mulberrybeam.ZoneName]mulberrybeam.RegionName{"a": "north"}), now: time.Second}
+	f.list(mulberrybeam.ObjectDeployment, map[string]mulberrybeam.Record{"main": deployment(5)})
+	f.list(mulberrybeam.ObjectTarget, map[string]mulberrybeam.Record{"t1": target("t1"), "t2": target("t2")})
+	f.list(mulberrybeam.ObjectEvacuation, nil)
+	f.list(mulberrybeam.ObjectWeights, nil)
+	return f
+}
+
+func deployment(revision mulberrybeam.Revision) mulberrybeam.Record {
+	return mulberrybeam.Record{Deployment: &mulberrybeam.Deployment{
+		Revision: revision,
+		Rules:    []mulberrybeam.Rule{{Host: "h", Prefix: "/"}, {Host: "h", Prefix: "/a/b/"}, {Host: "h", Prefix: "/a/"}},
+		Pools:    map[mulberrybeam.ServiceName]mulberrybeam.Pool{"s": {Service: "s", ColdTime: 3 * time.Second}},
+	}}
+}
+
+func target(id mulberrybeam.InstanceID) mulberrybeam.Record {
+	return mulberrybeam.Record{Target: &mulberrybeam.LiveTarget{
+		ID: id, Service: "s", Zone: "a", Versions: map[mulberrybeam.ModelName]int{"m": 1},
+	}}
+}
+
+func (f *fleet) step(event mulberrybeam.Event) {
+	f.machine.Step(mulberrybeam.Turn{Now: f.now}, event)
+}
+
+func (f *fleet) list(kind mulberrybeam.ObjectKind, records map[string]mulberrybeam.Record) {
+	f.step(mulberrybeam.RecordsListed{Kind: kind, Records: records, SentAt: f.now})
+}
+
+func (f *fleet) change(kind mulberrybeam.ObjectKind, name string, record mulberrybeam.Record, removed bool) {
+	f.step(mulberrybeam.RecordChanged{Kind: kind, Name: name, Record: record, Removed: removed})
+}
+
+func (f *fleet) fleet() *mulberrybeam.Fleet {
+	snapshot := &mulberrybeam.Snapshot{}
+	f.machine.Fill(snapshot)
+	return snapshot.Fleet
+}
+
+func (f *fleet) targets() int { return len(f.fleet().Targets["s"]) }
+
+// Guards against requests that are routed before all that decides them is
+// known.
+func TestIncompleteUntilAllKindsAreListed(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{machine: tracker.New("self", nil)}
+	f.list(mulberrybeam.ObjectDeployment, map[string]mulberrybeam.Record{"main": deployment(5)})
+	f.list(mulberrybeam.ObjectTarget, nil)
+	f.list(mulberrybeam.ObjectWeights, nil)
+	is.True(!f.fleet().Complete)
+	f.list(mulberrybeam.ObjectEvacuation, nil)
+	is.True(f.fleet().Complete)
+}
+
+// Guards against a configuration that reverts.
+func TestRevisionsNeverFall(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.change(mulberrybeam.ObjectDeployment, "main", deployment(4), false)
+	is.Equal(f.fleet().Deployment.Revision, mulberrybeam.Revision(5))
+	f.change(mulberrybeam.ObjectDeployment, "main", mulberrybeam.Record{}, false)
+	is.Equal(f.fleet().Deployment.Revision, mulberrybeam.Revision(5))
+	f.change(mulberrybeam.ObjectDeployment, "main", deployment(9), false)
+	is.Equal(f.fleet().Deployment.Revision, mulberrybeam.Revision(9))
+	is.Equal(f.fleet().Hosts["h"][0].Prefix, "/a/b/")
+}
+
+// Guards against new work for a target that leaves or whose entry cannot be
+// read.
+func TestLeavingTargetsGetNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	is.Equal(f.targets(), 2)
+	draining := target("t1")
+	draining.Target.Draining = true
+	f.change(mulberrybeam.ObjectTarget, "t1", draining, false)
+	is.Equal(f.targets(), 1)
+	f.change(mulberrybeam.ObjectTarget, "t2", mulberrybeam.Record{}, false)
+	is.Equal(f.targets(), 0)
+}
+
+// Guards against targets that are dropped because their entries lapsed while
+// the store was away, and against gone ones that are kept.
+func TestLapsedEntriesAreKeptForAWhile(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.step(mulberrybeam.FeedLost{Kind: mulberrybeam.ObjectTarget, Err: errors.New("no answer")})
+	f.now += 10 * time.Second
+	f.list(mulberrybeam.ObjectTarget, map[string]mulberrybeam.Record{})
+	is.Equal(f.targets(), 2)
+	f.now += time.Second
+	f.change(mulberrybeam.ObjectTarget, "t1", target("t1"), false)
+	f.now += tracker.Settle
+	f.step(mulberrybeam.Tick{})
+	is.Equal(f.targets(), 1)
+	f.change(mulberrybeam.ObjectTarget, "t1", mulberrybeam.Record{}, true)
+	is.Equal(f.targets(), 0) // the store is well, so that removed means gone
+}
+
+// Guards against full load for the targets of a zone that comes back, which may
+// have turned cold meanwhile.
+func TestReturningZoneIsCold(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.change(mulberrybeam.ObjectEvacuation, "a", mulberrybeam.Record{}, false)
+	is.Equal(f.targets(), 0)
+	f.now += time.Minute
+	f.change(mulberrybeam.ObjectEvacuation, "a", mulberrybeam.Record{}, true)
+	is.Equal(f.targets(), 2)
+	is.Equal(f.fleet().Targets["s"][0].ColdUntil, f.now+3*time.Second)
+}
+
+// Guards against a restart under the same ID whose cold start is overlooked.
+func TestRestartUnderTheSameID(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	restarted := target("t1")
+	restarted.Target.StartedAt, restarted.Target.ColdFor = 7, 3*time.Second
+	f.change(mulberrybeam.ObjectTarget, "t1", restarted, false)
+	is.Equal(f.fleet().Targets["s"][0].ColdUntil, f.now+3*time.Second)
+}
+
+// Guards against engines that are taken for outdated until their own entries
+// show the new weights.
+func TestHolderTellsOfChangedEngines(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.change(mulberrybeam.ObjectWeights, "m", mulberrybeam.Record{Weights: &mulberrybeam.WeightGoal{Model: "m", Version: 2}}, false)
+	is.Equal(len(f.fleet().Leaving), 2)
+	lease := &mulberrybeam.DutyLease{Changed: []mulberrybeam.ChangedEngine{{Engine: "t1", Model: "m", Version: 2}}}
+	f.change(mulberrybeam.ObjectLease, "weights", mulberrybeam.Record{Lease: lease}, false)
+	is.Equal(f.fleet().Targets["s"][0].Versions["m"], 2)
+	is.Equal(f.fleet().Leaving, map[mulberrybeam.InstanceID]bool{"t2": true})
+}
+
+// Guards against crashes that count for ever or not at all.
+func TestCrashesAreCountedAndForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	print := mulberrybeam.Fingerprint{1}
+	for _, id := range []mulberrybeam.InstanceID{"t1", "t2", "t2"} {
+		f.change(mulberrybeam.ObjectCrash, "x", mulberrybeam.Record{Crash: &mulberrybeam.CrashRecord{Fingerprint: print, Target: id}}, false)
+	}
+	is.Equal(f.fleet().Crashes[print], 2)
+	f.now += time.Hour
+	f.step(mulberrybeam.Tick{})
+	is.Equal(f.fleet().Crashes[print], 0)
+}
--- /dev/null
+++ b/request/chooser/chooser_test.go
@@ -0,0 +1,181 @@
+package chooser_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/request/chooser"
+)
+
+// view has the gauges of targets.
+type view map[mulberrybeam.InstanceID]mulberrybeam.Gauge
+
+func (v view) Gauge(id mulberrybeam.InstanceID) mulberrybeam.Gauge { return v[id] }
+
+const now = time.Minute
+
+func fleet(count int) *mulberrybeam.Fleet {
+	f := &mulberrybeam.Fleet{
+		Deployment: &mulberrybeam.Deployment{Pools: map[mulberrybeam.ServiceName]mulberrybeam.Pool{"s": {ColdRate: 14, ColdTime: 3 * time.Second}}},
+		Targets:    map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget{},
+		Weights:    map[mulberrybeam.ModelName]mulberrybeam.WeightGoal{},
+		EntryHosts: []mulberrybeam.ProcessID{"self"},
+		Regions:    map[mulberrybeam.ZoneName]mulberrybeam.RegionName{"a": "north", "b": "south"},
+	}
+	for i := range count {
+		f.Targets["s"] = append(f.Targets["s"], mulberrybeam.FleetTarget{LiveTarget: mulberrybeam.LiveTarget{
+			ID: mulberrybeam.InstanceID(fmt.Sprint("t", i)), Zone: "a", Slots: 4, Versions: map[mulberrybeam.ModelName]int{"m": 1},
+		}})
+	}
+	return f
+}
+
+func choose(f *mulberrybeam.Fleet, v view, change func(*chooser.Query)) (chooser.Choice, error) {
+	query := chooser.Query{
+		Rule: &mulberrybeam.Rule{}, Service: "s", Zone: "a", Self: "self", Model: "m", ColdOvershoot: 1.5, ColdSlack: 5,
+	}
+	if change != nil {
+		change(&query)
+	}
+	return chooser.Choose(now, rand.New(rand.NewPCG(1, 1)), f, v, query)
+}
+
+// Guards against requests to targets that must not get them.
+func TestTargetsThatAreLeftOut(t *testing.T) {
+	cases := []struct {
+		name   string
+		fleet  func(*mulberrybeam.Fleet)
+		view   view
+		change func(*chooser.Query)
+		want   mulberrybeam.InstanceID
+	}{
+		{name: "tried", change: func(q *chooser.Query) { q.Tried = []mulberrybeam.InstanceID{"t0"} }, want: "t1"},
+		{name: "refused", view: view{"t0": {AvoidUntil: now + 1}}, want: "t1"},
+		{name: "cold", fleet: func(f *mulberrybeam.Fleet) { f.Targets["s"][0].ColdUntil = now + 1 }, want: "t1"},
+		{name: "suspected of a cold start", view: view{"t0": {SuspectUntil: now + 1}}, want: "t1"},
+		{name: "old weights", fleet: func(f *mulberrybeam.Fleet) {
+			f.Weights["m"] = mulberrybeam.WeightGoal{Version: 2}
+			f.Targets["s"][1].Versions = map[mulberrybeam.ModelName]int{"m": 2}
+		}, want: "t1"},
+		{name: "changes over soon", fleet: func(f *mulberrybeam.Fleet) { f.Leaving = map[mulberrybeam.InstanceID]bool{"t0": true} }, want: "t1"},
+		{name: "another region", fleet: func(f *mulberrybeam.Fleet) { f.Targets["s"][1].Zone = "b" }, change: func(q *chooser.Query) {
+			q.Rule = &mulberrybeam.Rule{Regions: []mulberrybeam.RegionName{"south"}}
+		}, want: "t1"},
+		{name: "another zone", fleet: func(f *mulberrybeam.Fleet) { f.Targets["s"][0].Zone = "b" }, want: "t1"},
+		{name: "loaded by peers", view: view{"t0": {Peers: mulberrybeam.TargetLoad{Requests: 4}}}, want: "t1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := fleet(2)
+			if c.fleet != nil {
+				c.fleet(f)
+			}
+			choice, err := choose(f, c.view, c.change)
+			is.NoErr(err)
+			is.Equal(choice.Target.ID, c.want)
+			is.Equal(choice.ColdLimit, 0)
+		})
+	}
+}
+
+// Guards against a request on old weights after the last moment for them.
+func TestStrictLeavesOutOldWeights(t *testing.T) {
+	is := is.New(t)
+	f := fleet(2)
+	f.Weights["m"] = mulberrybeam.WeightGoal{Version: 2}
+	_, err := choose(f, nil, func(q *chooser.Query) { q.Strict = true })
+	is.Equal(mulberrybeam.CodeOf(err), mulberrybeam.CodeNoTarget)
+	_, err = choose(f, nil, nil)
+	is.NoErr(err)
+}
+
+// Guards against more requests to a cold target than it takes from all entry
+// hosts together.
+func TestColdRateIsShared(t *testing.T) {
+	for _, hosts := range []int{1, 7, 9, 80, 380} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			is := is.New(t)
+			f := fleet(1)
+			f.Targets["s"][0].ColdUntil = now + time.Second
+			f.EntryHosts = nil
+			for i := range hosts {
+				f.EntryHosts = append(f.EntryHosts, mulberrybeam.ProcessID(fmt.Sprint("h", i)))
+			}
+			total := 0
+			for _, host := range f.EntryHosts {
+				query := chooser.Query{Service: "s", Self: host, ColdOvershoot: 1.5, ColdSlack: 5}
+				total += chooser.ColdLimit(f, query, "t0")
+			}
+			is.True(total > 0)
+			is.True(total <= 26)
+		})
+	}
+}
+
+// Guards against a cold target that gets requests beyond this host's part.
+func TestColdTargetsWhenAllAreCold(t *testing.T) {
+	is := is.New(t)
+	f := fleet(2)
+	f.Targets["s"][0].ColdUntil, f.Targets["s"][1].ColdUntil = now+1, now+1
+	choice, err := choose(f, view{"t0": {ColdSends: 15}}, nil)
+	is.NoErr(err)
+	is.Equal(choice.Target.ID, mulberrybeam.InstanceID("t1"))
+	is.Equal(choice.ColdLimit, 15)
+	_, err = choose(f, view{"t0": {ColdSends: 15}, "t1": {ColdSends: 15}}, nil)
+	is.Equal(mulberrybeam.CodeOf(err), mulberrybeam.CodeNoTarget)
+}
+
+// Guards against targets that fail or are slow, and against a pool that is left
+// empty because all do.
+func TestWeakTargets(t *testing.T) {
+	is := is.New(t)
+	f := fleet(4)
+	slow, usual := mulberrybeam.Gauge{Latency: time.Second}, mulberrybeam.Gauge{Latency: 10 * time.Millisecond, Own: mulberrybeam.TargetLoad{Requests: 3}}
+	choice, err := choose(f, view{"t0": {ErrorShare: 0.9}, "t1": slow, "t2": usual, "t3": usual}, nil)
+	is.NoErr(err)
+	is.True(choice.Target.ID == "t2" || choice.Target.ID == "t3")
+	_, err = choose(f, view{"t0": {ErrorShare: 0.9}, "t1": {ErrorShare: 0.9}, "t2": {ErrorShare: 0.9}, "t3": {ErrorShare: 0.9}}, nil)
+	is.NoErr(err)
+}
+
+// Guards against shared prompts that are spread over engines, and against an
+// engine that gets them beyond its memory.
+func TestSharedPrompts(t *testing.T) {
+	is := is.New(t)
+	f := fleet(6)
+	prompt := func(q *chooser.Query) {
+		q.SharedPart, q.SharedTokens, q.PromptTokens, q.Memory = "p", 9000, 12000, 90000
+	}
+	first, err := choose(f, nil, prompt)
+	is.NoErr(err)
+	again, err := choose(f, view{first.Target.ID: {Own: mulberrybeam.TargetLoad{Requests: 1, Held: 12000, Unread: 3000}}}, prompt)
+	is.NoErr(err)
+	is.Equal(again.Target.ID, first.Target.ID)
+	full := view{first.Target.ID: {Peers: mulberrybeam.TargetLoad{Requests: 8, Held: 88000}}}
+	other, err := choose(f, full, prompt)
+	is.NoErr(err)
+	is.True(other.Target.ID != first.Target.ID)
+}
+
+// Guards against engines that get requests while all are full and the request
+// could wait.
+func TestWaitsWhileAllEnginesAreFull(t *testing.T) {
+	is := is.New(t)
+	full := mulberrybeam.Gauge{Peers: mulberrybeam.TargetLoad{Requests: 8, Held: 88000}}
+	v := view{"t0": full, "t1": full}
+	prompt := func(mayWait bool) func(*chooser.Query) {
+		return func(q *chooser.Query) {
+			q.SharedPart, q.PromptTokens, q.Memory, q.MayWait = "p", 12000, 90000, mayWait
+		}
+	}
+	_, err := choose(fleet(2), v, prompt(true))
+	is.Equal(mulberrybeam.CodeOf(err), mulberrybeam.CodeNoTarget)
+	_, err = choose(fleet(2), v, prompt(false))
+	is.NoErr(err)
+}
--- /dev/null
+++ b/request/fetcher/fetcher_test.go
@@ -0,0 +1,82 @@
+package fetcher_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/request/fetcher"
+)
+
+// catalog knows one part and has room in some stores.
+type catalog struct {
+	held    map[mulberrybeam.PartKey]string
+	full    map[string]bool
+	claimed bool
+}
+
+func (c catalog) Holder(key mulberrybeam.PartKey) (string, bool) {
+	address, found := c.held[key]
+	return address, found
+}
+func (c catalog) Writable(address string, _ int) bool { return !c.full[address] }
+func (c catalog) Claim(mulberrybeam.PartKey) bool     { return !c.claimed }
+func (c catalog) Clock() (mulberrybeam.EngineClock, bool) {
+	return mulberrybeam.EngineClock(time.Hour), true
+}
+
+var (
+	stores = []mulberrybeam.ContextStore{{Address: "s1:1", Zone: "a", Capacity: 100}, {Address: "s2:1", Zone: "b", Capacity: 300}}
+	parts  = []mulberrybeam.PromptPart{{ID: "p1", Tokens: 10}, {ID: "p2", Tokens: 20}, {ID: "own", Tokens: 5}}
+)
+
+func query() fetcher.Query {
+	return fetcher.Query{Model: "m", Salt: "3", Parts: parts, Stores: stores}
+}
+
+// Guards against a part that is read from a store that does not surely have it
+// whole, and against a request's own part that is kept.
+func TestDecide(t *testing.T) {
+	is := is.New(t)
+	held := map[mulberrybeam.PartKey]string{{Salt: "3", Model: "m", ID: "p1"}: "s1:1", {Salt: "2", Model: "m", ID: "p2"}: "s1:1"}
+	plan := fetcher.Decide(catalog{held: held}, query())
+	is.Equal(plan.FetchFrom, []string{"s1:1", "", ""})
+	is.Equal(plan.SaveTo[0], "")
+	is.True(plan.SaveTo[1] != "")
+	is.Equal(plan.SaveTo[2], "")
+	is.True(plan.Until > mulberrybeam.EngineClock(time.Hour))
+	plan = fetcher.Decide(catalog{held: held, claimed: true}, query())
+	is.Equal(plan.SaveTo, []string{"", "", ""})
+	plan = fetcher.Decide(catalog{full: map[string]bool{"s1:1": true, "s2:1": true}}, query())
+	is.Equal(plan.SaveTo, []string{"", "", ""})
+}
+
+// Guards against stores that fill unevenly, and against processes that write a
+// part to different stores.
+func TestPartsSpreadByCapacity(t *testing.T) {
+	is := is.New(t)
+	counts := map[mulberrybeam.ZoneName]int{}
+	for i := range 4000 {
+		counts[fetcher.Zone(stores, fmt.Sprint("part", i))]++
+	}
+	is.True(counts["b"] > 2850 && counts["b"] < 3150)
+	is.Equal(fetcher.Zone([]mulberrybeam.ContextStore{stores[1], stores[0]}, "p1"), fetcher.Zone(stores, "p1"))
+	is.Equal(fetcher.Zone(nil, "p1"), mulberrybeam.ZoneName(""))
+}
+
+// Guards against context that crosses weight versions or isolated workspaces.
+func TestSalt(t *testing.T) {
+	is := is.New(t)
+	isolated, open := &mulberrybeam.Tenancy{Name: "w", Isolated: true}, &mulberrybeam.Tenancy{Name: "v"}
+	is.Equal(fetcher.Salt(2, open), fetcher.Salt(2, nil))
+	is.True(fetcher.Salt(2, isolated) != fetcher.Salt(2, nil))
+	is.True(fetcher.Salt(2, isolated) != fetcher.Salt(3, isolated))
+	version, ours := fetcher.VersionOf(fetcher.Salt(12, isolated))
+	is.True(ours)
+	is.Equal(version, 12)
+	_, ours = fetcher.VersionOf("other")
+	is.True(!ours)
+}
--- /dev/null
+++ b/request/matcher/matcher_test.go
@@ -0,0 +1,92 @@
+package matcher_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/request/matcher"
+)
+
+func fleet() *mulberrybeam.Fleet {
+	open := &mulberrybeam.Rule{Name: "open", Prefix: "/a/open/", Public: true}
+	deep, shallow := &mulberrybeam.Rule{Name: "deep", Prefix: "/a/b/"}, &mulberrybeam.Rule{Name: "shallow", Prefix: "/a/"}
+	workspace := mulberrybeam.Tenancy{Name: "w", Keys: []string{"k"}}
+	return &mulberrybeam.Fleet{
+		Complete:    true,
+		Deployment:  &mulberrybeam.Deployment{Workspaces: []mulberrybeam.Tenancy{workspace}},
+		Hosts:       map[string][]*mulberrybeam.Rule{"h": {open, deep, shallow}},
+		Keys:        map[string]*mulberrybeam.Tenancy{"k": &workspace},
+		ConfirmedAt: 10 * time.Second,
+	}
+}
+
+// Guards against requests that reach another route's service, or run with a
+// key that may have been revoked.
+func TestDecide(t *testing.T) {
+	cases := []struct {
+		name string
+		host string
+		path string
+		key  string
+		now  time.Duration
+		rule string
+		code mulberrybeam.Code
+	}{
+		{name: "longest prefix", host: "h", path: "/a/b/c", key: "k", rule: "deep"},
+		{name: "prefix ends with a slash", host: "h", path: "/a/bc", key: "k", rule: "shallow"},
+		{name: "port in the host", host: "h:8080", path: "/a/b/c", key: "k", rule: "deep"},
+		{name: "unknown host", host: "g", path: "/a/b/c", key: "k", code: mulberrybeam.CodeNotFound},
+		{name: "unknown path", host: "h", path: "/z/", key: "k", code: mulberrybeam.CodeNotFound},
+		{name: "unknown key", host: "h", path: "/a/b/", key: "x", code: mulberrybeam.CodeUnauthorized},
+		{name: "no key", host: "h", path: "/a/b/", code: mulberrybeam.CodeUnauthorized},
+		{name: "public without a key", host: "h", path: "/a/open/", rule: "open"},
+		{name: "no word for long", host: "h", path: "/a/b/", key: "k", now: 15 * time.Second, code: mulberrybeam.CodePlatformDown},
+		{name: "public without word for long", host: "h", path: "/a/open/", now: 15 * time.Second, rule: "open"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			match, err := matcher.Decide(fleet(), matcher.Query{
+				Host: c.host, Path: c.path, Key: c.key, Now: max(c.now, 11*time.Second), FailClosed: true, KeysWithin: 4 * time.Second,
+			})
+			if c.code != "" {
+				is.Equal(mulberrybeam.CodeOf(err), c.code)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(match.Rule.Name, c.rule)
+		})
+	}
+}
+
+// Guards against a 404 from a process that knows no configuration.
+func TestNothingIsKnown(t *testing.T) {
+	is := is.New(t)
+	_, err := matcher.Decide(nil, matcher.Query{})
+	is.Equal(mulberrybeam.CodeOf(err), mulberrybeam.CodeNotReady)
+	incomplete := fleet()
+	incomplete.Complete = false
+	_, err = matcher.Decide(incomplete, matcher.Query{Host: "g"})
+	is.Equal(mulberrybeam.CodeOf(err), mulberrybeam.CodeNotReady)
+}
+
+// Guards against services that get requests without weight.
+func TestPickService(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	rule := &mulberrybeam.Rule{Shares: []mulberrybeam.Share{{Service: "a", Weight: 3}, {Service: "b"}, {Service: "c", Weight: 1}}}
+	counts := map[mulberrybeam.ServiceName]int{}
+	for range 4000 {
+		service, found := matcher.PickService(random, rule)
+		is.True(found)
+		counts[service]++
+	}
+	is.Equal(counts["b"], 0)
+	is.True(counts["a"] > 2800 && counts["a"] < 3200)
+	_, found := matcher.PickService(random, &mulberrybeam.Rule{})
+	is.True(!found)
+}
--- /dev/null
+++ b/request/resumer/resumer_test.go
@@ -0,0 +1,61 @@
+package resumer_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mulberrybeam/request/resumer"
+)
+
+// Guards against events that are lost, doubled or cut, however the stream is
+// split into reads.
+func TestWholeEventsInAnySplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(0, 5).Draw(t, "events")
+		end := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "line end")
+		var stream strings.Builder
+		for i := range count {
+			fmt.Fprintf(&stream, "id: %d%sdata: %s%s%s", i+1, end, rapid.StringMatching(`[a-z ]{0,12}`).Draw(t, "data"), end, end)
+		}
+		cut := rapid.StringMatching(`(id: 9|data: x)?`).Draw(t, "cut event")
+		rest := stream.String() + cut
+		var splitter resumer.Splitter
+		var whole bytes.Buffer
+		for len(rest) > 0 {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "read")
+			whole.Write(splitter.Feed([]byte(rest[:n])))
+			rest = rest[n:]
+		}
+		if whole.String() != stream.String() || string(splitter.Rest()) != cut || splitter.Events != count {
+			t.Fatalf("got %q and %q", whole.String(), splitter.Rest())
+		}
+		if count > 0 && splitter.LastID != fmt.Sprint(count) {
+			t.Fatalf("last id %q", splitter.LastID)
+		}
+	})
+}
+
+// Guards against bytes of a broken run that precede those of the next one.
+func TestDropForgetsTheCutEvent(t *testing.T) {
+	is := is.New(t)
+	var splitter resumer.Splitter
+	splitter.Feed([]byte("id: 1\n\nid: 2\nda"))
+	splitter.Drop()
+	is.Equal(string(splitter.Feed([]byte("id: 2\n\n"))), "id: 2\n\n")
+	is.Equal(splitter.LastID, "2")
+	is.True(splitter.Resumable())
+}
+
+// Guards against a stream that goes on although its place is not known.
+func TestStreamWithoutIDs(t *testing.T) {
+	is := is.New(t)
+	var splitter resumer.Splitter
+	is.True(splitter.Resumable())
+	splitter.Feed([]byte("data: x\n\n"))
+	is.True(!splitter.Resumable())
+}
