--- /dev/null
+++ b/cmd/mulberryentry/command/command_test.go
@@ -0,0 +1,69 @@
+package command_test
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/cmd/mulberryentry/command"
+)
+
+const settings = `
+node = "front-a-1"
+zone = "a"
+[listen]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+[platform]
+address = "127.0.0.1:3"
+`
+
+// Guards against a process that starts with wrong flags or settings, or whose
+// exit code does not tell.
+func TestRun(t *testing.T) {
+	whole, faulty := filepath.Join(t.TempDir(), "whole.toml"), filepath.Join(t.TempDir(), "faulty.toml")
+	for path, text := range map[string]string{whole: settings, faulty: strings.Replace(settings, "zone", "zona", 1)} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cases := []struct {
+		name      string
+		arguments []string
+		code      int
+		runs      bool
+		out       string
+		errors    string
+	}{
+		{"runs", []string{"--settings", whole, "--metrics-port", "9464"}, command.ExitOK, true, "", ""},
+		{"checks", []string{"--settings", whole, "--check"}, command.ExitOK, false, "is valid", ""},
+		{"no settings", nil, command.ExitFailure, false, "", "MULBERRYBEAM_CONFIG"},
+		{"missing file", []string{"--settings", whole + ".old"}, command.ExitFailure, false, "", "no such file"},
+		{"faulty settings", []string{"--settings", faulty}, command.ExitFailure, false, "", `field "zone" is missing`},
+		{"wrong flag", []string{"--nothing"}, command.ExitUsage, false, "", "--help"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			t.Setenv("MULBERRYBEAM_CONFIG", "")
+			var out, errors bytes.Buffer
+			ran := false
+			code := command.Run(c.arguments, &out, &errors, func(options command.Options, settings mulberrybeam.HostSettings, _ io.Writer) error {
+				ran = true
+				is.Equal(settings.Zone, mulberrybeam.ZoneName("a"))
+				is.Equal(options.MetricsPort, 9464)
+				return nil
+			})
+			is.Equal(code, c.code)
+			is.Equal(ran, c.runs)
+			is.True(strings.Contains(out.String(), c.out))
+			is.True(strings.Contains(errors.String(), c.errors))
+		})
+	}
+}
