--- a/request/matcher/matcher.go
+++ b/request/matcher/matcher.go
@@ -3,6 +3,7 @@
 package matcher
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -46,8 +47,9 @@
 	if rule.Public {
 		return Match{Rule: rule, Workspace: workspace}, nil
 	}
-	if query.FailClosed && query.Now-fleet.ConfirmedAt > query.KeysWithin {
-		return Match{}, refusal(mulberrybeam.CodePlatformDown, "the key may have been revoked since the platform last answered")
+	if age := query.Now - fleet.ConfirmedAt; query.FailClosed && age > query.KeysWithin {
+		return Match{}, refusal(mulberrybeam.CodePlatformDown, fmt.Sprintf(
+			"the key may have been revoked since revision %d was confirmed %s ago", fleet.Deployment.Revision, age.Round(time.Millisecond)))
 	}
 	if workspace == nil {
 		return Match{}, refusal(mulberrybeam.CodeUnauthorized, "the key is unknown")
