--- a/connection/loadencoder/loadencoder.go
+++ b/connection/loadencoder/loadencoder.go
@@ -4,6 +4,7 @@
 package loadencoder
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -15,7 +16,6 @@
 const version = 1
 
 type wireShare struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Version  int
 	From     string
 	Sequence uint64
@@ -23,7 +23,6 @@
 }
 
 type wireLoad struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Target   string
 	Requests int
 	Unread   int
@@ -38,7 +37,13 @@
 			Target: string(shared.Target), Requests: shared.Load.Requests, Unread: shared.Load.Unread, Held: shared.Load.Held,
 		})
 	}
-	return msgpack.Marshal(&wire)
+	var datagram bytes.Buffer
+	encoder := msgpack.NewEncoder(&datagram)
+	encoder.UseArrayEncodedStructs(true)
+	if err := encoder.Encode(&wire); err != nil {
+		return nil, fmt.Errorf("load share: %w", err)
+	}
+	return datagram.Bytes(), nil
 }
 
 // Decode reads a datagram.
