--- a/context.go
+++ b/context.go
@@ -44,7 +44,8 @@
 	Changes []PartChange
 }
 
-// PartClient asks stores of kept context what they have. Errors are Failures.
+// PartClient asks stores of kept context what they have. Errors are Failures;
+// CodeOverloaded says that the store has too many calls at the moment.
 type PartClient interface {
 	Parts(ctx context.Context, address string) (PartList, error)
 	// PartChanges waits for changes after a place.
--- a/process/cataloger/cataloger.go
+++ b/process/cataloger/cataloger.go
@@ -13,7 +13,7 @@
 	// fresh is how long after a store's last answer its content counts. A
 	// store that restarts is away for longer, so that a part that is written
 	// anew is not taken for the old one.
-	fresh = 1400 * time.Millisecond
+	fresh = 1900 * time.Millisecond
 	// claimTime is how long another request leaves a part's writing to the
 	// one before it.
 	claimTime = 2500 * time.Millisecond
--- a/process/cataloger/follow.go
+++ b/process/cataloger/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,6 +18,13 @@
 	pollWait = 800 * time.Millisecond
 	// settle lets changes that come together cost one call.
 	settle = 200 * time.Millisecond
+	// waitingHosts is how many hosts may wait at a store all the time, out of
+	// the dozen calls that it holds. With more hosts each waits shortPoll,
+	// the shortest that is not a probe, and then leaves room for the others.
+	waitingHosts = 10
+	shortPoll    = 200 * time.Millisecond
+	// refusedPause is the wait after a call that the store had no room for.
+	refusedPause = 100 * time.Millisecond
 	// lostPause is the wait after a call that failed.
 	lostPause = 400 * time.Millisecond
 	// relistAfter is when a store is listed anew, since a few events never
@@ -121,14 +129,23 @@
 // a call fails.
 func (f *Follower) session(ctx context.Context, address string, listed func()) error {
 	list, err := f.Client.Parts(ctx, address)
+	if refused(err) {
+		pause(ctx, refusedPause+rand.N(refusedPause))
+		return nil
+	}
 	if err != nil {
 		return err
 	}
 	f.Catalog.replace(address, list)
 	listed()
 	next := list.Next
-	for end := f.Catalog.now() + relistAfter; f.Catalog.now() < end; {
-		changes, err := f.Client.PartChanges(ctx, address, next, pollWait)
+	rhythm := f.rhythm()
+	for end := f.Catalog.now() + rhythm.relist; f.Catalog.now() < end; {
+		changes, err := f.Client.PartChanges(ctx, address, next, rhythm.wait)
+		if refused(err) {
+			pause(ctx, refusedPause+rand.N(refusedPause))
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -136,13 +153,35 @@
 			return nil
 		}
 		next = changes.Next
-		if len(changes.Changes) > 0 {
-			pause(ctx, settle)
+		if rhythm.rest > 0 || len(changes.Changes) > 0 {
+			pause(ctx, max(rhythm.rest, settle))
 		}
 	}
 	return nil
 }
 
+// rhythm is how a host asks stores for changes.
+type rhythm struct {
+	// wait is how long one call waits, rest the pause after it, and relist
+	// the time between two lists.
+	wait, rest, relist time.Duration
+}
+
+// rhythm shares the calls that a store holds between the entry hosts.
+func (f *Follower) rhythm() rhythm {
+	hosts := len(f.Fleet().EntryHosts)
+	if hosts <= waitingHosts {
+		return rhythm{wait: pollWait, relist: relistAfter}
+	}
+	crowd := time.Duration(hosts) / waitingHosts
+	return rhythm{wait: shortPoll, rest: time.Duration(hosts) * shortPoll / waitingHosts, relist: relistAfter * max(crowd, 1)}
+}
+
+// refused says whether a store had no room for a call.
+func refused(err error) bool {
+	return err != nil && mulberrybeam.CodeOf(err) == mulberrybeam.CodeOverloaded
+}
+
 // removeReplaced removes context of replaced weights once no engine has them.
 // One process does it for each store, and the others follow after a while.
 func (f *Follower) removeReplaced(ctx context.Context, fleet *mulberrybeam.Fleet) {
