--- a/connection/carrier/carrier.go
+++ b/connection/carrier/carrier.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/dialer"
 )
 
 const (
@@ -130,7 +131,7 @@
 		if l == nil {
 			return c.open(ctx, target)
 		}
-		if c.now() < l.until && l.quiet() {
+		if c.now() < l.until && l.reader.Buffered() == 0 && dialer.Quiet(l.conn) {
 			return l, nil
 		}
 		c.discard(l)
--- a/connection/encoder/bind.go
+++ b/connection/encoder/bind.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"mulberrybeam/connection/dialer"
 )
 
 // ErrOtherInstance says that a target restarted since the call was decided
@@ -34,9 +36,11 @@
 }
 
 // refuse makes the connection fail when it is to another instance than the
-// expected one. An empty instance expects nothing.
+// expected one, or to one that has closed it. An empty instance expects
+// nothing.
 func refuse(connection net.Conn, instance string) {
-	if bound, ok := connection.(*boundConn); ok && instance != "" && bound.instance != instance {
+	bound, ok := connection.(*boundConn)
+	if ok && instance != "" && (bound.instance != instance || !dialer.Quiet(bound.Conn)) {
 		bound.refused.Store(true)
 	}
 }
@@ -44,12 +48,12 @@
 // dialBound connects and asks the target for its load report, which names its
 // instance. Without this a call meant for a warm instance could reach the cold
 // one that took its place, over a connection that net/http opens by itself.
-func dialBound(ctx context.Context, dialer *net.Dialer, network, address string) (net.Conn, error) {
-	connection, err := dialer.DialContext(ctx, network, address)
+func dialBound(ctx context.Context, tcp *net.Dialer, network, address string) (net.Conn, error) {
+	connection, err := tcp.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	instance, err := askInstance(connection, dialer.Timeout, address)
+	instance, err := askInstance(connection, tcp.Timeout, address)
 	if err != nil {
 		_ = connection.Close()
 		return nil, fmt.Errorf("instance of %s: %w", address, err)
