--- a/process/cataloger/cataloger.go
+++ b/process/cataloger/cataloger.go
@@ -28,15 +28,15 @@
 	now func() time.Duration
 
 	mutex  sync.Mutex
-	stores map[string]*shelf
+	stores map[string]*content
 	holder map[mulberrybeam.PartKey]string
 	claims map[mulberrybeam.PartKey]time.Duration
 	// clock is the engines' clock at local time 0, 0 while it is not known.
 	clock mulberrybeam.EngineClock
 }
 
-// shelf is the content of one store.
-type shelf struct {
+// content is what one store has.
+type content struct {
 	boot     uint64
 	capacity int
 	used     int
@@ -49,7 +49,7 @@
 // New returns an empty catalog.
 func New(now func() time.Duration) *Cataloger {
 	return &Cataloger{
-		now: now, stores: map[string]*shelf{}, holder: map[mulberrybeam.PartKey]string{}, claims: map[mulberrybeam.PartKey]time.Duration{},
+		now: now, stores: map[string]*content{}, holder: map[mulberrybeam.PartKey]string{}, claims: map[mulberrybeam.PartKey]time.Duration{},
 	}
 }
 
@@ -88,7 +88,7 @@
 	return true
 }
 
-func (c *Cataloger) isFresh(s *shelf) bool {
+func (c *Cataloger) isFresh(s *content) bool {
 	return s != nil && s.known && c.now()-s.confirmedAt < fresh
 }
 
@@ -143,14 +143,14 @@
 	return true
 }
 
-func (c *Cataloger) add(address string, s *shelf, part mulberrybeam.PartChange) {
+func (c *Cataloger) add(address string, s *content, part mulberrybeam.PartChange) {
 	s.used += part.Tokens - s.parts[part.Key]
 	s.parts[part.Key] = part.Tokens
 	c.holder[part.Key] = address
 	delete(c.claims, part.Key)
 }
 
-func (c *Cataloger) remove(address string, s *shelf, key mulberrybeam.PartKey) {
+func (c *Cataloger) remove(address string, s *content, key mulberrybeam.PartKey) {
 	s.used -= s.parts[key]
 	delete(s.parts, key)
 	if c.holder[key] == address {
@@ -158,7 +158,7 @@
 	}
 }
 
-func (c *Cataloger) empty(address string, s *shelf) {
+func (c *Cataloger) empty(address string, s *content) {
 	for key := range s.parts {
 		c.remove(address, s, key)
 	}
@@ -194,7 +194,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.stores[store.Address] == nil {
-		c.stores[store.Address] = &shelf{capacity: store.Capacity, parts: map[mulberrybeam.PartKey]int{}}
+		c.stores[store.Address] = &content{capacity: store.Capacity, parts: map[mulberrybeam.PartKey]int{}}
 	}
 }
 
--- a/process/gauger/gauger_test.go
+++ b/process/gauger/gauger_test.go
@@ -82,14 +82,14 @@
 // hosts that together spend more than there is.
 func TestBudgetsOfServices(t *testing.T) {
 	is := is.New(t)
-	purse := gauger.NewPurse(0.1, 10)
+	budgets := gauger.NewBudgets(0.1, 10)
 	request := &mulberrybeam.Request{Repeatable: true, Deadline: time.Hour}
 	failure := &mulberrybeam.Failure{Code: mulberrybeam.CodeTargetFailed}
 	history := retrier.History{Attempts: []retrier.Attempt{{Target: "t", Sent: true}}}
 	granted := func(service mulberrybeam.ServiceName) int {
 		count := 0
 		for range 20 {
-			if purse.Decide(mulberrybeam.Turn{Now: time.Second}, service, 5, request, history, failure).Retry {
+			if budgets.Decide(mulberrybeam.Turn{Now: time.Second}, service, 5, request, history, failure).Retry {
 				count++
 			}
 		}
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -222,7 +222,7 @@
 		Codec:    platform.Codec{},
 		Sender:   p.carrier,
 		Gauger:   p.gauger,
-		Purse:    gauger.NewPurse(budgetShare*bounds.RetryShare, floor),
+		Budgets:  gauger.NewBudgets(budgetShare*bounds.RetryShare, floor),
 		Recorder: p.recorder,
 		Catalog:  p.catalog,
 		Fleet:    p.fleet,
--- a/request/fetcher/fetcher.go
+++ b/request/fetcher/fetcher.go
@@ -26,7 +26,7 @@
 // when the ones before them are full.
 const choices = 3
 
-// salt separators: a salt is the weight version, or that and a workspace.
+// saltSeparator stands between a weight version and a workspace.
 const saltSeparator = "/"
 
 // Salt returns the salt of the context that a weight version makes for a
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -271,7 +271,7 @@
 		Message: fmt.Sprintf("the target answered with status %d", answer.Status),
 	}
 	turn := mulberrybeam.Turn{Now: t.Now(), Rand: t.random}
-	if decision := t.Purse.Decide(turn, t.service, len(t.fleet.EntryHosts), &t.plain, t.history, failure); !decision.Retry {
+	if decision := t.Budgets.Decide(turn, t.service, len(t.fleet.EntryHosts), &t.plain, t.history, failure); !decision.Retry {
 		return t.deliver(t.request.Context(), answer)
 	}
 	return &repeat{failure}
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -66,7 +66,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.request.Context(), x.plain.Deadline-x.Now())
 	defer cancel()
-	x.Purse.Count(x.service, len(x.fleet.EntryHosts), x.arrived)
+	x.Budgets.Count(x.service, len(x.fleet.EntryHosts), x.arrived)
 	x.serve(ctx)
 }
 
@@ -187,7 +187,7 @@
 	if x.started && !(x.plain.Repeatable && x.splitter.Resumable()) {
 		return false
 	}
-	decision := x.Purse.Decide(turn, x.service, len(x.fleet.EntryHosts), &x.plain, x.history, err)
+	decision := x.Budgets.Decide(turn, x.service, len(x.fleet.EntryHosts), &x.plain, x.history, err)
 	x.note(mulberrybeam.EntryRetry, "", fmt.Sprintf("retry %t: %s after %v", decision.Retry, decision.Reason, err))
 	return decision.Retry
 }
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -28,7 +28,7 @@
 	Codec    mulberrybeam.CallCodec
 	Sender   Sender
 	Gauger   *gauger.Gauger
-	Purse    *gauger.Purse
+	Budgets  *gauger.Budgets
 	Catalog  fetcher.Catalog
 	Recorder mulberrybeam.Recorder
 	// Fleet returns the latest fleet.
--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -89,7 +89,7 @@
 	settings := &mulberrybeam.HostSettings{ID: "self", Zone: "z0", Bounds: mulberrybeam.HostBounds{VersionWithin: 8 * time.Second}}
 	server := httptest.NewServer(&relayer.Relayer{
 		Settings: func() *mulberrybeam.HostSettings { return settings },
-		Codec:    platform.Codec{}, Sender: connections, Gauger: gauger.New(now), Purse: gauger.NewPurse(0.2, 100),
+		Codec:    platform.Codec{}, Sender: connections, Gauger: gauger.New(now), Budgets: gauger.NewBudgets(0.2, 100),
 		Catalog: noStores{}, Recorder: discard{}, Fleet: b.fleet.Load, Now: now,
 		Post: func(event mulberrybeam.Event) {
 			if crash, ok := event.(mulberrybeam.TargetCrashed); ok {
