Make fewer calls to the store

Each of 81 hosts confirms the configuration every second and makes a call for each group of changes of engines, leases and crashes within 100 ms.

Change: waits of 1.5 s for the configuration and of 30 s for kinds that no bound hangs on; the time in which changes are gathered grows with the number of hosts above 16. Ruled out for now: reads that may be old, since the lease and the crashes would be seen late.

--- a/connection/feeder/feeder.go
+++ b/connection/feeder/feeder.go
@@ -27,9 +27,9 @@
 	Decoder mulberrybeam.RecordDecoder
 	// Wait is the longest time that one call waits for changes.
 	Wait time.Duration
-	// Settle is a pause after a call that brought changes, so that changes
-	// that come together cost one call.
-	Settle time.Duration
+	// Settle returns a pause after a call that brought changes, so that
+	// changes that come together cost one call.
+	Settle func() time.Duration
 	// Now is local monotonic time.
 	Now func() time.Duration
 	// Deliver hands an event to control.
@@ -50,7 +50,7 @@
 		case err == nil:
 			version, lost, pause = next, false, firstPause
 			if changed {
-				wait(ctx, f.Settle)
+				wait(ctx, f.Settle())
 			}
 			continue
 		case errors.As(err, &failure) && failure.Code == mulberrybeam.CodeExpiredVersion:
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -42,13 +42,21 @@
 	// sweepInterval is the time between two sweeps of old state of traffic.
 	sweepInterval = 2 * time.Second
 	// configWait is short, since each answer confirms that no key was
-	// revoked.
-	configWait = time.Second
-	// targetWait and slowWait bound the calls of the other feeds.
+	// revoked. A confirmation counts from when its call was sent, so that it
+	// is twice this old when the next one comes, well below 0.8 of the
+	// shortest revocation bound of 5 s.
+	configWait = 1500 * time.Millisecond
+	// targetWait, slowWait and longWait bound the calls of the other feeds.
+	// The store allows no wait above 30 s.
 	targetWait = 5 * time.Second
 	slowWait   = 10 * time.Second
+	longWait   = 30 * time.Second
 	// settle lets changes that come together cost one call.
 	settle = 100 * time.Millisecond
+	// settleHosts is the number of entry hosts up to which settle holds. With
+	// more it grows in proportion, since each change costs a call of each
+	// host.
+	settleHosts = 16
 )
 
 // feeds are the kinds that are followed.
@@ -62,9 +70,9 @@
 	{mulberrybeam.ObjectTarget, targetWait, settle},
 	{mulberrybeam.ObjectEvacuation, slowWait, 0},
 	{mulberrybeam.ObjectWeights, slowWait, 0},
-	{mulberrybeam.ObjectHost, slowWait, time.Second},
-	{mulberrybeam.ObjectLease, slowWait, settle},
-	{mulberrybeam.ObjectCrash, slowWait, settle},
+	{mulberrybeam.ObjectHost, longWait, time.Second},
+	{mulberrybeam.ObjectLease, longWait, settle},
+	{mulberrybeam.ObjectCrash, longWait, settle},
 }
 
 // Process is a running entry process.
@@ -168,7 +176,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	for _, feed := range feeds {
 		running := feeder.Feed{
-			Kind: feed.kind, Objects: store, Decoder: platform.Decoder{}, Wait: feed.wait, Settle: feed.settle,
+			Kind: feed.kind, Objects: store, Decoder: platform.Decoder{}, Wait: feed.wait,
+			Settle: func() time.Duration { return settleFor(feed.settle, p.fleet()) },
 			Now: p.now, Deliver: p.control.Deliver,
 			Skipped: func(err error) { p.note("skipped", err.Error()) },
 		}
@@ -182,6 +191,14 @@
 	})
 }
 
+// settleFor returns the pause of a feed that has a given one in a small fleet.
+func settleFor(pause time.Duration, fleet *mulberrybeam.Fleet) time.Duration {
+	if fleet == nil {
+		return pause
+	}
+	return max(pause, pause*time.Duration(len(fleet.EntryHosts))/settleHosts)
+}
+
 // sweep drops old state of traffic.
 func (p *Process) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
