Fetch context that no store has from the first engine for a prompt

Cause: a prompt that goes to a less loaded engine had its shared parts read again unless a store had them, and reading again is the largest price on both sites. The engine that all hosts prefer for the prompt probably has them; a part that it lacks costs a millisecond. The engine must have the same weights. Such an engine now costs half of the tokens in place of all of them.

--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -87,6 +87,10 @@
 	// when it is warm.
 	ColdLimit int
 	Reason    string
+	// First is the engine that all processes prefer for the prompt's shared
+	// parts, so that it may have their context. It is zero when the target is
+	// that engine itself.
+	First mulberrybeam.FleetTarget
 }
 
 // candidate is a target with what is known of it.
@@ -106,11 +110,10 @@
 	warm = current(fleet, query, warm)
 	if len(warm) > 0 {
 		warm = sound(random, warm)
-		chosen, reason := pick(warm, query)
-		if query.MayWait && chosen.full(query) {
-			return Choice{}, noTarget(query.Service, "no engine has room")
+		if query.SharedPart == "" {
+			return Choice{Target: cheapest(warm, query.Zone).target, Reason: "least expected wait"}, nil
 		}
-		return Choice{Target: chosen.target, Reason: reason}, nil
+		return home(warm, query)
 	}
 	return chooseCold(fleet, query, known)
 }
@@ -195,13 +198,6 @@
 	return latencies[len(latencies)/2]
 }
 
-func pick(warm []candidate, query Query) (candidate, string) {
-	if query.SharedPart == "" {
-		return cheapest(warm, query.Zone), "least expected wait"
-	}
-	return home(warm, query)
-}
-
 // cheapest returns the target with the least expected time to answer.
 func cheapest(warm []candidate, zone mulberrybeam.ZoneName) candidate {
 	return slices.MinFunc(warm, func(a, b candidate) int {
@@ -228,7 +224,7 @@
 // and what it costs to get the prompt's context there. All processes derive the
 // same first engine for a prompt, so that requests meet where its context was
 // used last.
-func home(warm []candidate, query Query) (candidate, string) {
+func home(warm []candidate, query Query) (Choice, error) {
 	first := slices.MaxFunc(warm, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.preference(query), b.preference(query)), cmp.Compare(a.target.ID, b.target.ID))
 	})
@@ -236,12 +232,14 @@
 		return cmp.Or(cmp.Compare(a.cost(query, first), b.cost(query, first)), cmp.Compare(a.target.ID, b.target.ID))
 	})
 	switch {
+	case query.MayWait && best.full(query):
+		return Choice{}, noTarget(query.Service, "no engine has room")
 	case best.target.ID == first.target.ID:
-		return best, "first engine for the shared prompt"
+		return Choice{Target: best.target, Reason: "first engine for the shared prompt"}, nil
 	case best.target.Zone == query.ContextZone:
-		return best, "less loaded engine near the prompt's store"
+		return Choice{Target: best.target, First: first.target, Reason: "less loaded engine near the prompt's store"}, nil
 	}
-	return best, "less loaded engine in another zone"
+	return Choice{Target: best.target, First: first.target, Reason: "less loaded engine in another zone"}, nil
 }
 
 // preference orders engines for a prompt: by rendezvous, those near the
@@ -275,7 +273,7 @@
 		cost += otherEngineCost
 	default:
 		// The first engine has read the shared parts or is reading them.
-		cost += float64(query.SharedTokens)
+		cost += max(otherEngineCost, float64(query.SharedTokens)/2)
 	}
 	if query.ContextZone != "" && c.target.Zone != query.ContextZone {
 		cost += otherZoneCost
--- a/request/fetcher/fetcher.go
+++ b/request/fetcher/fetcher.go
@@ -67,6 +67,9 @@
 	Salt   string
 	Parts  []mulberrybeam.PromptPart
 	Stores []mulberrybeam.ContextStore
+	// Peer is the address of another engine that may have the shared parts,
+	// empty for none. A part that it lacks costs the engine a millisecond.
+	Peer string
 }
 
 // Plan has an address, or none, for each part of the prompt.
@@ -80,7 +83,7 @@
 // Decide returns the plan for a prompt. The last part belongs to the request
 // alone, so that it is neither read nor written.
 func Decide(catalog Catalog, query Query) Plan {
-	if len(query.Stores) == 0 || len(query.Parts) < 2 {
+	if len(query.Stores) == 0 && query.Peer == "" || len(query.Parts) < 2 {
 		return Plan{}
 	}
 	limit := baseLimit
@@ -92,6 +95,10 @@
 			limit += time.Duration(part.Tokens) * tokenLimit
 			continue
 		}
+		if query.Peer != "" {
+			plan.FetchFrom[i] = query.Peer
+			limit += time.Duration(part.Tokens) * tokenLimit
+		}
 		if address, found := home(catalog, query.Stores, part); found && catalog.Claim(key) {
 			plan.SaveTo[i] = address
 		}
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	try := &try{exchange: x, target: choice.Target, reason: choice.Reason, sentAt: x.Now(), strict: query.Strict}
+	try := &try{exchange: x, target: choice.Target, first: choice.First, reason: choice.Reason, sentAt: x.Now(), strict: query.Strict}
 	message := try.message()
 	if !x.Gauger.Reserve(try.target.ID, try.load, choice.ColdLimit) {
 		return &mulberrybeam.Failure{
@@ -99,6 +99,9 @@
 type try struct {
 	*exchange
 	target mulberrybeam.FleetTarget
+	// first is the engine that other requests with the same shared parts
+	// prefer, zero for the target itself.
+	first  mulberrybeam.FleetTarget
 	reason string
 	// load is what the attempt still adds to the target's load.
 	load   mulberrybeam.TargetLoad
@@ -196,9 +199,13 @@
 	if version == 0 || version < goal {
 		return
 	}
-	plan := fetcher.Decide(t.Catalog, fetcher.Query{
+	query := fetcher.Query{
 		Model: t.inbound.Model, Salt: call.Salt, Parts: t.inbound.Parts, Stores: t.fleet.ContextStores,
-	})
+	}
+	if t.first.Versions[t.inbound.Model] == version {
+		query.Peer = t.first.Address
+	}
+	plan := fetcher.Decide(t.Catalog, query)
 	call.FetchFrom, call.SaveTo, call.Version = plan.FetchFrom, plan.SaveTo, version
 	call.FetchUntil = plan.Until
 }
