Send no request to an engine whose memory is taken

Cause: after its wait of two latency goals a request went to the least loaded engine however full that was.

Change: a request waits one goal for an engine with room and is then refused with the word that it did not run; only an idle engine takes a prompt beyond 0.85 of its memory. An engine that must get context from the first one costs a twentieth of the shared tokens more, in place of half.

--- a/connection/feeder/feeder_test.go
+++ b/connection/feeder/feeder_test.go
@@ -60,6 +60,7 @@
 	var events []mulberrybeam.Event
 	feeder.Feed{
 		Kind: mulberrybeam.ObjectHost, Objects: calls, Decoder: decoder{},
+		Settle:  func() time.Duration { return 0 },
 		Now:     func() time.Duration { return time.Second },
 		Deliver: func(event mulberrybeam.Event) { events = append(events, event) },
 		Skipped: func(error) {},
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -30,6 +30,9 @@
 	// twice as long between zones, both in tokens to be read.
 	otherEngineCost = 6000
 	otherZoneCost   = 8000
+	// unsureShare is the part of the shared tokens that is expected to be
+	// read again when they come from an engine in place of a store.
+	unsureShare = 0.05
 	// heldWeight is the cost of a token in memory against that of one to be
 	// read, and fullWeight that of one beyond fullShare of the memory, for
 	// which others must finish first.
@@ -234,6 +237,8 @@
 	switch {
 	case query.MayWait && best.full(query):
 		return Choice{}, noTarget(query.Service, "no engine has room")
+	case best.crowded(query):
+		return Choice{}, noTarget(query.Service, "the memory of all engines is taken")
 	case best.target.ID == first.target.ID:
 		return Choice{Target: best.target, Reason: "first engine for the shared prompt"}, nil
 	case best.target.Zone == query.ContextZone:
@@ -256,8 +261,16 @@
 // it can still go to another engine, and context of its prompt may reach a
 // store.
 func (c candidate) full(query Query) bool {
-	load := c.gauge.Load()
-	return query.Memory > 0 && (float64(load.Held+query.PromptTokens) > fullShare*float64(query.Memory) || load.Unread > maxUnread)
+	return c.crowded(query) || query.Memory > 0 && c.gauge.Load().Unread > maxUnread
+}
+
+// crowded says whether requests take so much of the engine's memory that one
+// more would displace them or the context that they use again. An engine that
+// gets more all the same reads displaced context again and stays slow long
+// after the crowd has passed.
+func (c candidate) crowded(query Query) bool {
+	held := c.gauge.Load().Held
+	return query.Memory > 0 && held > 0 && float64(held+query.PromptTokens) > fullShare*float64(query.Memory)
 }
 
 // cost is what it takes an engine to start the request, in tokens to be read.
@@ -272,8 +285,9 @@
 	case query.Stored:
 		cost += otherEngineCost
 	default:
-		// The first engine has read the shared parts or is reading them.
-		cost += max(otherEngineCost, float64(query.SharedTokens)/2)
+		// The first engine may still be reading the shared parts, or have
+		// dropped them.
+		cost += otherEngineCost + unsureShare*float64(query.SharedTokens)
 	}
 	if query.ContextZone != "" && c.target.Zone != query.ContextZone {
 		cost += otherZoneCost
--- a/request/fetcher/fetcher_test.go
+++ b/request/fetcher/fetcher_test.go
@@ -54,6 +54,21 @@
 	is.Equal(plan.SaveTo, []string{"", "", ""})
 }
 
+// Guards against shared parts that are read again though another engine may
+// have them, and against a store that is passed over for that engine.
+func TestPeerHasWhatNoStoreHas(t *testing.T) {
+	is := is.New(t)
+	asked := query()
+	asked.Peer = "e1:1"
+	held := map[mulberrybeam.PartKey]string{{Salt: "3", Model: "m", ID: "p1"}: "s1:1"}
+	plan := fetcher.Decide(catalog{held: held}, asked)
+	is.Equal(plan.FetchFrom, []string{"s1:1", "e1:1", ""})
+	is.True(plan.SaveTo[1] != "")
+	asked.Stores = nil
+	plan = fetcher.Decide(catalog{}, asked)
+	is.Equal(plan.FetchFrom, []string{"e1:1", "e1:1", ""})
+}
+
 // Guards against stores that fill unevenly, and against processes that write a
 // part to different stores.
 func TestPartsSpreadByCapacity(t *testing.T) {
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -195,7 +195,7 @@
 const (
 	// waitShare is the part of the latency goal for which a request that
 	// has not run waits for a target to become free.
-	waitShare = 2.0
+	waitShare = 1.0
 	// waitPause is the time between two looks for a free target.
 	waitPause = 25 * time.Millisecond
 	// forgiveAfter is the number of waits after which targets that refused
