Tie every request to the weights that its salt names

Cause: while an engine was believed to have old weights, requests went there with the old version's salt but without naming the version. An engine that had changed over unseen then kept context of the new weights under the old salt. Since engines fetch from each other, an engine with old weights could take it.

--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -193,6 +193,10 @@
 	goal := t.fleet.Weights[t.inbound.Model].Version
 	version := t.target.Versions[t.inbound.Model]
 	call.Salt = fetcher.Salt(version, t.match.Workspace)
+	// The salt names the version, so that an engine must not run the request
+	// on another one: context of other weights would then bear the salt, and
+	// engines that fetch it would take it for their own.
+	call.Version = version
 	if t.strict {
 		call.Version = goal
 	}
@@ -206,7 +210,7 @@
 		query.Peer = t.first.Address
 	}
 	plan := fetcher.Decide(t.Catalog, query)
-	call.FetchFrom, call.SaveTo, call.Version = plan.FetchFrom, plan.SaveTo, version
+	call.FetchFrom, call.SaveTo = plan.FetchFrom, plan.SaveTo
 	call.FetchUntil = plan.Until
 }
 
--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -260,6 +260,29 @@
 	is.True(request.Header.Get("Mulberrybeam-Request-Deadline") <= "500")
 }
 
+// Guards against context that bears the salt of weights other than those that
+// made it: an engine that has changed over unseen must not run the request.
+func TestRequestIsTiedToTheWeightsOfItsSalt(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, mulberrybeam.Rule{}, func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		writer.Header().Set("Mulberrybeam-Response-Stamp", "s")
+	})
+	fleet := *b.fleet.Load()
+	fleet.Targets["s"][0].Versions = map[mulberrybeam.ModelName]int{"m": 1}
+	fleet.Weights = map[mulberrybeam.ModelName]mulberrybeam.WeightGoal{"m": {Model: "m", Version: 2}}
+	b.fleet.Store(&fleet)
+	got := b.call(func(header http.Header) {
+		header.Set("Mulberrybeam-Model", "m")
+		header.Set("Mulberrybeam-Prompt-Prefix", "p1:10,p2:20")
+	})
+	is.NoErr(got.err)
+	is.Equal(b.runs(), 1)
+	is.Equal(b.arrived[0].Header.Get("Mulberrybeam-Cache-Salt"), "1")
+	is.Equal(b.arrived[0].Header.Get("Mulberrybeam-Expect-Version"), "1")
+	is.Equal(b.arrived[0].Header.Get("Mulberrybeam-Kv-Fetch-From"), "")
+}
+
 // Guards against requests that reach a target without a right to it.
 func TestRefusals(t *testing.T) {
 	is := is.New(t)
