Have feeds of the store tell each other of a cut

The store had dropped its history and cut all watches without a word; the watch for evacuations waited up to 10 s, and only the end of that time showed the cut. The configuration's watch noticed it at 2.5 s. Ruled out: refused lists after the cut.

Change: a feed that loses the store or its history ends the waits of the other feeds, which then ask at once. The waits for evacuations and new weights are below their bounds, so that a cut of one watch alone is noticed in time.

--- a/connection/feeder/feeder.go
+++ b/connection/feeder/feeder.go
@@ -36,40 +36,64 @@
 	Deliver func(mulberrybeam.Event)
 	// Skipped is told of content that cannot be read.
 	Skipped func(err error)
+	// Recheck is shared by the feeds of a process.
+	Recheck *Recheck
+}
+
+// state is how a feed makes its next call.
+type state struct {
+	// version is the last that was read, empty when the kind must be listed.
+	version string
+	// lost says that the last call failed.
+	lost bool
+	// checking says that another feed has lost the store, so that the next
+	// call does not wait.
+	checking bool
 }
 
 // Run follows the kind until ctx ends.
 func (f Feed) Run(ctx context.Context) {
-	version := ""
-	lost := false
+	var now state
 	pause := firstPause
 	for ctx.Err() == nil {
-		next, changed, err := f.step(ctx, version, lost)
+		next, changed, err := f.step(ctx, now)
 		var failure *mulberrybeam.Failure
 		switch {
 		case err == nil:
-			version, lost, pause = next, false, firstPause
+			now, pause = state{version: next}, firstPause
 			if changed {
 				wait(ctx, f.Settle())
 			}
 			continue
+		case errors.Is(err, errRaised):
+			now.checking = true
+			continue
 		case errors.As(err, &failure) && failure.Code == mulberrybeam.CodeExpiredVersion:
-			version = ""
+			f.raise(now)
+			now.version = ""
 			continue
 		}
-		if !lost && ctx.Err() == nil {
+		if !now.lost && ctx.Err() == nil {
+			f.raise(now)
 			f.Deliver(mulberrybeam.FeedLost{Kind: f.Kind, Err: err})
 		}
-		lost = true
+		now.lost, now.checking = true, false
 		wait(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, longestPause)
 	}
 }
 
+// raise has the other feeds look at once, unless this one looked for another.
+func (f Feed) raise(now state) {
+	if !now.checking && !now.lost {
+		f.Recheck.raise()
+	}
+}
+
 // step lists the kind, or waits for changes when a version is known.
-func (f Feed) step(ctx context.Context, version string, lost bool) (string, bool, error) {
+func (f Feed) step(ctx context.Context, now state) (string, bool, error) {
 	sentAt := f.Now()
-	if version == "" {
+	if now.version == "" {
 		objects, next, err := f.Objects.ListAt(ctx, f.Kind)
 		if err != nil {
 			return "", false, err
@@ -78,17 +102,12 @@
 		for _, object := range objects {
 			records[object.Name] = f.decode(object)
 		}
-		f.Deliver(mulberrybeam.RecordsListed{Kind: f.Kind, Records: records, SentAt: sentAt, Regained: lost})
+		f.Deliver(mulberrybeam.RecordsListed{Kind: f.Kind, Records: records, SentAt: sentAt, Regained: now.lost})
 		return next, false, nil
 	}
-	wait := f.Wait
-	if lost {
-		// A short call shows sooner that the platform answers again.
-		wait = 0
-	}
-	changes, next, err := f.Objects.Changes(ctx, f.Kind, version, wait)
+	changes, next, err := f.changes(ctx, now)
 	if err != nil {
-		return version, false, err
+		return now.version, false, err
 	}
 	for _, change := range changes {
 		changed := mulberrybeam.RecordChanged{Kind: f.Kind, Name: change.Object.Name, Removed: change.Deleted}
@@ -103,6 +122,21 @@
 	return next, len(changes) > 0, nil
 }
 
+// changes makes a call that waits for changes, or one that does not while the
+// store may be out of reach: it shows sooner whether the store answers.
+func (f Feed) changes(ctx context.Context, now state) ([]mulberrybeam.ObjectChanged, string, error) {
+	if now.lost || now.checking {
+		return f.Objects.Changes(ctx, f.Kind, now.version, 0)
+	}
+	waiting, leave := f.Recheck.enter(ctx)
+	defer leave()
+	changes, next, err := f.Objects.Changes(waiting, f.Kind, now.version, f.Wait)
+	if err != nil && errors.Is(context.Cause(waiting), errRaised) {
+		return nil, "", errRaised
+	}
+	return changes, next, err
+}
+
 func (f Feed) decode(object mulberrybeam.Object) mulberrybeam.Record {
 	record, err := f.Decoder.Decode(object)
 	if err != nil {
--- a/connection/feeder/feeder_test.go
+++ b/connection/feeder/feeder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -60,6 +61,7 @@
 	var events []mulberrybeam.Event
 	feeder.Feed{
 		Kind: mulberrybeam.ObjectHost, Objects: calls, Decoder: decoder{},
+		Recheck: &feeder.Recheck{},
 		Settle:  func() time.Duration { return 0 },
 		Now:     func() time.Duration { return time.Second },
 		Deliver: func(event mulberrybeam.Event) { events = append(events, event) },
@@ -106,3 +108,62 @@
 	}
 	is.Equal(lost, 1)
 }
+
+// silent is a store whose watches were cut without a word. It notes the waits
+// that it was asked for.
+type silent struct {
+	mutex sync.Mutex
+	waits []time.Duration
+}
+
+func (s *silent) ListAt(context.Context, mulberrybeam.ObjectKind) ([]mulberrybeam.Object, string, error) {
+	return nil, "1", nil
+}
+
+func (s *silent) Changes(ctx context.Context, _ mulberrybeam.ObjectKind, _ string, wait time.Duration) ([]mulberrybeam.ObjectChanged, string, error) {
+	s.mutex.Lock()
+	s.waits = append(s.waits, wait)
+	s.mutex.Unlock()
+	if wait == 0 {
+		return nil, "", failure(mulberrybeam.CodeExpiredVersion)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	<-ctx.Done()
+	return nil, "", &mulberrybeam.Failure{Code: mulberrybeam.CodePlatformDown, Cause: ctx.Err()}
+}
+
+// Guards against an evacuation that is seen too late: the store cut all watches
+// without a word and dropped its history, and a watch that waits long noticed
+// it only when its own time was over.
+func TestFeedsTellEachOtherOfACut(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	recheck := &feeder.Recheck{}
+	listed := make(chan struct{}, 100)
+	follow := func(wait time.Duration, store *silent, deliver func(mulberrybeam.Event)) {
+		feeder.Feed{
+			Kind: mulberrybeam.ObjectEvacuation, Objects: store, Decoder: decoder{}, Wait: wait, Recheck: recheck,
+			Settle: func() time.Duration { return 0 }, Now: func() time.Duration { return 0 },
+			Deliver: deliver, Skipped: func(error) {},
+		}.Run(ctx)
+	}
+	long := &silent{}
+	go follow(time.Minute, long, func(event mulberrybeam.Event) {
+		if _, ok := event.(mulberrybeam.RecordsListed); ok {
+			listed <- struct{}{}
+		}
+	})
+	<-listed
+	go follow(200*time.Millisecond, &silent{}, func(mulberrybeam.Event) {})
+	select {
+	case <-listed: // for the second time, since its history was gone
+	case <-ctx.Done():
+		t.Fatal("the feed with the long wait did not notice the cut")
+	}
+	long.mutex.Lock()
+	defer long.mutex.Unlock()
+	is.True(len(long.waits) >= 2)
+	is.Equal(long.waits[1], time.Duration(0))
+}
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -42,15 +42,17 @@
 	// sweepInterval is the time between two sweeps of old state of traffic.
 	sweepInterval = 2 * time.Second
 	// configWait is short, since each answer confirms that no key was
-	// revoked. A confirmation counts from when its call was sent, so that it
-	// is twice this old when the next one comes, well below 0.8 of the
-	// shortest revocation bound of 5 s.
-	configWait = 1500 * time.Millisecond
-	// targetWait, slowWait and longWait bound the calls of the other feeds.
-	// The store allows no wait above 30 s.
-	targetWait = 5 * time.Second
-	slowWait   = 10 * time.Second
-	longWait   = 30 * time.Second
+	// revoked, and since a watch that was cut without a word is noticed only
+	// when its time is over. The shortest bound for a configuration is 2 s.
+	configWait = 1300 * time.Millisecond
+	// targetWait, evacuationWait and weightsWait bound the calls of other
+	// feeds. With the slack of a call, evacuations and new weights are seen
+	// within their bounds of 5 s and 8 s even if only that watch was cut.
+	targetWait     = 5 * time.Second
+	evacuationWait = 3500 * time.Millisecond
+	weightsWait    = 6 * time.Second
+	// longWait is the longest that the store allows.
+	longWait = 30 * time.Second
 	// settle lets changes that come together cost one call.
 	settle = 100 * time.Millisecond
 	// settleHosts is the number of entry hosts up to which settle holds. With
@@ -68,8 +70,8 @@
 }{
 	{mulberrybeam.ObjectDeployment, configWait, 0},
 	{mulberrybeam.ObjectTarget, targetWait, settle},
-	{mulberrybeam.ObjectEvacuation, slowWait, 0},
-	{mulberrybeam.ObjectWeights, slowWait, 0},
+	{mulberrybeam.ObjectEvacuation, evacuationWait, 0},
+	{mulberrybeam.ObjectWeights, weightsWait, 0},
 	{mulberrybeam.ObjectHost, longWait, time.Second},
 	{mulberrybeam.ObjectLease, longWait, settle},
 	{mulberrybeam.ObjectCrash, longWait, settle},
@@ -174,11 +176,12 @@
 // follow starts the feeds.
 func (p *Process) follow(store *platform.Store, stores *cataloger.Follower) {
 	ctx, cancel := context.WithCancel(context.Background())
+	recheck := &feeder.Recheck{}
 	for _, feed := range feeds {
 		running := feeder.Feed{
 			Kind: feed.kind, Objects: store, Decoder: platform.Decoder{}, Wait: feed.wait,
 			Settle: func() time.Duration { return settleFor(feed.settle, p.fleet()) },
-			Now: p.now, Deliver: p.control.Deliver,
+			Now:    p.now, Deliver: p.control.Deliver, Recheck: recheck,
 			Skipped: func(err error) { p.note("skipped", err.Error()) },
 		}
 		p.workers.Go(func() { running.Run(ctx) })
