Wait in one place, and for the catalog's calls at a stop

The wait that ends with its context stood six times; connection/pauser has it now. A stop of the process did not wait for the catalog's feeds, so that a call could use connections that were already closed; the new test fails before (one call in flight after the stop). No change of behaviour otherwise.

--- a/connection/feeder/feeder.go
+++ b/connection/feeder/feeder.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/pauser"
 )
 
 const (
@@ -62,7 +63,7 @@
 		case err == nil:
 			now, pause = state{version: next}, firstPause
 			if changed {
-				wait(ctx, f.Settle())
+				pauser.Pause(ctx, f.Settle())
 			}
 			continue
 		case errors.Is(err, errRaised):
@@ -78,7 +79,7 @@
 			f.Deliver(mulberrybeam.FeedLost{Kind: f.Kind, Err: err})
 		}
 		now.lost, now.checking = true, false
-		wait(ctx, pause/2+rand.N(pause))
+		pauser.Pause(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, longestPause)
 	}
 }
@@ -144,15 +145,3 @@
 	}
 	return record
 }
-
-func wait(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/connection/objectcaller/caller.go
+++ b/connection/objectcaller/caller.go
@@ -13,6 +13,7 @@
 	"mulberrybeam"
 	"mulberrybeam/connection/encoder"
 	"mulberrybeam/connection/pacer"
+	"mulberrybeam/connection/pauser"
 )
 
 // peer names the platform in failures.
@@ -175,23 +176,12 @@
 		case now+verdict.Wait > limit:
 			return verdict, c.refuse(count, mulberrybeam.CodePlatformBudget, "call budget is used up", verdict.Wait)
 		}
-		if !pause(ctx, verdict.Wait) {
+		if !pauser.Pause(ctx, verdict.Wait) {
 			return verdict, c.refuse(count, mulberrybeam.CodePlatformBudget, "call ended before it was sent", 0)
 		}
 	}
 }
 
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (c *Caller) refuse(count Count, code mulberrybeam.Code, message string, wait time.Duration) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/process/cataloger/cataloger.go
+++ b/process/cataloger/cataloger.go
@@ -189,7 +189,7 @@
 	}
 }
 
-// track starts or ends the record of a store.
+// track starts the record of a store.
 func (c *Cataloger) track(store mulberrybeam.ContextStore) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/process/cataloger/cataloger_test.go
+++ b/process/cataloger/cataloger_test.go
@@ -23,6 +23,9 @@
 	down    bool
 	lists   int
 	freed   []mulberrybeam.PartKey
+	calls   int
+	// slow is how long a call goes on after its context ended.
+	slow time.Duration
 }
 
 func (s *store) Parts(context.Context, string) (mulberrybeam.PartList, error) {
@@ -35,8 +38,14 @@
 	return mulberrybeam.PartList{Boot: s.boot, Parts: slices.Clone(s.parts)}, nil
 }
 
-func (s *store) PartChanges(_ context.Context, _ string, since uint64, _ time.Duration) (mulberrybeam.PartChanges, error) {
+func (s *store) PartChanges(ctx context.Context, _ string, since uint64, _ time.Duration) (mulberrybeam.PartChanges, error) {
+	s.set(func() { s.calls++ })
+	defer s.set(func() { s.calls-- })
 	time.Sleep(5 * time.Millisecond)
+	if s.slow > 0 {
+		<-ctx.Done()
+		time.Sleep(s.slow)
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.down {
@@ -101,6 +110,24 @@
 	return catalog
 }
 
+// Guards against a stop that leaves calls to stores behind, which then use
+// connections that the process has closed.
+func TestStopWaitsForCalls(t *testing.T) {
+	is := is.New(t)
+	s := &store{boot: 1, slow: 50 * time.Millisecond}
+	t.Run("follow", func(t *testing.T) {
+		start(t, s)
+		until(t, "no call is made", func() bool {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			return s.calls > 0
+		})
+	})
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	is.Equal(s.calls, 0)
+}
+
 // until waits for a condition.
 func until(t *testing.T, what string, condition func() bool) {
 	t.Helper()
--- a/process/cataloger/follow.go
+++ b/process/cataloger/follow.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/pauser"
 	"mulberrybeam/request/fetcher"
 	"mulberrybeam/version/ranker"
 )
@@ -52,14 +54,18 @@
 	Note  func(subject, text string)
 	// replacedAt is since when all engines of a model have its weights.
 	replacedAt map[mulberrybeam.WeightGoal]time.Duration
+	// feeds are the goroutines that follow stores.
+	feeds sync.WaitGroup
 }
 
-// Run follows the deployment's stores until ctx ends.
+// Run follows the deployment's stores until ctx ends. It returns when no call is
+// in flight any more.
 func (f *Follower) Run(ctx context.Context) {
 	f.replacedAt = map[mulberrybeam.WeightGoal]time.Duration{}
 	running := map[string]context.CancelFunc{}
 	ticker := time.NewTicker(manageInterval)
 	defer ticker.Stop()
+	defer f.feeds.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -90,7 +96,7 @@
 		feed, stop := context.WithCancel(ctx)
 		running[store.Address] = stop
 		f.Catalog.track(store)
-		go f.follow(feed, store.Address)
+		f.feeds.Go(func() { f.follow(feed, store.Address) })
 	}
 	for address, stop := range running {
 		if !declared[address] {
@@ -120,7 +126,7 @@
 				f.Note(address, "context store lost: "+err.Error())
 			}
 			lost = true
-			pause(ctx, lostPause)
+			pauser.Pause(ctx, lostPause)
 		}
 	}
 }
@@ -130,7 +136,7 @@
 func (f *Follower) session(ctx context.Context, address string, listed func()) error {
 	list, err := f.Client.Parts(ctx, address)
 	if refused(err) {
-		pause(ctx, refusedPause+rand.N(refusedPause))
+		pauser.Pause(ctx, refusedPause+rand.N(refusedPause))
 		return nil
 	}
 	if err != nil {
@@ -140,10 +146,10 @@
 	listed()
 	next := list.Next
 	rhythm := f.rhythm()
-	for end := f.Catalog.now() + rhythm.relist; f.Catalog.now() < end; {
+	for end := f.Catalog.now() + rhythm.relist; ctx.Err() == nil && f.Catalog.now() < end; {
 		changes, err := f.Client.PartChanges(ctx, address, next, rhythm.wait)
 		if refused(err) {
-			pause(ctx, refusedPause+rand.N(refusedPause))
+			pauser.Pause(ctx, refusedPause+rand.N(refusedPause))
 			continue
 		}
 		if err != nil {
@@ -154,7 +160,7 @@
 		}
 		next = changes.Next
 		if rhythm.rest > 0 || len(changes.Changes) > 0 {
-			pause(ctx, max(rhythm.rest, settle))
+			pauser.Pause(ctx, max(rhythm.rest, settle))
 		}
 	}
 	return nil
@@ -235,12 +241,3 @@
 	}
 	return true
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/process/launcher/launcher.go
+++ b/process/launcher/launcher.go
@@ -17,6 +17,7 @@
 	"mulberrybeam/connection/intentencoder"
 	"mulberrybeam/connection/leaseencoder"
 	"mulberrybeam/connection/objectcaller"
+	"mulberrybeam/connection/pauser"
 	"mulberrybeam/connection/peercaller"
 	"mulberrybeam/connection/servicecaller"
 	"mulberrybeam/connection/storecaller"
@@ -267,16 +268,16 @@
 // running requests end, gives the slots back and says that it has left.
 func (p *Process) shutdown(ctx context.Context) error {
 	p.server.Retire()
-	wait(ctx, p.settings.Shutdown.BalancerDelay)
+	pauser.Pause(ctx, p.settings.Shutdown.BalancerDelay)
 	p.Control.Post(mulberrybeam.ShutdownAsked{})
 	released := p.now() + writeTime
 	drain, cancel := p.drainContext(ctx)
 	defer cancel()
 	err := p.finish(drain)
-	wait(ctx, released-p.now())
+	pauser.Pause(ctx, released-p.now())
 	// Asked once more, the process says that it has left.
 	p.Control.Post(mulberrybeam.ShutdownAsked{})
-	wait(ctx, leaveTime)
+	pauser.Pause(ctx, leaveTime)
 	p.close()
 	if errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("requests were still running when the shutdown's time ended: %w", err)
@@ -290,12 +291,3 @@
 	}
 	return context.WithTimeout(ctx, p.settings.Shutdown.StreamLimit)
 }
-
-func wait(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/request/forwarder/again.go
+++ b/request/forwarder/again.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/pauser"
 	"mulberrybeam/request/quarantiner"
 	"mulberrybeam/request/retrier"
 )
@@ -33,7 +34,7 @@
 	}
 	f.note(mulberrybeam.EntryRetry, r.request, failure.Peer, decision.Reason+" after: "+failure.Error())
 	r.tried = decision.Tried
-	return pause(ctx, decision.Delay), failure
+	return pauser.Pause(ctx, decision.Delay), failure
 }
 
 // suspect decides on the request by the crashes it was in flight at.
@@ -54,21 +55,6 @@
 	return nil
 }
 
-// pause waits and says whether the context still holds.
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // budget is the process's retry budget. Only traffic goroutines take its
 // mutex.
 type budget struct {
--- a/request/forwarder/attempt.go
+++ b/request/forwarder/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/pauser"
 	"mulberrybeam/request/admitter"
 	"mulberrybeam/request/retrier"
 )
@@ -187,7 +188,7 @@
 		}
 	}
 	r.history.Attempts = sent
-	return pause(ctx, wait)
+	return pauser.Pause(ctx, wait)
 }
 
 // enter checks the permit and the send window right before the send and counts
--- a/request/forwarder/context.go
+++ b/request/forwarder/context.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/pauser"
 	"mulberrybeam/request/keyer"
 	"mulberrybeam/request/placer"
 )
@@ -225,7 +226,7 @@
 	}
 	bytes := int64(len(keys)) * keyer.BlockBytes
 	verdict := f.askLink(snapshot, work.store, mulberrybeam.PriorityExport, bytes)
-	if !verdict.Go && pause(ctx, min(verdict.Wait, maxLinkWait)) {
+	if !verdict.Go && pauser.Pause(ctx, min(verdict.Wait, maxLinkWait)) {
 		verdict = f.askLink(f.Snapshot(), work.store, mulberrybeam.PriorityExport, bytes)
 	}
 	if !verdict.Go {
--- a/request/forwarder/service.go
+++ b/request/forwarder/service.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/pauser"
 	"mulberrybeam/request/intender"
 )
 
@@ -116,7 +117,7 @@
 	for {
 		select {
 		case work := <-f.leftovers:
-			if !pause(ctx, removeInterval) {
+			if !pauser.Pause(ctx, removeInterval) {
 				return
 			}
 			if work.tries++; f.driver().Remove(ctx, work.record) != nil && work.tries < maxRemovals {
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/pauser"
 	"mulberrybeam/request/matcher"
 	"mulberrybeam/request/quarantiner"
 	"mulberrybeam/request/resumer"
@@ -214,11 +215,7 @@
 	if turn.Now+waitPause > x.waitLimit() || x.mayHaveRun && !x.plain.Repeatable {
 		return false
 	}
-	timer := time.NewTimer(waitPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if !pauser.Pause(ctx, waitPause) {
 		return false
 	}
 	x.waits++
