Add a fault soak of real entry processes

process/soaker starts entry processes, puts a loopback proxy before the store of each and before each target, and plays drawn faults that overlap: signals, links that are silent, deaf, slow or reset, a store that fails or forgets, targets that crash, drain, lose or break answers, evacuations, configurations and revoked keys. Callers keep their connections. The checks are a function of what callers and targets saw; each fails on a history that breaks its promise.

--- /dev/null
+++ b/process/soaker/caller.go
@@ -0,0 +1,96 @@
+package soaker
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"mulberrybeam/process/standin/backend"
+)
+
+const (
+	// callers is the number of callers, and callPause the longest wait of
+	// each between two requests.
+	callers   = 12
+	callPause = 60 * time.Millisecond
+	// deadline is that of each request.
+	deadline = 2 * time.Second
+)
+
+// kinds are drawn from for each request. The path tells the route.
+var kinds = []struct {
+	kind Kind
+	path string
+}{
+	{KindOnce, "/once/"}, {KindAgain, "/again/"}, {KindStream, backend.StreamPath},
+}
+
+// call sends requests to hosts over connections that stay open, until ctx ends.
+func (r *run) call(ctx context.Context, number int) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	random := r.random(fmt.Sprint("caller ", number))
+	for i := 0; ctx.Err() == nil; i++ {
+		kind := kinds[random.IntN(len(kinds))]
+		result := Result{
+			Request: fmt.Sprintf("%x-%d-%d", r.seed, number, i), Kind: kind.kind,
+			Key: keys[random.IntN(len(keys))], Host: r.hosts[random.IntN(len(r.hosts))].name,
+		}
+		send(ctx, client, r.hostOf(result.Host).caller+kind.path, &result)
+		r.note(func() { r.history.Results = append(r.history.Results, result) })
+		r.pause(time.Duration(random.Int64N(int64(callPause))))
+	}
+}
+
+// send sends one request and reads its answer.
+func send(ctx context.Context, client *http.Client, url string, result *Result) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deadline+time.Second)
+	defer cancel()
+	defer func() { result.EndedAt = time.Now() }()
+	result.SentAt = time.Now()
+	// The body differs between requests, since a body that was in flight at
+	// several crashes is refused for good.
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+url, strings.NewReader(result.Request))
+	if err != nil {
+		return
+	}
+	request.Host = routeHost
+	request.Header.Set(backend.HeaderRequest, result.Request)
+	request.Header.Set(backend.HeaderKey, result.Key)
+	request.Header.Set(backend.HeaderDeadline, fmt.Sprint(deadline.Milliseconds()))
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	result.Status = response.StatusCode
+	if result.Kind == KindStream && response.StatusCode == http.StatusOK {
+		result.Events, result.Whole = readEvents(response.Body)
+		return
+	}
+	body, err := io.ReadAll(response.Body)
+	result.Body, result.Whole = string(body), err == nil
+}
+
+// readEvents returns the data of whole events, and whether the stream ended
+// without a fault.
+func readEvents(body io.Reader) ([]string, bool) {
+	var events []string
+	data := ""
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		text, found := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case found:
+			data = text
+		case lines.Text() == "" && data != "":
+			events, data = append(events, data), ""
+		}
+	}
+	return events, lines.Err() == nil
+}
--- /dev/null
+++ b/process/soaker/host.go
@@ -0,0 +1,132 @@
+package soaker
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// host is an entry host: its process, and its link to the store.
+type host struct {
+	name, zone string
+	binary     string
+	settings   string
+	log        string
+	caller     string
+	ready      string
+	store      *Link
+
+	mutex   sync.Mutex
+	command *exec.Cmd
+	// ended is closed when the present process is gone.
+	ended chan struct{}
+}
+
+// newHost writes the settings of a host.
+func newHost(options Options, dir, name, zone, store string) (*host, error) {
+	link, err := NewLink(store)
+	if err != nil {
+		return nil, err
+	}
+	caller, ready, peer, err := freePorts()
+	if err != nil {
+		return nil, err
+	}
+	h := &host{
+		name: name, zone: zone, binary: options.Entry, store: link,
+		settings: filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log"),
+		caller: fmt.Sprint("127.0.0.1:", caller), ready: fmt.Sprint("127.0.0.1:", ready),
+	}
+	text := fmt.Sprintf(`node = %q
+ip = "127.0.0.1"
+zone = %q
+internal_ports = [%d, %d]
+[zones]
+a = "r"
+b = "r"
+[listen]
+front = %q
+ready = %q
+[limits]
+memory_mb = 134
+[bounds]
+grace_s = %.1f
+fail_closed = true
+revoke_ms = %d
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_min_retries = 100
+cold_overshoot = 1.5
+cold_slack = 5
+require_fencing = true
+lease_ms = 3000
+version_ms = 8000
+[platform]
+address = %q
+`, name, zone, peer, peer, h.caller, h.ready, grace.Seconds(), revokeWithin.Milliseconds(), link.Address())
+	return h, os.WriteFile(h.settings, []byte(text), 0o600)
+}
+
+// start starts the process, whose log is appended.
+func (h *host) start() error {
+	log, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(h.binary, "--settings", h.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		_ = log.Close()
+		return err
+	}
+	ended := make(chan struct{})
+	h.mutex.Lock()
+	h.command, h.ended = command, ended
+	h.mutex.Unlock()
+	go func() {
+		// A killed process ends with an error; that is what was asked.
+		_ = command.Wait()
+		_ = log.Close()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that this host started.
+func (h *host) signal(signal syscall.Signal) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	// A process that is gone needs no signal.
+	_ = h.command.Process.Signal(signal)
+}
+
+// gone returns a channel that is closed when the present process has ended.
+func (h *host) gone() <-chan struct{} {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.ended
+}
+
+// kill ends the process at once and waits for it.
+func (h *host) kill() {
+	h.signal(syscall.SIGKILL)
+	<-h.gone()
+}
+
+// stop asks the process to end and returns how long it went on. It is killed
+// when it goes on for too long.
+func (h *host) stop() time.Duration {
+	const patience = grace + 2*time.Second
+	begin := time.Now()
+	h.signal(syscall.SIGTERM)
+	select {
+	case <-h.gone():
+	case <-time.After(patience):
+		h.kill()
+	}
+	return time.Since(begin)
+}
--- /dev/null
+++ b/process/soaker/soaker.go
@@ -0,0 +1,381 @@
+// Package soaker runs real entry processes before stand-ins of the platform and
+// plays faults from outside them: signals, and links that are cut, silent,
+// deaf, slow or reset. What callers and targets see is checked against the
+// promises of the system. A run lives as long as its processes.
+package soaker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"mulberrybeam/process/standin/backend"
+	"mulberrybeam/process/standin/metastore"
+)
+
+const (
+	// warmUp is the time before the first fault, and recovery that between
+	// the last one and the requests that must be served again.
+	warmUp   = 2 * time.Second
+	recovery = 5 * time.Second
+	calm     = 3 * time.Second
+	// readyWithin bounds the start of a process.
+	readyWithin = 10 * time.Second
+	routeHost   = "soak.example"
+	// targetsAZone is the number of targets in a zone.
+	targetsAZone = 3
+	// firstVersion is that of the first configuration.
+	firstVersion = 3
+)
+
+var (
+	zones = []string{"a", "b"}
+	// keys are the callers'. The ones from lastingKeys on are revoked by a
+	// plan.
+	keys = []string{"k0", "k1", "k2", "k3", "k4", "k5"}
+)
+
+const lastingKeys = 3
+
+// tenantOf returns the workspace of a key.
+func tenantOf(key string) string { return "w-" + key }
+
+// Options are what a run needs.
+type Options struct {
+	// Entry is the path of the entry process's program.
+	Entry string
+	// Dir takes settings and logs.
+	Dir string
+	// Hosts is the number of entry hosts.
+	Hosts int
+	// Faults is how long faults begin, and Gap the longest time between two.
+	Faults, Gap time.Duration
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed       uint64
+	History    History
+	Violations []Violation
+}
+
+// run is one run of a fleet.
+type run struct {
+	seed    uint64
+	options Options
+	store   *metastore.Store
+	hosts   []*host
+	ctx     context.Context
+	steps   sync.WaitGroup
+
+	mutex      sync.Mutex
+	history    History
+	targets    []*target
+	made       int
+	version    int
+	live       []string
+	busy       map[*host]bool
+	evacuating bool
+	failed     error
+}
+
+// target is a running target behind its link.
+type target struct {
+	*backend.Target
+	link *Link
+}
+
+// Run plays one seed and checks what was seen.
+func Run(ctx context.Context, options Options, seed uint64) (Report, error) {
+	r := &run{
+		seed: seed, options: options, store: metastore.New(), ctx: ctx, version: firstVersion,
+		live: slices.Clone(keys), busy: map[*host]bool{},
+	}
+	storeServer := &http.Server{Handler: r.store, ReadHeaderTimeout: readyWithin}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Report{}, err
+	}
+	go func() { _ = storeServer.Serve(listener) }()
+	defer func() { _ = storeServer.Close() }()
+	defer r.close()
+	if err := r.start(listener.Addr().String()); err != nil {
+		return Report{}, err
+	}
+	r.play()
+	if r.failed != nil {
+		return Report{}, r.failed
+	}
+	return Report{Seed: seed, History: r.history, Violations: Check(r.history)}, ctx.Err()
+}
+
+// start starts targets and hosts and waits until the hosts are ready.
+func (r *run) start(store string) error {
+	r.configure()
+	for range targetsAZone {
+		for _, zone := range zones {
+			if err := r.addTarget(zone); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range r.options.Hosts {
+		h, err := newHost(r.options, r.options.Dir, fmt.Sprint("host-", i), zones[i%len(zones)], store)
+		if err != nil {
+			return err
+		}
+		if err := h.start(); err != nil {
+			return err
+		}
+		r.hosts = append(r.hosts, h)
+	}
+	for _, h := range r.hosts {
+		if err := r.awaitReady(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) awaitReady(h *host) error {
+	for begin := time.Now(); time.Since(begin) < readyWithin; r.pause(20 * time.Millisecond) {
+		response, err := http.Get("http://" + h.ready + "/-/ready")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return fmt.Errorf("host %s is not ready after %s; its log is %s", h.name, readyWithin, h.log)
+}
+
+// play has callers send requests while faults come in series and overlap.
+func (r *run) play() {
+	calling, stop := context.WithCancel(r.ctx)
+	defer stop()
+	var group sync.WaitGroup
+	for number := range callers {
+		group.Go(func() { r.call(calling, number) })
+	}
+	r.pause(warmUp)
+	random := r.random("plan")
+	for begin := time.Now(); time.Since(begin) < r.options.Faults && r.ctx.Err() == nil; {
+		fault, own := faults[random.IntN(len(faults))], r.random(fmt.Sprint("fault ", random.Uint64()))
+		r.steps.Go(func() { fault.play(r, own) })
+		r.pause(time.Duration(random.Int64N(int64(r.options.Gap))))
+	}
+	r.steps.Wait()
+	r.pause(recovery)
+	r.note(func() { r.history.CalmFrom = time.Now() })
+	r.pause(calm)
+	stop()
+	group.Wait()
+}
+
+// close ends what the run started.
+func (r *run) close() {
+	for _, h := range r.hosts {
+		h.kill()
+		h.store.Close()
+	}
+	for _, target := range r.targets {
+		target.Crash()
+		target.link.Close()
+	}
+}
+
+// random returns the source of one part of the run.
+func (r *run) random(part string) *rand.Rand {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(part))
+	return rand.New(rand.NewPCG(r.seed, hash.Sum64()))
+}
+
+func (r *run) pause(length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-r.ctx.Done():
+	}
+}
+
+func (r *run) note(change func()) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	change()
+}
+
+func (r *run) change(change Change) {
+	r.note(func() { r.history.Changes = append(r.history.Changes, change) })
+}
+
+// trouble notes the begin of a host's trouble and returns the function that
+// notes its end.
+func (r *run) trouble(name, kind string) func() {
+	begin := time.Now()
+	return func() {
+		r.note(func() {
+			r.history.Troubles = append(r.history.Troubles, Trouble{Host: name, Kind: kind, From: begin, To: time.Now()})
+		})
+	}
+}
+
+// fail keeps the first error of the run's own.
+func (r *run) fail(err error) {
+	r.note(func() {
+		if r.failed == nil {
+			r.failed = err
+		}
+	})
+}
+
+// host draws a host whose process is not being replaced.
+func (r *run) host(random *rand.Rand) *host {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	start := random.IntN(len(r.hosts))
+	for i := range r.hosts {
+		if h := r.hosts[(start+i)%len(r.hosts)]; !r.busy[h] {
+			return h
+		}
+	}
+	return r.hosts[start]
+}
+
+// occupy waits until no other step replaces the host's process.
+func (r *run) occupy(h *host) func() {
+	for taken := false; !taken; {
+		r.note(func() {
+			if taken = !r.busy[h]; taken {
+				r.busy[h] = true
+			}
+		})
+		if !taken {
+			r.pause(10 * time.Millisecond)
+		}
+	}
+	return func() { r.note(func() { delete(r.busy, h) }) }
+}
+
+func (r *run) hostOf(name string) *host {
+	return r.hosts[slices.IndexFunc(r.hosts, func(h *host) bool { return h.name == name })]
+}
+
+// target draws one of the latest targets.
+func (r *run) target(random *rand.Rand) *target {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	count := min(len(r.targets), targetsAZone*len(zones))
+	return r.targets[len(r.targets)-1-random.IntN(count)]
+}
+
+// addTarget starts a target and registers it.
+func (r *run) addTarget(zone string) error {
+	id := ""
+	r.note(func() {
+		r.made++
+		id = fmt.Sprintf("i-%d", r.made)
+	})
+	running, err := backend.Start(id, zone, func(arrival backend.Arrival) {
+		r.note(func() { r.history.Arrivals = append(r.history.Arrivals, arrival) })
+	})
+	if err != nil {
+		return err
+	}
+	link, err := NewLink(running.Address())
+	if err != nil {
+		return err
+	}
+	added := &target{running, link}
+	r.note(func() { r.targets = append(r.targets, added) })
+	r.register(added, "ready")
+	return nil
+}
+
+func (r *run) drainTarget(target *target) { r.register(target, "draining") }
+
+func (r *run) register(target *target, state string) {
+	r.store.Put("servers", target.ID, fmt.Sprintf(
+		`{"service":"s","address":%q,"zone":%q,"version":"v1","slots":16,"state":%q,"cold_remaining_ms":0,"sequence":1}`,
+		target.link.Address(), target.Zone, state))
+}
+
+// configure writes the next version of the configuration.
+func (r *run) configure() {
+	type route map[string]any
+	routeOf := func(path, kind string, attempts int) route {
+		return route{
+			"name": "r" + strings.Trim(path, "/"), "host": routeHost, "path_prefix": path, "kind": kind, "service": "s",
+			"timeout_ms": deadline.Milliseconds(), "target_latency_ms": 200, "max_attempts": attempts,
+			"resumable": kind == "streaming",
+		}
+	}
+	r.note(func() {
+		var tenants []map[string]any
+		for _, key := range keys {
+			tenant := map[string]any{"name": tenantOf(key), "api_keys": []string{}}
+			if slices.Contains(r.live, key) {
+				tenant["api_keys"] = []string{key}
+			}
+			tenants = append(tenants, tenant)
+		}
+		// A map of strings and numbers can always be encoded.
+		text, _ := json.Marshal(map[string]any{
+			"version": r.version, "tenants": tenants,
+			"services": []map[string]any{{"name": "s", "max_connections": 400}},
+			"routes": []route{
+				routeOf("/once/", "unsafe", 1), routeOf("/again/", "safe", maxAttempts), routeOf(backend.StreamPath, "streaming", maxAttempts),
+			},
+		})
+		r.version += 2
+		r.store.Put("config", "main", string(text))
+	})
+}
+
+// takeKey takes a key away from its workspace. The next configuration lacks it.
+func (r *run) takeKey() string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if len(r.live) <= lastingKeys {
+		return ""
+	}
+	key := r.live[len(r.live)-1]
+	r.live = r.live[:len(r.live)-1]
+	return key
+}
+
+// claimEvacuation says whether no zone is evacuated, so that one is left.
+func (r *run) claimEvacuation() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.evacuating {
+		return false
+	}
+	r.evacuating = true
+	return true
+}
+
+func (r *run) releaseEvacuation() { r.note(func() { r.evacuating = false }) }
+
+// freePorts returns ports that were free a moment ago.
+func freePorts() (first, second, third int, err error) {
+	var ports [3]int
+	for i := range ports {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return 0, 0, 0, err
+		}
+		defer func() { _ = listener.Close() }()
+		ports[i] = listener.Addr().(*net.TCPAddr).Port
+	}
+	return ports[0], ports[1], ports[2], nil
+}
--- a/process/standin/metastore/metastore.go
+++ b/process/standin/metastore/metastore.go
@@ -72,6 +72,13 @@
 	return s.calls
 }
 
+// Revision returns that of the last change.
+func (s *Store) Revision() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.revision
+}
+
 // Put writes an object whatever its revision.
 func (s *Store) Put(kind, name, spec string) uint64 {
 	s.mutex.Lock()
