--- a/cmd/mulberryload/command/command.go
+++ b/cmd/mulberryload/command/command.go
@@ -10,6 +10,8 @@
 
 	"mulberrybeam/cmd/mulberryload/run"
 	"mulberrybeam/cmd/mulberryload/serve"
+	"mulberrybeam/cmd/mulberryload/soak"
+	"mulberrybeam/process/soaker"
 )
 
 // Exit codes.
@@ -21,12 +23,13 @@
 type commands struct {
 	Serve serve.Command `cmd:"" help:"Run a fake until it is interrupted."`
 	Run   run.Command   `cmd:"" help:"Put load on entry processes and print the results as JSON."`
+	Soak  soak.Command  `cmd:"" help:"Play faults against entry processes of the platform and check their promises."`
 }
 
 // Main runs the command of the arguments and returns the exit code.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	exit := -1
-	line := commands{Serve: serve.New(serve.Start), Run: run.New(run.Start)}
+	line := commands{Serve: serve.New(serve.Start), Run: run.New(run.Start), Soak: soak.New(soaker.Run)}
 	parser, err := kong.New(&line, kong.Name("mulberryload"), kong.Writers(stdout, stderr),
 		kong.Exit(func(code int) { exit = code }))
 	if err != nil {
