Answer a stream that breaks before its first event

Cause: the head of a stream was taken as written when the target's head came, though it is sent with the first whole event. A stream that broke off within its first event and could not be sent again ended as a closed connection.

--- a/process/soaker/soaker.go
+++ b/process/soaker/soaker.go
@@ -366,9 +366,9 @@
 
 func (r *run) releaseEvacuation() { r.note(func() { r.evacuating = false }) }
 
-// freePorts returns ports that were free a moment ago.
-func freePorts() (first, second, third int, err error) {
-	var ports [3]int
+// freePorts returns two TCP ports and a UDP port that were free a moment ago.
+func freePorts() (first, second, datagrams int, err error) {
+	var ports [2]int
 	for i := range ports {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -377,5 +377,10 @@
 		defer func() { _ = listener.Close() }()
 		ports[i] = listener.Addr().(*net.TCPAddr).Port
 	}
-	return ports[0], ports[1], ports[2], nil
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	defer func() { _ = socket.Close() }()
+	return ports[0], ports[1], socket.LocalAddr().(*net.UDPAddr).Port, nil
 }
--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -44,11 +44,9 @@
 }
 
 // stream passes events on as they arrive. Only whole events of a resumable
-// stream are passed on, so that it can go on at another target.
+// stream are passed on, so that it can go on at another target. The head waits
+// for the first of them, since a refusal can still take its place until then.
 func (t *try) stream(ctx context.Context, cancel context.CancelCauseFunc, answer *carrier.Answer) error {
-	if !t.started {
-		t.writeHead(answer)
-	}
 	t.splitter.Drop()
 	flusher := http.NewResponseController(t.writer)
 	buffer := make([]byte, streamBuffer)
@@ -62,7 +60,7 @@
 		n, err := answer.Read(buffer)
 		watch.heard()
 		if n > 0 {
-			if writeErr := t.forward(flusher, buffer[:n]); writeErr != nil {
+			if writeErr := t.forward(flusher, answer, buffer[:n]); writeErr != nil {
 				return t.callerLeft(writeErr)
 			}
 		}
@@ -75,13 +73,14 @@
 	}
 }
 
-func (t *try) forward(flusher *http.ResponseController, chunk []byte) error {
+func (t *try) forward(flusher *http.ResponseController, answer *carrier.Answer, chunk []byte) error {
 	if t.plain.Repeatable {
 		chunk = t.splitter.Feed(chunk)
 		if len(chunk) == 0 {
 			return nil
 		}
 	}
+	t.begin(answer)
 	if _, err := t.writer.Write(chunk); err != nil {
 		return err
 	}
@@ -89,6 +88,7 @@
 }
 
 func (t *try) endStream(flusher *http.ResponseController, answer *carrier.Answer) error {
+	t.begin(answer)
 	if rest := t.splitter.Rest(); len(rest) > 0 {
 		if _, err := t.writer.Write(rest); err != nil {
 			return t.callerLeft(err)
@@ -107,6 +107,13 @@
 	}
 }
 
+// begin writes the head of the first target that gives the caller something.
+func (t *try) begin(answer *carrier.Answer) {
+	if !t.started {
+		t.writeHead(answer)
+	}
+}
+
 func (t *try) writeHead(answer *carrier.Answer) {
 	header := t.writer.Header()
 	reply := answer.Header.Clone()
--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -339,6 +339,25 @@
 	is.Equal(got.header.Get("Mulberrybeam-Response-Stamp"), "first")
 }
 
+// Guards against a caller that gets a closed connection in place of an answer
+// where no event had arrived yet and the stream may not be sent again.
+func TestStreamThatBreaksBeforeItsFirstEvent(t *testing.T) {
+	is := is.New(t)
+	single := stream
+	single.MaxAttempts = 1
+	b := newBench(t, single, breaksAfter(0))
+	got := b.call(nil)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusBadGateway)
+	is.Equal(got.header.Get("Mulberrybeam-Response-Stamp"), "")
+
+	b = newBench(t, stream, breaksAfter(0), goesOn)
+	got = b.call(nil)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.header.Get("Mulberrybeam-Response-Stamp"), "second")
+}
+
 // Guards against a cut stream that looks whole, and against a second run of one
 // that may not be resumed.
 func TestStreamThatMayNotGoOn(t *testing.T) {
