Take ports for the soak that stay free

Ports of hosts came from the range of outgoing connections, so that a host that restarted sometimes found its port taken (seed 37, not played).

--- a/process/soaker/soaker.go
+++ b/process/soaker/soaker.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -366,21 +367,39 @@
 
 func (r *run) releaseEvacuation() { r.note(func() { r.evacuating = false }) }
 
-// freePorts returns two TCP ports and a UDP port that were free a moment ago.
-func freePorts() (first, second, datagrams int, err error) {
-	var ports [2]int
-	for i := range ports {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, 0, 0, err
+// Ports of hosts lie below those that the system gives to outgoing connections,
+// since a host must get its port again when it restarts.
+const (
+	lowestPort = 12000
+	portCount  = 20000
+)
+
+// freePorts returns ports that were free a moment ago.
+func freePorts() (first, second, third int, err error) {
+	var ports []int
+	for range portCount {
+		port := lowestPort + rand.N(portCount)
+		if !slices.Contains(ports, port) && isFree(port) {
+			ports = append(ports, port)
+		}
+		if len(ports) == 3 {
+			return ports[0], ports[1], ports[2], nil
 		}
-		defer func() { _ = listener.Close() }()
-		ports[i] = listener.Addr().(*net.TCPAddr).Port
 	}
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	return 0, 0, 0, errors.New("no ports are free")
+}
+
+// isFree says whether a port takes connections and datagrams.
+func isFree(port int) bool {
+	address := fmt.Sprint("127.0.0.1:", port)
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return 0, 0, 0, err
+		return false
+	}
+	defer func() { _ = listener.Close() }()
+	socket, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
 	}
-	defer func() { _ = socket.Close() }()
-	return ports[0], ports[1], socket.LocalAddr().(*net.UDPAddr).Port, nil
+	return socket.Close() == nil
 }
