Derive the waits of feeds from the bounds of the deployment

Cause: the waits were fixed for bounds of 2 s, 5 s and 8 s. A deployment with tighter ones would see a cut watch too late, and one with wider ones pays for calls that it does not need.

--- a/fleet.go
+++ b/fleet.go
@@ -268,4 +268,8 @@
 	OrderLease time.Duration
 	// VersionWithin bounds the time in which new weights replace old ones.
 	VersionWithin time.Duration
+	// ConfigWithin and EvacuateWithin bound the times in which a
+	// configuration and an evacuation are in force.
+	ConfigWithin   time.Duration
+	EvacuateWithin time.Duration
 }
--- /dev/null
+++ b/process/starter/feeds_test.go
@@ -0,0 +1,48 @@
+package starter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/starter"
+)
+
+// Guards against a watch that was cut without a word and is noticed after the
+// bound for what it follows, and against keys that are refused between two
+// confirmations.
+func TestWaitsFitTheBounds(t *testing.T) {
+	const slack = 700 * time.Millisecond // of a call that waits
+	for name, bounds := range map[string]mulberrybeam.HostBounds{
+		"usual": {FailClosed: true, RevokeWithin: 5 * time.Second, ConfigWithin: 2 * time.Second, EvacuateWithin: 5 * time.Second, VersionWithin: 8 * time.Second},
+		"wide":  {FailClosed: true, RevokeWithin: 9 * time.Second, ConfigWithin: 3 * time.Second, EvacuateWithin: 50 * time.Second, VersionWithin: 90 * time.Second},
+		"tight": {FailClosed: true, RevokeWithin: 2 * time.Second, ConfigWithin: time.Second, EvacuateWithin: 3 * time.Second, VersionWithin: 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for _, feed := range starter.Feeds(bounds) {
+				is.True(feed.Wait > 0 && feed.Wait <= 30*time.Second)
+				switch feed.Kind {
+				case mulberrybeam.ObjectDeployment:
+					is.True(feed.Wait+slack <= bounds.ConfigWithin)
+					is.True(10*2*feed.Wait < 8*bounds.RevokeWithin)
+				case mulberrybeam.ObjectEvacuation:
+					is.True(feed.Wait+slack < bounds.EvacuateWithin)
+				case mulberrybeam.ObjectWeights:
+					is.True(feed.Wait+slack < bounds.VersionWithin)
+				}
+			}
+		})
+	}
+}
+
+// Guards against calls to the store that grow with the square of the fleet:
+// each change costs a call of each host.
+func TestChangesAreGatheredInLargeFleets(t *testing.T) {
+	is := is.New(t)
+	is.Equal(starter.SettleFor(100*time.Millisecond, 9), 100*time.Millisecond)
+	is.Equal(starter.SettleFor(100*time.Millisecond, 80), 500*time.Millisecond)
+	is.Equal(starter.SettleFor(0, 80), time.Duration(0))
+}
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -41,42 +41,8 @@
 	budgetShare = 0.7
 	// sweepInterval is the time between two sweeps of old state of traffic.
 	sweepInterval = 2 * time.Second
-	// configWait is short, since each answer confirms that no key was
-	// revoked, and since a watch that was cut without a word is noticed only
-	// when its time is over. The shortest bound for a configuration is 2 s.
-	configWait = 1300 * time.Millisecond
-	// targetWait, evacuationWait and weightsWait bound the calls of other
-	// feeds. With the slack of a call, evacuations and new weights are seen
-	// within their bounds of 5 s and 8 s even if only that watch was cut.
-	targetWait     = 5 * time.Second
-	evacuationWait = 3500 * time.Millisecond
-	weightsWait    = 6 * time.Second
-	// longWait is the longest that the store allows.
-	longWait = 30 * time.Second
-	// settle lets changes that come together cost one call.
-	settle = 100 * time.Millisecond
-	// settleHosts is the number of entry hosts up to which settle holds. With
-	// more it grows in proportion, since each change costs a call of each
-	// host.
-	settleHosts = 16
 )
 
-// feeds are the kinds that are followed.
-var feeds = []struct {
-	kind mulberrybeam.ObjectKind
-	wait time.Duration
-	// settle delays the next call after changes.
-	settle time.Duration
-}{
-	{mulberrybeam.ObjectDeployment, configWait, 0},
-	{mulberrybeam.ObjectTarget, targetWait, settle},
-	{mulberrybeam.ObjectEvacuation, evacuationWait, 0},
-	{mulberrybeam.ObjectWeights, weightsWait, 0},
-	{mulberrybeam.ObjectHost, longWait, time.Second},
-	{mulberrybeam.ObjectLease, longWait, settle},
-	{mulberrybeam.ObjectCrash, longWait, settle},
-}
-
 // Process is a running entry process.
 type Process struct {
 	settings atomic.Pointer[mulberrybeam.HostSettings]
@@ -173,14 +139,22 @@
 
 func (p *Process) fleet() *mulberrybeam.Fleet { return p.control.Snapshot().Fleet }
 
+// hosts is the number of entry hosts that are known.
+func (p *Process) hosts() int {
+	if fleet := p.fleet(); fleet != nil {
+		return len(fleet.EntryHosts)
+	}
+	return 1
+}
+
 // follow starts the feeds.
 func (p *Process) follow(store *platform.Store, stores *cataloger.Follower) {
 	ctx, cancel := context.WithCancel(context.Background())
 	recheck := &feeder.Recheck{}
-	for _, feed := range feeds {
+	for _, feed := range Feeds(p.settings.Load().Bounds) {
 		running := feeder.Feed{
-			Kind: feed.kind, Objects: store, Decoder: platform.Decoder{}, Wait: feed.wait,
-			Settle: func() time.Duration { return settleFor(feed.settle, p.fleet()) },
+			Kind: feed.Kind, Objects: store, Decoder: platform.Decoder{}, Wait: feed.Wait,
+			Settle: func() time.Duration { return SettleFor(feed.Settle, p.hosts()) },
 			Now:    p.now, Deliver: p.control.Deliver, Recheck: recheck,
 			Skipped: func(err error) { p.note("skipped", err.Error()) },
 		}
@@ -194,14 +168,6 @@
 	})
 }
 
-// settleFor returns the pause of a feed that has a given one in a small fleet.
-func settleFor(pause time.Duration, fleet *mulberrybeam.Fleet) time.Duration {
-	if fleet == nil {
-		return pause
-	}
-	return max(pause, pause*time.Duration(len(fleet.EntryHosts))/settleHosts)
-}
-
 // sweep drops old state of traffic.
 func (p *Process) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
