Accept keys for longer without word from the platform

Cause: keys were refused 0.8 of their bound after the call that confirmed them was sent, 4 s of 5 s. That call waits for changes, so that it was up to 1.3 s old when the store went away, and all hosts refused callers 2.7 s into an outage. The time counts from before the read, so that 0.95 keeps the bound.

--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -21,8 +21,10 @@
 
 const (
 	// keyShare is the part of the time in which revoked keys must be refused
-	// that may pass without word from the platform.
-	keyShare = 0.8
+	// that may pass without word from the platform. The time counts from when
+	// the confirming call was sent, so that only the clock's own error needs
+	// the rest.
+	keyShare = 0.95
 	// defaultTimeout bounds a request whose route states no timeout.
 	defaultTimeout = 30 * time.Second
 	// defaultBodyLimit bounds a body where the deployment states none.
