--- /dev/null
+++ b/process/soaker/deployment.go
@@ -0,0 +1,85 @@
+package soaker
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"mulberrybeam/process/standin/backend"
+)
+
+// addTarget starts a target and registers it.
+func (r *run) addTarget(zone string) error {
+	id := ""
+	r.note(func() {
+		r.made++
+		id = fmt.Sprintf("i-%d", r.made)
+	})
+	running, err := backend.Start(id, zone, func(arrival backend.Arrival) {
+		r.note(func() { r.history.Arrivals = append(r.history.Arrivals, arrival) })
+	})
+	if err != nil {
+		return err
+	}
+	link, err := NewLink(running.Address())
+	if err != nil {
+		return err
+	}
+	added := &target{running, link}
+	r.note(func() { r.targets = append(r.targets, added) })
+	r.register(added, "ready")
+	return nil
+}
+
+func (r *run) drainTarget(target *target) { r.register(target, "draining") }
+
+func (r *run) register(target *target, state string) {
+	r.store.Put("servers", target.ID, fmt.Sprintf(
+		`{"service":"s","address":%q,"zone":%q,"version":"v1","slots":16,"state":%q,"cold_remaining_ms":0,"sequence":1}`,
+		target.link.Address(), target.Zone, state))
+}
+
+// configure writes the next version of the configuration.
+func (r *run) configure() {
+	type route map[string]any
+	routeOf := func(path, kind string, attempts int) route {
+		return route{
+			"name": "r" + strings.Trim(path, "/"), "host": routeHost, "path_prefix": path, "kind": kind, "service": "s",
+			"timeout_ms": deadline.Milliseconds(), "target_latency_ms": 200, "max_attempts": attempts,
+			"resumable": kind == "streaming",
+		}
+	}
+	r.note(func() {
+		var tenants []map[string]any
+		for _, key := range keys {
+			tenant := map[string]any{"name": tenantOf(key), "api_keys": []string{}}
+			if slices.Contains(r.live, key) {
+				tenant["api_keys"] = []string{key}
+			}
+			tenants = append(tenants, tenant)
+		}
+		// A map of strings and numbers can always be encoded.
+		text, _ := json.Marshal(map[string]any{
+			"version": r.version, "tenants": tenants,
+			"services": []map[string]any{{"name": "s", "max_connections": 400}},
+			"routes": []route{
+				routeOf("/once/", "unsafe", 1), routeOf("/again/", "safe", maxAttempts), routeOf(backend.StreamPath, "streaming", maxAttempts),
+			},
+		})
+		r.version += 2
+		r.store.Put("config", "main", string(text))
+	})
+}
+
+// takeKey takes a key away from its workspace. The next configuration lacks it.
+func (r *run) takeKey() string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if len(r.live) <= lastingKeys {
+		return ""
+	}
+	key := r.live[len(r.live)-1]
+	r.live = r.live[:len(r.live)-1]
+	return key
+}
--- a/process/soaker/history.go
+++ b/process/soaker/history.go
@@ -9,9 +9,9 @@
 // Kind is a kind of request.
 type Kind string
 
+// Kinds of requests: one that may run once, one that may run again, and a
+// stream that may go on after the last event that the caller has.
 const (
-	// KindOnce may run once, KindAgain again, and KindStream again from the
-	// last event that the caller has.
 	KindOnce   Kind = "once"
 	KindAgain  Kind = "again"
 	KindStream Kind = "stream"
@@ -58,6 +58,8 @@
 // ChangeKind is a kind of Change.
 type ChangeKind string
 
+// Kinds of changes: a key is taken away, a zone is to get nothing, a target
+// leaves.
 const (
 	ChangeRevoke   ChangeKind = "revoke"
 	ChangeEvacuate ChangeKind = "evacuate"
--- a/process/soaker/link.go
+++ b/process/soaker/link.go
@@ -10,10 +10,10 @@
 // Mode is what a link does with bytes.
 type Mode string
 
+// Modes of links: one that forwards, one that forwards late, one that keeps all
+// bytes, one that keeps those on the way back, and one that breaks every
+// connection.
 const (
-	// ModePass forwards, ModeDelay forwards late, ModeSilent keeps all bytes
-	// and connections, ModeDeaf only those on the way back, and ModeReset
-	// breaks every connection.
 	ModePass   Mode = "pass"
 	ModeDelay  Mode = "delay"
 	ModeSilent Mode = "silent"
--- a/process/soaker/soaker.go
+++ b/process/soaker/soaker.go
@@ -6,15 +6,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -279,81 +276,6 @@
 	return r.targets[len(r.targets)-1-random.IntN(count)]
 }
 
-// addTarget starts a target and registers it.
-func (r *run) addTarget(zone string) error {
-	id := ""
-	r.note(func() {
-		r.made++
-		id = fmt.Sprintf("i-%d", r.made)
-	})
-	running, err := backend.Start(id, zone, func(arrival backend.Arrival) {
-		r.note(func() { r.history.Arrivals = append(r.history.Arrivals, arrival) })
-	})
-	if err != nil {
-		return err
-	}
-	link, err := NewLink(running.Address())
-	if err != nil {
-		return err
-	}
-	added := &target{running, link}
-	r.note(func() { r.targets = append(r.targets, added) })
-	r.register(added, "ready")
-	return nil
-}
-
-func (r *run) drainTarget(target *target) { r.register(target, "draining") }
-
-func (r *run) register(target *target, state string) {
-	r.store.Put("servers", target.ID, fmt.Sprintf(
-		`{"service":"s","address":%q,"zone":%q,"version":"v1","slots":16,"state":%q,"cold_remaining_ms":0,"sequence":1}`,
-		target.link.Address(), target.Zone, state))
-}
-
-// configure writes the next version of the configuration.
-func (r *run) configure() {
-	type route map[string]any
-	routeOf := func(path, kind string, attempts int) route {
-		return route{
-			"name": "r" + strings.Trim(path, "/"), "host": routeHost, "path_prefix": path, "kind": kind, "service": "s",
-			"timeout_ms": deadline.Milliseconds(), "target_latency_ms": 200, "max_attempts": attempts,
-			"resumable": kind == "streaming",
-		}
-	}
-	r.note(func() {
-		var tenants []map[string]any
-		for _, key := range keys {
-			tenant := map[string]any{"name": tenantOf(key), "api_keys": []string{}}
-			if slices.Contains(r.live, key) {
-				tenant["api_keys"] = []string{key}
-			}
-			tenants = append(tenants, tenant)
-		}
-		// A map of strings and numbers can always be encoded.
-		text, _ := json.Marshal(map[string]any{
-			"version": r.version, "tenants": tenants,
-			"services": []map[string]any{{"name": "s", "max_connections": 400}},
-			"routes": []route{
-				routeOf("/once/", "unsafe", 1), routeOf("/again/", "safe", maxAttempts), routeOf(backend.StreamPath, "streaming", maxAttempts),
-			},
-		})
-		r.version += 2
-		r.store.Put("config", "main", string(text))
-	})
-}
-
-// takeKey takes a key away from its workspace. The next configuration lacks it.
-func (r *run) takeKey() string {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if len(r.live) <= lastingKeys {
-		return ""
-	}
-	key := r.live[len(r.live)-1]
-	r.live = r.live[:len(r.live)-1]
-	return key
-}
-
 // claimEvacuation says whether no zone is evacuated, so that one is left.
 func (r *run) claimEvacuation() bool {
 	r.mutex.Lock()
@@ -366,40 +288,3 @@
 }
 
 func (r *run) releaseEvacuation() { r.note(func() { r.evacuating = false }) }
-
-// Ports of hosts lie below those that the system gives to outgoing connections,
-// since a host must get its port again when it restarts.
-const (
-	lowestPort = 12000
-	portCount  = 20000
-)
-
-// freePorts returns ports that were free a moment ago.
-func freePorts() (first, second, third int, err error) {
-	var ports []int
-	for range portCount {
-		port := lowestPort + rand.N(portCount)
-		if !slices.Contains(ports, port) && isFree(port) {
-			ports = append(ports, port)
-		}
-		if len(ports) == 3 {
-			return ports[0], ports[1], ports[2], nil
-		}
-	}
-	return 0, 0, 0, errors.New("no ports are free")
-}
-
-// isFree says whether a port takes connections and datagrams.
-func isFree(port int) bool {
-	address := fmt.Sprint("127.0.0.1:", port)
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = listener.Close() }()
-	socket, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return false
-	}
-	return socket.Close() == nil
-}
