--- a/cmd/mulberryload/command/command.go
+++ b/cmd/mulberryload/command/command.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"mulberrybeam/cmd/mulberryload/losses"
 	"mulberrybeam/cmd/mulberryload/run"
 	"mulberrybeam/cmd/mulberryload/serve"
 	"mulberrybeam/cmd/mulberryload/soak"
@@ -21,9 +22,10 @@
 )
 
 type commands struct {
-	Serve serve.Command `cmd:"" help:"Run a fake until it is interrupted."`
-	Run   run.Command   `cmd:"" help:"Put load on entry processes and print the results as JSON."`
-	Soak  soak.Command  `cmd:"" help:"Play faults against entry processes of the platform and check their promises."`
+	Serve  serve.Command  `cmd:"" help:"Run a fake until it is interrupted."`
+	Run    run.Command    `cmd:"" help:"Put load on entry processes and print the results as JSON."`
+	Soak   soak.Command   `cmd:"" help:"Play faults against entry processes of the platform and check their promises."`
+	Losses losses.Command `cmd:"" help:"Draw what days of the users' bench lost, by cause."`
 }
 
 // Main runs the command of the arguments and returns the exit code.
--- /dev/null
+++ b/cmd/mulberryload/losses/losses.go
@@ -0,0 +1,94 @@
+// Package losses is the command that draws what days of the users' bench lost,
+// by cause.
+package losses
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"mulberrybeam/cmd/mulberryload/process/accountant"
+)
+
+// Command is the losses command.
+type Command struct {
+	Reports []string `arg:"" help:"Reports that the bench wrote with --report." type:"existingfile"`
+	Plot    bool     `help:"Draw bars in place of the table."`
+}
+
+// Run prints the table or the bars.
+func (c *Command) Run(stdout io.Writer) error {
+	var days []accountant.Day
+	var problems []error
+	for _, path := range c.Reports {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			problems = append(problems, err)
+			continue
+		}
+		name := strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
+		day, err := accountant.Read(name, data)
+		if err != nil {
+			problems = append(problems, err)
+			continue
+		}
+		days = append(days, day)
+	}
+	if len(problems) > 0 {
+		return errors.Join(problems...)
+	}
+	draw := table
+	if c.Plot {
+		draw = plot
+	}
+	_, err := io.WriteString(stdout, draw(days, accountant.Causes(days)))
+	return err
+}
+
+// table has a row for each cause and a column for each day.
+func table(days []accountant.Day, causes []string) string {
+	var text strings.Builder
+	row := func(first string, cell func(accountant.Day) string) {
+		text.WriteString("| " + first + " |")
+		for _, day := range days {
+			text.WriteString(" " + cell(day) + " |")
+		}
+		text.WriteString("\n")
+	}
+	row("lost by", func(day accountant.Day) string { return day.Name })
+	row("---", func(accountant.Day) string { return "---" })
+	for _, cause := range causes {
+		row(cause, func(day accountant.Day) string { return fmt.Sprintf("%.3f", day.Share(cause)) })
+	}
+	row("worth", func(day accountant.Day) string {
+		if day.Broken {
+			return fmt.Sprintf("%.3f, a rule broken", day.Worth)
+		}
+		return fmt.Sprintf("%.3f", day.Worth)
+	})
+	return text.String()
+}
+
+// barStep is the share that one mark of a bar stands for.
+const barStep = 0.01
+
+// plot has a bar for each cause of each day.
+func plot(days []accountant.Day, causes []string) string {
+	width := 0
+	for _, cause := range causes {
+		width = max(width, len(cause))
+	}
+	var text strings.Builder
+	for _, day := range days {
+		_, _ = fmt.Fprintf(&text, "%s, worth %.3f\n", day.Name, day.Worth)
+		for _, cause := range causes {
+			if marks := int(day.Share(cause)/barStep + 0.5); marks > 0 {
+				_, _ = fmt.Fprintf(&text, "  %-*s %s %.3f\n", width, cause, strings.Repeat("#", marks), day.Share(cause))
+			}
+		}
+	}
+	return text.String()
+}
--- a/process/launcher/outage_test.go
+++ b/process/launcher/outage_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -45,12 +48,28 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log("the new process knows", states(fresh), "and its peer", states(f.Entries[0]))
+		}
+	})
 	took := await(t, 10*time.Second, "the new process is ready", func() bool { return fresh.Control.Snapshot().Ready })
 	t.Log("a process that knows one peer is ready after", took, "without the platform")
 	ask(t, fresh, fleet.FirstWorkspace, "a prompt to the new process")
 	return fresh
 }
 
+// states tells the phases and owners of targets that a process knows.
+func states(entry *fleet.Entry) string {
+	snapshot := entry.Control.Snapshot()
+	var text strings.Builder
+	for _, id := range slices.Sorted(maps.Keys(snapshot.Targets)) {
+		state := snapshot.Targets[id]
+		_, _ = fmt.Fprintf(&text, " %s %s owner %q", id, state.Phase, state.Owner)
+	}
+	return text.String()
+}
+
 // Guards against an outage of the platform that stops more than it must: new
 // configuration and calls that may run once.
 func TestPlatformOutage(t *testing.T) {
