Use what stands already in place of copies

- waver orders engines by ranker.Top, which its own sort repeated.
- chooser computes the tokens beyond an engine's memory in one place.
- The soak's targets and store listen by process/standin/fixture, and its waits are those of connection/pauser.
- Two tests had the same steps twice.
The soak's test imports the program that it builds, since a cached result outlived changes of the program.

--- a/cmd/mulberryload/losses/losses.go
+++ b/cmd/mulberryload/losses/losses.go
@@ -61,7 +61,7 @@
 	row("lost by", func(day accountant.Day) string { return day.Name })
 	row("---", func(accountant.Day) string { return "---" })
 	for _, cause := range causes {
-		row(cause, func(day accountant.Day) string { return fmt.Sprintf("%.3f", day.Share(cause)) })
+		row(cause, func(day accountant.Day) string { return fmt.Sprintf("%.3f", day.Losses[cause]) })
 	}
 	row("worth", func(day accountant.Day) string {
 		if day.Broken {
@@ -85,8 +85,8 @@
 	for _, day := range days {
 		_, _ = fmt.Fprintf(&text, "%s, worth %.3f\n", day.Name, day.Worth)
 		for _, cause := range causes {
-			if marks := int(day.Share(cause)/barStep + 0.5); marks > 0 {
-				_, _ = fmt.Fprintf(&text, "  %-*s %s %.3f\n", width, cause, strings.Repeat("#", marks), day.Share(cause))
+			if marks := int(day.Losses[cause]/barStep + 0.5); marks > 0 {
+				_, _ = fmt.Fprintf(&text, "  %-*s %s %.3f\n", width, cause, strings.Repeat("#", marks), day.Losses[cause])
 			}
 		}
 	}
--- a/cmd/mulberryload/process/accountant/accountant.go
+++ b/cmd/mulberryload/process/accountant/accountant.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -17,13 +18,8 @@
 	Worth float64
 	// Broken says that a rule was broken.
 	Broken bool
-	Losses []Loss
-}
-
-// Loss is a part of the day's worth that was lost.
-type Loss struct {
-	Cause string
-	Share float64
+	// Losses are the parts of the worth that were lost, by cause.
+	Losses map[string]float64
 }
 
 // Causes of lost credit. What is not refused and did not fail, and still earned
@@ -99,29 +95,26 @@
 	return Day{Name: name, Worth: read.Worth, Broken: len(read.Broken) > 0, Losses: read.losses()}, nil
 }
 
-func (r report) losses() []Loss {
+func (r report) losses() map[string]float64 {
 	owed := float64(max(r.All.Requests-r.All.NotOwed, 1))
 	refused, failed := float64(r.All.Refused)/owed, float64(r.All.Failed)/owed
 	earned := 0.0
 	for _, part := range r.Parts {
 		earned += part.first * part.second
 	}
-	losses := []Loss{
-		{CauseLate, max(1-r.All.Worth-refused-failed, 0)},
-		{CauseRefused, refused},
-		{CauseFailed, failed},
-		{CauseUneven, r.All.Worth - earned},
+	losses := map[string]float64{
+		CauseLate:    max(1-r.All.Worth-refused-failed, 0),
+		CauseRefused: refused,
+		CauseFailed:  failed,
+		CauseUneven:  r.All.Worth - earned,
 	}
-	other := 0.0
 	for _, price := range r.Prices {
+		cause := price.name
 		if price.second < smallest {
-			other += price.second
-			continue
+			cause = CauseOther
 		}
-		losses = append(losses, Loss{price.name, price.second})
+		losses[cause] += price.second
 	}
-	losses = append(losses, Loss{CauseOther, other})
-	slices.SortStableFunc(losses, func(a, b Loss) int { return cmp.Compare(b.Share, a.Share) })
 	return losses
 }
 
@@ -129,14 +122,11 @@
 func Causes(days []Day) []string {
 	sums := map[string]float64{}
 	for _, day := range days {
-		for _, loss := range day.Losses {
-			sums[loss.Cause] += loss.Share
+		for cause, share := range day.Losses {
+			sums[cause] += share
 		}
 	}
-	causes := make([]string, 0, len(sums))
-	for cause := range sums {
-		causes = append(causes, cause)
-	}
+	causes := slices.Collect(maps.Keys(sums))
 	slices.SortFunc(causes, func(a, b string) int {
 		return cmp.Or(cmp.Compare(rounded(sums[b]), rounded(sums[a])), strings.Compare(a, b))
 	})
@@ -145,13 +135,3 @@
 
 // rounded keeps the order of equal shares from the errors of their sums.
 func rounded(share float64) int { return int(math.Round(share * 1000)) }
-
-// Share returns what a cause takes off a day.
-func (d Day) Share(cause string) float64 {
-	for _, loss := range d.Losses {
-		if loss.Cause == cause {
-			return loss.Share
-		}
-	}
-	return 0
-}
--- a/connection/enginecaller/instance_test.go
+++ b/connection/enginecaller/instance_test.go
@@ -7,8 +7,19 @@
 	"github.com/matryer/is"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/enginecaller"
 )
 
+// generate reads an answer to its end.
+func generate(t *testing.T, caller *enginecaller.Caller, call mulberrybeam.EngineCall) {
+	t.Helper()
+	is := is.New(t)
+	stream, err := caller.Generate(t.Context(), call)
+	is.NoErr(err)
+	_, err = drain(stream)
+	is.Equal(err, io.EOF)
+}
+
 // Guards against a prompt that was decided on for a warm instance and reaches
 // the cold one that took its place, over a pooled or a new connection.
 func TestPromptForAnotherInstanceIsNotSent(t *testing.T) {
@@ -16,24 +27,18 @@
 	fake, caller, target := setUp(t)
 	call := callOf(target, "r1")
 	call.Instance = mulberrybeam.InstanceID(fake.Instance())
-	stream, err := caller.Generate(t.Context(), call)
-	is.NoErr(err)
-	_, err = drain(stream)
-	is.Equal(err, io.EOF)
+	generate(t, caller, call)
 
 	fake.Crash()
 	is.NoErr(fake.Restart())
 	for range 2 {
-		_, err = caller.Generate(t.Context(), call)
+		_, err := caller.Generate(t.Context(), call)
 		checkFailure(t, err, mulberrybeam.CodeNoPermit, true)
 	}
 	is.Equal(fake.Count("started"), 1) // only the first
 
 	call.Instance = mulberrybeam.InstanceID(fake.Instance())
-	stream, err = caller.Generate(t.Context(), call)
-	is.NoErr(err)
-	_, err = drain(stream)
-	is.Equal(err, io.EOF)
+	generate(t, caller, call)
 }
 
 // Guards against a refused connection that is reported as a broken one: the
@@ -49,13 +54,10 @@
 			for range rounds {
 				call := callOf(target, "r1")
 				call.Instance = mulberrybeam.InstanceID(fake.Instance())
-				stream, err := caller.Generate(t.Context(), call)
-				is.NoErr(err)
-				_, err = drain(stream)
-				is.Equal(err, io.EOF)
+				generate(t, caller, call)
 				fake.Crash()
 				is.NoErr(fake.Restart())
-				_, err = caller.Generate(t.Context(), call)
+				_, err := caller.Generate(t.Context(), call)
 				checkFailure(t, err, mulberrybeam.CodeNoPermit, true)
 			}
 		})
--- a/process/soaker/soaker.go
+++ b/process/soaker/soaker.go
@@ -9,13 +9,14 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"mulberrybeam/connection/pauser"
 	"mulberrybeam/process/standin/backend"
+	"mulberrybeam/process/standin/fixture"
 	"mulberrybeam/process/standin/metastore"
 )
 
@@ -97,15 +98,13 @@
 		seed: seed, options: options, store: metastore.New(), ctx: ctx, version: firstVersion,
 		live: slices.Clone(keys), busy: map[*host]bool{},
 	}
-	storeServer := &http.Server{Handler: r.store, ReadHeaderTimeout: readyWithin}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, closeStore, err := fixture.Listen("", r.store)
 	if err != nil {
 		return Report{}, err
 	}
-	go func() { _ = storeServer.Serve(listener) }()
-	defer func() { _ = storeServer.Close() }()
+	defer closeStore()
 	defer r.close()
-	if err := r.start(listener.Addr().String()); err != nil {
+	if err := r.start(listener.Address()); err != nil {
 		return Report{}, err
 	}
 	r.play()
@@ -199,12 +198,7 @@
 	return rand.New(rand.NewPCG(r.seed, hash.Sum64()))
 }
 
-func (r *run) pause(length time.Duration) {
-	select {
-	case <-time.After(length):
-	case <-r.ctx.Done():
-	}
-}
+func (r *run) pause(length time.Duration) { pauser.Pause(r.ctx, length) }
 
 func (r *run) note(change func()) {
 	r.mutex.Lock()
--- a/process/soaker/soaker_test.go
+++ b/process/soaker/soaker_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"mulberrybeam/process/soaker"
+	// The program under test is built by the test. Without the import a cached
+	// result would outlive a change of the program.
+	_ "mulberrybeam/process/starter"
 )
 
 // seeds are played with every run of the tests: a short one, and those that once
--- a/process/standin/backend/backend.go
+++ b/process/standin/backend/backend.go
@@ -6,12 +6,13 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"mulberrybeam/process/standin/fixture"
 )
 
 // Names of the platform that callers of a system need, too.
@@ -65,8 +66,7 @@
 // Target is one running target.
 type Target struct {
 	ID, Zone string
-	server   *http.Server
-	address  string
+	listener *fixture.Listener
 	arrived  func(Arrival)
 
 	mutex  sync.Mutex
@@ -76,21 +76,17 @@
 // Start starts a target on a free loopback port. arrived is told of each
 // request.
 func Start(id, zone string, arrived func(Arrival)) (*Target, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	t := &Target{ID: id, Zone: zone, address: listener.Addr().String(), arrived: arrived}
-	t.server = &http.Server{Handler: t, ReadHeaderTimeout: 10 * time.Second}
-	go func() { _ = t.server.Serve(listener) }()
-	return t, nil
+	t := &Target{ID: id, Zone: zone, arrived: arrived}
+	var err error
+	t.listener, _, err = fixture.Listen("", t)
+	return t, err
 }
 
 // Address returns "ip:port".
-func (t *Target) Address() string { return t.address }
+func (t *Target) Address() string { return t.listener.Address() }
 
 // Crash closes the listener and all connections.
-func (t *Target) Crash() { _ = t.server.Close() }
+func (t *Target) Crash() { t.listener.Drop() }
 
 // SetFaults replaces the faults.
 func (t *Target) SetFaults(faults Faults) {
@@ -122,7 +118,7 @@
 	writer.Header().Set(HeaderStamp, "stamp-"+arrival.Request)
 	switch {
 	case rand.Float64() < faults.LoseAnswer:
-		panic(http.ErrAbortHandler)
+		fixture.Break()
 	case rand.Float64() < faults.Fail:
 		writer.WriteHeader(http.StatusInternalServerError)
 		return
@@ -136,7 +132,7 @@
 	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if breaks {
 		_, _ = io.WriteString(writer, body[:len(body)/2])
-		panic(http.ErrAbortHandler)
+		fixture.Break()
 	}
 	_, _ = io.WriteString(writer, body)
 }
@@ -168,6 +164,6 @@
 		time.Sleep(eventPause)
 	}
 	if breaks {
-		panic(http.ErrAbortHandler)
+		fixture.Break()
 	}
 }
--- a/process/standin/metastore/metastore.go
+++ b/process/standin/metastore/metastore.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"mulberrybeam/process/standin/fixture"
 )
 
 // Faults are what the store does wrong.
@@ -114,7 +116,7 @@
 	kind, name, _ := strings.Cut(strings.TrimPrefix(request.URL.Path, "/-/objects/"), "/")
 	status, answer := s.call(request, kind, name)
 	if faults.LoseAnswers {
-		panic(http.ErrAbortHandler)
+		fixture.Break()
 	}
 	writer.Header().Set("Content-Type", "application/json")
 	writer.WriteHeader(status)
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -269,17 +269,22 @@
 // gets more all the same reads displaced context again and stays slow long
 // after the crowd has passed.
 func (c candidate) crowded(query Query) bool {
-	held := c.gauge.Load().Held
-	return query.Memory > 0 && held > 0 && float64(held+query.PromptTokens) > fullShare*float64(query.Memory)
+	return c.gauge.Load().Held > 0 && c.excess(query) > 0
+}
+
+// excess is the tokens by which the request would exceed the part of the
+// engine's memory that is filled, 0 when it would not.
+func (c candidate) excess(query Query) float64 {
+	if query.Memory == 0 {
+		return 0
+	}
+	return max(float64(c.gauge.Load().Held+query.PromptTokens)-fullShare*float64(query.Memory), 0)
 }
 
 // cost is what it takes an engine to start the request, in tokens to be read.
 func (c candidate) cost(query Query, first candidate) float64 {
 	load := c.gauge.Load()
-	cost := float64(load.Unread) + heldWeight*float64(load.Held)
-	if room := fullShare * float64(query.Memory); query.Memory > 0 {
-		cost += fullWeight * max(float64(load.Held+query.PromptTokens)-room, 0)
-	}
+	cost := float64(load.Unread) + heldWeight*float64(load.Held) + fullWeight*c.excess(query)
 	switch {
 	case c.target.ID == first.target.ID:
 	case query.Stored:
--- a/request/chooser/chooser_test.go
+++ b/request/chooser/chooser_test.go
@@ -144,14 +144,16 @@
 	is.NoErr(err)
 }
 
+// prompt describes a prompt most of which is shared.
+func prompt(q *chooser.Query) {
+	q.SharedPart, q.SharedTokens, q.PromptTokens, q.Memory = "p", 9000, 12000, 90000
+}
+
 // Guards against shared prompts that are spread over engines, and against an
 // engine that gets them beyond its memory.
 func TestSharedPrompts(t *testing.T) {
 	is := is.New(t)
 	f := fleet(6)
-	prompt := func(q *chooser.Query) {
-		q.SharedPart, q.SharedTokens, q.PromptTokens, q.Memory = "p", 9000, 12000, 90000
-	}
 	first, err := choose(f, nil, prompt)
 	is.NoErr(err)
 	again, err := choose(f, view{first.Target.ID: {Own: mulberrybeam.TargetLoad{Requests: 1, Held: 12000, Unread: 3000}}}, prompt)
@@ -168,9 +170,6 @@
 func TestFirstEngineIsNamed(t *testing.T) {
 	is := is.New(t)
 	f := fleet(6)
-	prompt := func(q *chooser.Query) {
-		q.SharedPart, q.SharedTokens, q.PromptTokens, q.Memory = "p", 9000, 12000, 90000
-	}
 	first, err := choose(f, nil, prompt)
 	is.NoErr(err)
 	is.Equal(first.First.ID, mulberrybeam.InstanceID(""))
--- a/version/waver/waver.go
+++ b/version/waver/waver.go
@@ -3,9 +3,7 @@
 package waver
 
 import (
-	"cmp"
 	"fmt"
-	"slices"
 
 	"mulberrybeam"
 	"mulberrybeam/version/ranker"
@@ -46,8 +44,5 @@
 			old = append(old, engine.ID)
 		}
 	}
-	slices.SortFunc(old, func(a, b mulberrybeam.InstanceID) int {
-		return cmp.Or(cmp.Compare(ranker.Score(key, string(b)), ranker.Score(key, string(a))), cmp.Compare(a, b))
-	})
-	return old[:min(count*((len(engines)+waves-1)/waves), len(old))]
+	return ranker.Top(key, old, count*((len(engines)+waves-1)/waves))
 }
