Let load reports of all targets reach the other zones

Cause of most red launcher tests, which read as a lack of processor time: a relay sent the load facts that had arrived last, and with the instance IDs of real engines one or two fit into a message. In a calm fleet in virtual time the reports of 1 of 9 (3 of 18) targets never reached another zone. After 3 s without a report a target counts as silent and thus as cold, so that each request asks its owner for a permit, tries eight targets and is refused with no-permit, or waits for admission while permits are waited for.

Ruled out: the control goroutine's lag (9 ticks later than 100 ms in a run with 37 targets declared silent), polls (3 above 200 ms); all targets were declared silent by hosts of other zones.

The key that was sent longest ago goes first, relays pass on load reports of their own zone only, share a byte limit over the other zones, and exchange once a second with up to three of them.

--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -24,6 +24,14 @@
 	g.startRemoteExchanges()
 }
 
+// messageBytes returns the size limit of the facts in a message within the zone.
+func (g *Gossiper) messageBytes() int {
+	if len(g.announced.members) > largeZoneSize {
+		return g.exchangeBytes
+	}
+	return int(smallZoneBytesRatio * float64(g.exchangeBytes))
+}
+
 // peerCount returns the number of members to exchange with. The relays of a
 // large zone contact one fewer: they also exchange with other zones and would
 // exceed their byte budget, and many other members contact them anyway.
@@ -42,7 +50,7 @@
 	for _, peer := range g.pickPeers(peersPerRound) {
 		g.sendExchange(peer, mulberrybeam.Exchange{
 			From: g.self.ID, Zone: g.self.Zone, Revision: g.self.Revision,
-			Facts: g.facts.nextFacts(g.turn.Now, g.exchangeBytes),
+			Facts: g.facts.nextFacts(g.turn.Now, g.messageBytes()),
 		})
 	}
 	if g.isRelay() {
@@ -58,7 +66,7 @@
 		From: g.self.ID, Zone: g.self.Zone, Revision: g.self.Revision,
 		Members: g.memberRecords(full),
 		Relays:  g.relayRecords(full),
-		Facts:   g.facts.nextFacts(g.turn.Now, g.exchangeBytes),
+		Facts:   g.facts.nextFacts(g.turn.Now, g.messageBytes()),
 	}
 	if full {
 		message.Digest = g.facts.digest(g.turn.Now)
@@ -201,12 +209,12 @@
 		reply.Relays = g.relayRecords(false)
 	}
 	if message.Joining {
-		reply.Facts = selectFacts(g.facts.byKey, g.turn.Now, maxJoinBytes)
+		reply.Facts = selectFacts(g.facts.byKey, g.turn.Now, maxJoinBytes, nil)
 	} else {
-		reply.Facts = g.facts.nextFactsExcept(g.turn.Now, g.exchangeBytes, message.Facts)
+		reply.Facts = g.facts.nextFactsExcept(g.turn.Now, g.messageBytes(), message.Facts)
 	}
 	if len(message.Digest) > 0 {
-		facts, wanted := g.facts.compareDigest(g.turn.Now, message.Digest, g.exchangeBytes)
+		facts, wanted := g.facts.compareDigest(g.turn.Now, message.Digest, g.messageBytes())
 		reply.Facts, reply.Wanted = append(reply.Facts, facts...), wanted
 	}
 	g.emit(mulberrybeam.Reply{Ticket: ticket, Message: reply})
@@ -253,7 +261,7 @@
 	if peer, found := g.findMember(sent.to); found && len(reply.Wanted) > 0 {
 		g.sendExchange(peer, mulberrybeam.Exchange{
 			From: g.self.ID, Zone: g.self.Zone, Revision: g.self.Revision,
-			Facts: g.facts.lookup(g.turn.Now, reply.Wanted, g.exchangeBytes),
+			Facts: g.facts.lookup(g.turn.Now, reply.Wanted, g.messageBytes()),
 		})
 	}
 }
--- a/process/gossiper/facts.go
+++ b/process/gossiper/facts.go
@@ -61,7 +61,7 @@
 	} else {
 		g.stamps.Update(fact.Stamp, g.turn.Wall)
 	}
-	if g.facts.add(fact, g.turn.Now, g.self.Zone) {
+	if g.facts.add(fact, g.turn.Now, origin{from: g.self.Zone}) {
 		g.handleNewFact(fact)
 	}
 }
@@ -74,13 +74,21 @@
 			g.logEntry(mulberrybeam.EntryMember, string(fact.Stamp.Process), "rejected fact: its timestamp is too far ahead of the local wall clock")
 			continue
 		}
-		if g.facts.add(fact, g.turn.Now, from) {
+		if g.facts.add(fact, g.turn.Now, origin{from: from, zoneOnly: g.staysInZone(fact)}) {
 			g.handleNewFact(fact)
 			g.emit(mulberrybeam.EmitEvent{Event: mulberrybeam.FactChanged{Fact: fact}})
 		}
 	}
 }
 
+// staysInZone reports whether a received fact is not passed on to other zones.
+// Load reports are passed on by the relays of the zone that they come from only:
+// each pair of zones exchanges directly, and a zone that cannot reach the
+// targets' zone has no use for their loads.
+func (g *Gossiper) staysInZone(fact mulberrybeam.Fact) bool {
+	return fact.Kind == mulberrybeam.FactLoad && g.members.byID[fact.Stamp.Process] == nil
+}
+
 // handleNewFact schedules what follows from a newly stored fact: an early push
 // if it is urgent, and new derived values.
 func (g *Gossiper) handleNewFact(fact mulberrybeam.Fact) {
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -34,6 +34,10 @@
 	// largeZoneSize is the number of members above which a process learns
 	// most heartbeats indirectly, through other members.
 	largeZoneSize = 8
+	// smallZoneBytesRatio is the size limit of the facts in a message in a zone
+	// that is not large, relative to the limit in a large one. The records of
+	// few members leave room for more facts.
+	smallZoneBytesRatio = 1.6
 	// maxJoinBytes limits the facts sent to a joining process. With the
 	// lower limit of other exchanges, the process would learn the owners of
 	// targets only after 10 s.
--- a/process/gossiper/remote.go
+++ b/process/gossiper/remote.go
@@ -10,15 +10,20 @@
 // relayRetryDelay is how long a relay that did not answer is not contacted.
 const relayRetryDelay = 5 * time.Second
 
-// remoteExchangeRounds is the number of rounds in which the relays of a zone,
-// together, start one exchange with each other zone. Since both zones of a pair
-// start one every 2 s, the pair exchanges once per second on average.
-const remoteExchangeRounds = 2
+// In remoteExchangeRounds rounds the relays of a zone, together, start one
+// exchange with each other zone. If there are at most maxZonesEachRound other
+// zones, they start one in each round, so that load reports arrive before their
+// targets count as silent.
+const (
+	remoteExchangeRounds = 2
+	maxZonesEachRound    = 3
+)
 
-// remoteSizeDivisor divides the size limit of the facts in messages to other
-// zones. A relay sends and receives up to 12 such messages per second in
-// addition to those within its zone.
-const remoteSizeDivisor = 4
+// remoteBytesRatio is the size limit of the facts that a relay sends to all
+// other zones in one round, as a multiple of the limit of one message within
+// its zone. The other zones share it, so that a relay's traffic does not grow
+// with the number of zones.
+const remoteBytesRatio = 1.5
 
 // startRemoteExchanges starts an exchange with one relay of each other zone, if
 // this process is a relay. The relays of the zone take turns.
@@ -28,10 +33,15 @@
 		g.facts.untrackZones()
 		return
 	}
-	for i, zone := range g.otherZones() {
+	zones := g.otherZones()
+	rounds := remoteExchangeRounds
+	if len(zones) <= maxZonesEachRound {
+		rounds = 1
+	}
+	for i, zone := range zones {
 		g.facts.trackZone(zone)
-		period := remoteExchangeRounds * count
-		if (g.round+i+position*remoteExchangeRounds)%period != 0 {
+		period := rounds * count
+		if (g.round+i+position*rounds)%period != 0 {
 			continue
 		}
 		if peer, found := g.pickRemote(zone); found {
@@ -57,7 +67,7 @@
 	message := mulberrybeam.Exchange{
 		From: g.self.ID, Zone: g.self.Zone, Revision: g.self.Revision,
 		Relays: g.ownRelayRecords(),
-		Facts:  g.facts.unsentTo(g.turn.Now, peer.Zone, g.exchangeBytes/remoteSizeDivisor),
+		Facts:  g.facts.unsentTo(g.turn.Now, peer.Zone, g.remoteBytes()),
 	}
 	if full {
 		message.Digest = g.facts.digest(g.turn.Now)
@@ -72,11 +82,11 @@
 	reply := mulberrybeam.ExchangeReply{
 		Revision: g.self.Revision,
 		Relays:   g.ownRelayRecords(),
-		Facts:    g.facts.unsentTo(g.turn.Now, message.Zone, g.exchangeBytes/remoteSizeDivisor),
+		Facts:    g.facts.unsentTo(g.turn.Now, message.Zone, g.remoteBytes()),
 	}
 	g.facts.markDelivered(message.Zone, reply.Facts)
 	if len(message.Digest) > 0 {
-		facts, wanted := g.facts.compareDigest(g.turn.Now, message.Digest, g.exchangeBytes)
+		facts, wanted := g.facts.compareDigest(g.turn.Now, message.Digest, g.messageBytes())
 		reply.Facts, reply.Wanted = append(reply.Facts, facts...), wanted
 	}
 	g.emit(mulberrybeam.Reply{Ticket: ticket, Message: reply})
@@ -84,6 +94,12 @@
 
 func (g *Gossiper) markDelivered(sent pendingExchange) { g.facts.markDelivered(sent.zone, sent.facts) }
 
+// remoteBytes returns the size limit of the facts in a message to another zone.
+func (g *Gossiper) remoteBytes() int {
+	share := remoteBytesRatio / float64(max(1, len(g.otherZones())))
+	return int(min(share, 1) * float64(g.messageBytes()))
+}
+
 // relayPosition returns the position of this process among the relays of its
 // zone, or -1 if it is not one of them, and the number of relays.
 func (g *Gossiper) relayPosition() (position, count int) {
--- a/process/gossiper/store.go
+++ b/process/gossiper/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -67,6 +68,8 @@
 	remainingSends int
 	// arrival is a sequence number in the order of arrival.
 	arrival uint64
+	// zoneOnly is set if the fact is not passed on to other zones.
+	zoneOnly bool
 }
 
 // withRemainingTTL returns the fact as it is sent, with the remaining time to
@@ -77,14 +80,41 @@
 	return fact
 }
 
+// sendQueue has the facts that are still to be sent to one audience: the
+// members of the zone, or the relays of another zone.
+type sendQueue struct {
+	facts map[factKey]*storedFact
+	// lastSent orders the keys by when a fact was last sent. Facts that are
+	// replaced faster than the queue drains take turns, because the one whose
+	// key was sent longest ago goes first.
+	lastSent map[factKey]uint64
+	sends    uint64
+}
+
+func newSendQueue() *sendQueue {
+	return &sendQueue{facts: map[factKey]*storedFact{}, lastSent: map[factKey]uint64{}}
+}
+
+// recordSend moves a key behind all others.
+func (q *sendQueue) recordSend(key factKey) {
+	q.sends++
+	q.lastSent[key] = q.sends
+}
+
+// forget removes a key that has expired.
+func (q *sendQueue) forget(key factKey) {
+	delete(q.facts, key)
+	delete(q.lastSent, key)
+}
+
 // factStore keeps the facts that have not expired.
 type factStore struct {
 	byKey map[factKey]*storedFact
 	// unsent has the facts that are still to be sent within the zone.
-	unsent map[factKey]*storedFact
+	unsent *sendQueue
 	// unsentByZone has the facts that are still to be sent to each other
 	// zone, if this process is a relay.
-	unsentByZone map[mulberrybeam.ZoneName]map[factKey]*storedFact
+	unsentByZone map[mulberrybeam.ZoneName]*sendQueue
 	lastArrival  uint64
 	// digestCursor is the key of the last entry of the previous digest.
 	digestCursor factKey
@@ -92,14 +122,23 @@
 
 func newFactStore() factStore {
 	return factStore{
-		byKey: map[factKey]*storedFact{}, unsent: map[factKey]*storedFact{},
-		unsentByZone: map[mulberrybeam.ZoneName]map[factKey]*storedFact{},
+		byKey: map[factKey]*storedFact{}, unsent: newSendQueue(),
+		unsentByZone: map[mulberrybeam.ZoneName]*sendQueue{},
 	}
 }
 
+// origin says where a fact comes from.
+type origin struct {
+	// from is the zone of the process that sent the fact. It is not sent back
+	// there.
+	from mulberrybeam.ZoneName
+	// zoneOnly is set if the fact is not passed on to other zones.
+	zoneOnly bool
+}
+
 // add stores a fact, unless one with an equal or higher stamp is stored, and
-// reports whether it did. Facts from another zone are not sent back to it.
-func (s *factStore) add(fact mulberrybeam.Fact, now time.Duration, from mulberrybeam.ZoneName) bool {
+// reports whether it did.
+func (s *factStore) add(fact mulberrybeam.Fact, now time.Duration, source origin) bool {
 	if fact.TTL <= 0 {
 		fact.TTL = defaultTTL
 	}
@@ -108,12 +147,12 @@
 		return false
 	}
 	s.lastArrival++
-	entry := &storedFact{fact: fact, expiresAt: now + fact.TTL, remainingSends: transmitLimit, arrival: s.lastArrival}
+	entry := &storedFact{fact: fact, expiresAt: now + fact.TTL, remainingSends: transmitLimit, arrival: s.lastArrival, zoneOnly: source.zoneOnly}
 	s.byKey[key] = entry
-	s.unsent[key] = entry
-	for zone, unsent := range s.unsentByZone {
-		if zone != from {
-			unsent[key] = entry
+	s.unsent.facts[key] = entry
+	for zone, queue := range s.unsentByZone {
+		if zone != source.from && !entry.zoneOnly {
+			queue.facts[key] = entry
 		}
 	}
 	return true
@@ -129,9 +168,9 @@
 		}
 		dropped = dropped || key.kind == mulberrybeam.FactCrash || key.kind == mulberrybeam.FactLink || key.kind == mulberrybeam.FactDemand
 		delete(s.byKey, key)
-		delete(s.unsent, key)
-		for _, unsent := range s.unsentByZone {
-			delete(unsent, key)
+		s.unsent.forget(key)
+		for _, queue := range s.unsentByZone {
+			queue.forget(key)
 		}
 	}
 	return dropped
@@ -146,29 +185,29 @@
 // nextFactsExcept is like nextFacts, but leaves out facts that the receiver has
 // just sent.
 func (s *factStore) nextFactsExcept(now time.Duration, limit int, except []mulberrybeam.Fact) []mulberrybeam.Fact {
-	candidates := make(map[factKey]*storedFact, len(s.unsent))
-	for key, entry := range s.unsent {
-		candidates[key] = entry
-	}
+	candidates := maps.Clone(s.unsent.facts)
 	for _, fact := range except {
 		if entry := candidates[keyOf(fact)]; entry != nil && entry.fact.Stamp == fact.Stamp {
 			delete(candidates, keyOf(fact))
 		}
 	}
-	selected := selectFacts(candidates, now, limit)
+	selected := selectFacts(candidates, now, limit, s.unsent.lastSent)
 	for _, fact := range selected {
-		entry := s.byKey[keyOf(fact)]
+		key := keyOf(fact)
+		s.unsent.recordSend(key)
+		entry := s.byKey[key]
 		entry.remainingSends--
 		if entry.remainingSends == 0 {
-			delete(s.unsent, keyOf(fact))
+			delete(s.unsent.facts, key)
 		}
 	}
 	return selected
 }
 
 // selectFacts returns the unexpired facts that fit into the limit in bytes,
-// ordered by priority and then from latest to earliest arrival.
-func selectFacts(candidates map[factKey]*storedFact, now time.Duration, limit int) []mulberrybeam.Fact {
+// ordered by priority, then by when their key was last sent, and then from
+// latest to earliest arrival. lastSent may be nil.
+func selectFacts(candidates map[factKey]*storedFact, now time.Duration, limit int, lastSent map[factKey]uint64) []mulberrybeam.Fact {
 	ordered := make([]*storedFact, 0, len(candidates))
 	for _, entry := range candidates {
 		if entry.expiresAt > now {
@@ -176,7 +215,11 @@
 		}
 	}
 	slices.SortFunc(ordered, func(a, b *storedFact) int {
-		return cmp.Or(cmp.Compare(priorities[a.fact.Kind], priorities[b.fact.Kind]), cmp.Compare(b.arrival, a.arrival))
+		return cmp.Or(
+			cmp.Compare(priorities[a.fact.Kind], priorities[b.fact.Kind]),
+			cmp.Compare(lastSent[keyOf(a.fact)], lastSent[keyOf(b.fact)]),
+			cmp.Compare(b.arrival, a.arrival),
+		)
 	})
 	var selected []mulberrybeam.Fact
 	for _, entry := range ordered {
@@ -264,7 +307,7 @@
 			newer[key] = s.byKey[key]
 		}
 	}
-	return selectFacts(newer, now, limit), wanted
+	return selectFacts(newer, now, limit, nil), wanted
 }
 
 // lookup returns the facts that a peer asked for.
@@ -276,7 +319,7 @@
 			candidates[key] = own
 		}
 	}
-	return selectFacts(candidates, now, limit)
+	return selectFacts(candidates, now, limit, nil)
 }
 
 // trackZone starts to track the facts that are to be sent to a zone, initially
@@ -285,10 +328,13 @@
 	if s.unsentByZone[zone] != nil {
 		return
 	}
-	s.unsentByZone[zone] = make(map[factKey]*storedFact, len(s.byKey))
+	queue := newSendQueue()
 	for key, entry := range s.byKey {
-		s.unsentByZone[zone][key] = entry
+		if !entry.zoneOnly {
+			queue.facts[key] = entry
+		}
 	}
+	s.unsentByZone[zone] = queue
 }
 
 // untrackZones stops tracking the facts for other zones, when the process is
@@ -297,7 +343,11 @@
 
 // hasUrgentFacts reports whether an urgent fact is to be sent to a zone.
 func (s *factStore) hasUrgentFacts(zone mulberrybeam.ZoneName) bool {
-	for key := range s.unsentByZone[zone] {
+	queue := s.unsentByZone[zone]
+	if queue == nil {
+		return false
+	}
+	for key := range queue.facts {
 		if priorities[key.kind] <= urgentPriority {
 			return true
 		}
@@ -308,15 +358,28 @@
 // unsentTo returns facts that are to be sent to a zone, up to the limit in
 // bytes.
 func (s *factStore) unsentTo(now time.Duration, zone mulberrybeam.ZoneName, limit int) []mulberrybeam.Fact {
-	return selectFacts(s.unsentByZone[zone], now, limit)
+	queue := s.unsentByZone[zone]
+	if queue == nil {
+		return nil
+	}
+	return selectFacts(queue.facts, now, limit, queue.lastSent)
 }
 
 // markDelivered removes facts from those to be sent to a zone, unless they
 // have been replaced since.
 func (s *factStore) markDelivered(zone mulberrybeam.ZoneName, facts []mulberrybeam.Fact) {
+	queue := s.unsentByZone[zone]
+	if queue == nil {
+		return
+	}
 	for _, fact := range facts {
-		if entry := s.unsentByZone[zone][keyOf(fact)]; entry != nil && entry.fact.Stamp == fact.Stamp {
-			delete(s.unsentByZone[zone], keyOf(fact))
+		key := keyOf(fact)
+		if s.byKey[key] == nil {
+			continue
+		}
+		queue.recordSend(key)
+		if entry := queue.facts[key]; entry != nil && entry.fact.Stamp == fact.Stamp {
+			delete(queue.facts, key)
 		}
 	}
 }
