Bound what an engine prefills at once, the new prompt included

An engine sends an event every 12 steps there, and a step that prefills a chunk takes 20 times as long, so that three long prompts at once stop all its streams for longer than the limit. The bound looked at the backlog without the prompt that was added to it.

A request that may wait now goes to the cheapest engine among those with room for its prefill, and waits if there is none.

--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -43,10 +43,14 @@
 	heldTokenWeight   = 0.25
 	excessTokenWeight = 3
 	usableMemoryRatio = 0.85
-	// maxPrefillTokens is the maximum number of tokens that an engine may still
-	// have to prefill when it gets a request that could wait instead. An engine
-	// prefills that many in about 0.3 s.
-	maxPrefillTokens = 12000
+	// maxBacklogTokens is the maximum number of tokens that an engine may still
+	// have to prefill when it gets a request that could wait instead, and
+	// maxPrefillTokens the maximum with the request's own. An engine prefills
+	// between the tokens of the streams that it runs, so that more at once would
+	// make long pauses in them. A longer prompt goes to an engine without
+	// backlog.
+	maxBacklogTokens = 12000
+	maxPrefillTokens = 16000
 	// upgradedRatio is the fraction of engines that must have the new weights
 	// before the other engines get no more new requests.
 	upgradedRatio = 0.4
@@ -240,12 +244,16 @@
 	first := slices.MaxFunc(warm, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.preference(query), b.preference(query)), cmp.Compare(a.target.ID, b.target.ID))
 	})
+	if query.MayWait {
+		warm = slices.DeleteFunc(slices.Clone(warm), func(c candidate) bool { return c.wouldQueue(query) })
+		if len(warm) == 0 {
+			return Choice{}, noTarget(query.Service, "no engine has capacity")
+		}
+	}
 	best := slices.MinFunc(warm, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.startCost(query, first), b.startCost(query, first)), cmp.Compare(a.target.ID, b.target.ID))
 	})
 	switch {
-	case query.MayWait && best.wouldQueue(query):
-		return Choice{}, noTarget(query.Service, "no engine has capacity")
 	case best.memoryFull(query):
 		return Choice{}, noTarget(query.Service, "the context memory of all engines is full")
 	case best.target.ID == first.target.ID:
@@ -271,7 +279,23 @@
 // Waiting in this process instead lets it still go to another engine, and gives
 // the prompt's context time to reach a store.
 func (c candidate) wouldQueue(query Query) bool {
-	return c.memoryFull(query) || query.MemoryTokens > 0 && c.stats.Load().PrefillTokens > maxPrefillTokens
+	if c.memoryFull(query) {
+		return true
+	}
+	backlog := c.stats.Load().PrefillTokens
+	if query.MemoryTokens == 0 || backlog == 0 {
+		return false
+	}
+	return backlog > maxBacklogTokens || backlog+query.prefillTokens() > maxPrefillTokens
+}
+
+// prefillTokens returns the number of tokens of the prompt that an engine has to
+// prefill if the stored context arrives.
+func (q Query) prefillTokens() int {
+	if q.Stored {
+		return q.PromptTokens - q.SharedTokens
+	}
+	return q.PromptTokens
 }
 
 // memoryFull reports whether the requests take so much of the engine's memory
--- a/request/chooser/chooser_test.go
+++ b/request/chooser/chooser_test.go
@@ -226,3 +226,60 @@
 	_, err := choose(fleet(2), v, prompt(true))
 	is.Equal(mulberrybeam.CodeOf(err), mulberrybeam.CodeNoTarget)
 }
+
+// Load pattern: a burst of long prompts whose context is in no store, while the
+// engines stream other answers. Guards against an engine that gets several long
+// prompts at once: it prefills them between the tokens of its streams, whose
+// callers then wait for a token longer than they should.
+func TestLongPromptsAreSpreadInABurst(t *testing.T) {
+	const engines, prompts, promptTokens, limit = 6, 5, 12000, 16000
+	is := is.New(t)
+	f := fleet(engines)
+	v := view{}
+	for i := range engines {
+		v[mulberrybeam.InstanceID(fmt.Sprint("t", i))] = mulberrybeam.TargetStats{OwnLoad: mulberrybeam.TargetLoad{Requests: 2, HeldTokens: 8000}}
+	}
+	ask := func(tokens int, stored bool) (chooser.Choice, error) {
+		return choose(f, v, func(q *chooser.Query) {
+			q.SharedPart, q.SharedTokens, q.PromptTokens, q.MemoryTokens, q.MayWait = "p", tokens*3/4, tokens, 107000, true
+			q.Stored = stored
+		})
+	}
+	add := func(id mulberrybeam.InstanceID, prefill int) {
+		stats := v[id]
+		stats.OwnLoad = stats.OwnLoad.Plus(mulberrybeam.TargetLoad{Requests: 1, PrefillTokens: prefill, HeldTokens: promptTokens})
+		v[id] = stats
+	}
+	for range prompts {
+		choice, err := ask(promptTokens, false)
+		is.NoErr(err)
+		add(choice.Target.ID, promptTokens)
+	}
+	// The last engine already prefills a short prompt.
+	for id, stats := range v {
+		if stats.OwnLoad.PrefillTokens == 0 {
+			add(id, 6000)
+		}
+	}
+	for id, stats := range v {
+		t.Log(id, stats.OwnLoad)
+		is.True(stats.OwnLoad.PrefillTokens <= limit)
+	}
+	_, err := ask(promptTokens, false)
+	is.Equal(mulberrybeam.CodeOf(err), mulberrybeam.CodeNoTarget) // waits, rather than joining another long prompt
+	_, err = ask(promptTokens, true)
+	is.NoErr(err) // the stored context leaves little to prefill
+	_, err = ask(2000, false)
+	is.NoErr(err) // a short prompt fits
+}
+
+// Guards against a prompt longer than the limit that waits although an engine
+// has nothing to prefill.
+func TestPromptLongerThanTheLimitGoesToAnEngineWithoutBacklog(t *testing.T) {
+	is := is.New(t)
+	choice, err := choose(fleet(2), view{"t0": {OwnLoad: mulberrybeam.TargetLoad{Requests: 1, PrefillTokens: 500, HeldTokens: 500}}}, func(q *chooser.Query) {
+		q.SharedPart, q.SharedTokens, q.PromptTokens, q.MemoryTokens, q.MayWait = "p", 20000, 30000, 107000, true
+	})
+	is.NoErr(err)
+	is.Equal(choice.Target.ID, mulberrybeam.InstanceID("t1"))
+}
