Recompute prompts whose context arrives too late for their first token

While a link was slow (kv_slow) or a store's link was busy, such prompts waited for seconds before engines that were half idle.

At an engine that has little to prefill, a fetch may take 0.6 of the time to the goal. Elsewhere nothing changes.

--- a/request/fetcher/fetcher.go
+++ b/request/fetcher/fetcher.go
@@ -20,6 +20,13 @@
 	// engine that recomputes a prompt delays all its other requests.
 	baseFetchTimeout     = 1500 * time.Millisecond
 	fetchTimeoutPerToken = 150 * time.Microsecond
+	// An engine that has at most spareTokens to prefill, the prompt included,
+	// recomputes the prompt at once instead. A fetch to it may take only
+	// goalFraction of the time that is left until the first token is due, and
+	// minFetchTimeout once that has passed.
+	spareTokens     = 16000
+	goalFraction    = 0.6
+	minFetchTimeout = 100 * time.Millisecond
 )
 
 // maxStoreChoices is the number of stores, in rendezvous order, that are
@@ -71,6 +78,10 @@
 	Salt   string
 	Parts  []mulberrybeam.PromptPart
 	Stores []mulberrybeam.ContextStore
+	// TimeToGoal is the time left until the first token is due, and Backlog the
+	// number of tokens that the engine still has to prefill.
+	TimeToGoal time.Duration
+	Backlog    int
 	// Peer is the address of another engine that may have the shared parts,
 	// empty for none. Asking it for a part that it lacks costs a millisecond.
 	Peer string
@@ -92,29 +103,43 @@
 	if len(query.Stores) == 0 && query.Peer == "" || len(query.Parts) < 2 {
 		return Plan{}
 	}
-	timeout := baseFetchTimeout
+	fetchTokens := 0
 	plan := Plan{FetchFrom: make([]string, len(query.Parts)), SaveTo: make([]string, len(query.Parts))}
 	for i, part := range query.Parts[:len(query.Parts)-1] {
 		key := mulberrybeam.PartKey{Salt: query.Salt, Model: query.Model, ID: part.ID}
 		if address, found := catalog.StoreOf(key); found {
 			plan.FetchFrom[i] = address
-			timeout += time.Duration(part.Tokens) * fetchTimeoutPerToken
+			fetchTokens += part.Tokens
 			continue
 		}
 		if query.Peer != "" {
 			plan.FetchFrom[i] = query.Peer
-			timeout += time.Duration(part.Tokens) * fetchTimeoutPerToken
+			fetchTokens += part.Tokens
 		}
 		if address, found := firstWritable(catalog, query.Stores, part); found && catalog.Claim(key) {
 			plan.SaveTo[i] = address
 		}
 	}
 	if now, known := catalog.Clock(); known {
-		plan.FetchDeadline = now + mulberrybeam.EngineClock(timeout)
+		plan.FetchDeadline = now + mulberrybeam.EngineClock(query.fetchTimeout(fetchTokens))
 	}
 	return plan
 }
 
+// fetchTimeout returns how long the fetches of a prompt may take, of which
+// fetchTokens are fetched.
+func (q Query) fetchTimeout(fetchTokens int) time.Duration {
+	timeout := baseFetchTimeout + time.Duration(fetchTokens)*fetchTimeoutPerToken
+	tokens := q.Backlog
+	for _, part := range q.Parts {
+		tokens += part.Tokens
+	}
+	if tokens > spareTokens {
+		return timeout
+	}
+	return min(timeout, max(time.Duration(goalFraction*float64(q.TimeToGoal)), minFetchTimeout))
+}
+
 // PreferredZone returns the zone of the store that is preferred for a part, or ""
 // without stores. The store's free capacity is not considered.
 func PreferredZone(stores []mulberrybeam.ContextStore, part string) mulberrybeam.ZoneName {
--- a/request/fetcher/fetcher_test.go
+++ b/request/fetcher/fetcher_test.go
@@ -69,6 +69,39 @@
 	is.Equal(plan.FetchFrom, []string{"e1:1", "e1:1", ""})
 }
 
+// Load pattern: a store whose link is slow, before engines with spare time.
+// Guards against a short prompt that waits seconds for context which the engine
+// recomputes in milliseconds, and against recomputation at an engine that has
+// much to prefill already.
+func TestFetchTimeoutFollowsTheLatencyGoal(t *testing.T) {
+	const goal = 400 * time.Millisecond
+	cases := []struct {
+		name       string
+		tokens     int
+		backlog    int
+		timeToGoal time.Duration
+		within     bool
+	}{
+		{"short prompt", 650, 0, goal, true},
+		{"long prompt", 12000, 0, 2 * goal, true},
+		{"prompt whose first token is overdue", 650, 0, -time.Second, true},
+		{"engine with a backlog", 650, 30000, goal, false},
+		{"prompt longer than an engine prefills at once", 30000, 0, 2 * goal, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			q := query()
+			q.Parts = []mulberrybeam.PromptPart{{ID: "p1", Tokens: c.tokens}, {ID: "own", Tokens: 50}}
+			q.Backlog, q.TimeToGoal = c.backlog, c.timeToGoal
+			stored := map[mulberrybeam.PartKey]string{{Salt: "3", Model: "m", ID: "p1"}: "s1:1"}
+			timeout := time.Duration(fetcher.Decide(fakeCatalog{stored: stored}, q).FetchDeadline) - time.Hour
+			is.True(timeout > 0)
+			is.Equal(timeout < max(c.timeToGoal, goal), c.within)
+		})
+	}
+}
+
 // Guards against parts that are not distributed by store capacity, and against
 // a choice of store that depends on the order in which stores are listed.
 func TestPartsAreDistributedByCapacity(t *testing.T) {
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -214,6 +214,8 @@
 	}
 	query := fetcher.Query{
 		Model: a.inbound.Model, Salt: call.Salt, Parts: a.inbound.Parts, Stores: a.fleet.ContextStores,
+		TimeToGoal: a.timeToGoal(),
+		Backlog:    a.Monitor.TargetStats(a.target.ID).Load().PrefillTokens,
 	}
 	if a.preferred.Versions[a.inbound.Model] == version {
 		query.Peer = a.preferred.Address
@@ -223,6 +225,15 @@
 	call.FetchDeadline = plan.FetchDeadline
 }
 
+// timeToGoal returns the time until the first token is due, or until the deadline
+// if the rule has no latency goal.
+func (a *attempt) timeToGoal() time.Duration {
+	if a.match.Rule.LatencyGoal <= 0 {
+		return a.requestInfo.Deadline - a.Now()
+	}
+	return a.arrivedAt + a.match.Rule.LatencyGoal - a.Now()
+}
+
 // expectedLoad returns the load that the attempt adds to the target. Parts
 // whose context is fetched do not have to be computed.
 func (a *attempt) expectedLoad(call mulberrybeam.OutboundCall) mulberrybeam.TargetLoad {
