Bound the head of a target's answer and do not retry on the same connection

Heads with the answers before them are limited to 64 KiB, skipped bodies to 1 MiB.

A late copy of an answer on a connection in use again: a request that a target refused may be sent to it again, on the same connection. A late copy of the refusal bears the same request id and was taken for the answer to the retry, so that the caller was told that a request did not run which then ran. A request is not sent again on a connection that carried it.

Ruled out: copies with another id are skipped already.

--- a/connection/requester/requester.go
+++ b/connection/requester/requester.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,8 +39,16 @@
 	// limits the request bodies that are written before the response is read.
 	bufferBytes = 4 << 10
 	// maxSkippedResponses limits the number of responses to other requests
-	// that are skipped before a request fails.
+	// that are skipped before a request fails, and maxSkippedBytes the size of
+	// their bodies.
 	maxSkippedResponses = 2
+	maxSkippedBytes     = 1 << 20
+	// maxHeadBytes limits the head of a response, with the responses before it
+	// that are skipped. A target in trouble may send bytes without end.
+	maxHeadBytes = 64 << 10
+	// rememberedRequests is the number of earlier requests of a connection that
+	// are not sent on it again.
+	rememberedRequests = 4
 )
 
 // Message is a request to a target. Content-Length is sent only with HasBody.
@@ -84,8 +93,12 @@
 // pooledConn is one connection to a target.
 type pooledConn struct {
 	conn   net.Conn
+	source *boundedReader
 	reader *bufio.Reader
 	target mulberrybeam.InstanceID
+	// requests are the last requests sent on the connection. A late copy of the
+	// response to one of them would be taken for the response to its retry.
+	requests []mulberrybeam.RequestID
 	// reuseUntil is the time after which the connection is not reused, because
 	// the target may close it.
 	reuseUntil time.Duration
@@ -105,7 +118,7 @@
 // of 0 means no limit. If ctx ends before Answer.Close is called, the connection
 // is closed. Errors are Failures; NotRun means that nothing was sent.
 func (c *Requester) Send(ctx context.Context, target mulberrybeam.FleetTarget, limit int, message Message) (*Answer, error) {
-	pc, err := c.acquireConn(ctx, target, limit)
+	pc, err := c.acquireConn(ctx, target, limit, message.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -127,8 +140,9 @@
 	return answer, nil
 }
 
-// acquireConn returns an idle connection that can be reused, or a new one.
-func (c *Requester) acquireConn(ctx context.Context, target mulberrybeam.FleetTarget, limit int) (*pooledConn, error) {
+// acquireConn returns an idle connection that can be reused for a request, or a
+// new one.
+func (c *Requester) acquireConn(ctx context.Context, target mulberrybeam.FleetTarget, limit int, request mulberrybeam.RequestID) (*pooledConn, error) {
 	for {
 		pc, limitReached := c.takeIdleOrReserve(target.ID, limit)
 		if limitReached {
@@ -137,7 +151,8 @@
 		if pc == nil {
 			return c.openConn(ctx, target)
 		}
-		if c.now() < pc.reuseUntil && pc.reader.Buffered() == 0 && dialer.CanReuse(pc.conn) {
+		usable := c.now() < pc.reuseUntil && pc.reader.Buffered() == 0 && dialer.CanReuse(pc.conn)
+		if usable && !slices.Contains(pc.requests, request) {
 			return pc, nil
 		}
 		c.closeConn(pc)
@@ -175,7 +190,8 @@
 		c.freePlace(target.ID)
 		return nil, newFailure(mulberrybeam.StepConnect, target.ID, "cannot connect", true, err)
 	}
-	return &pooledConn{conn: conn, reader: bufio.NewReaderSize(conn, bufferBytes), target: target.ID, reuseUntil: c.now() + time.Hour}, nil
+	source := &boundedReader{source: conn}
+	return &pooledConn{conn: conn, source: source, reader: bufio.NewReaderSize(source, bufferBytes), target: target.ID, reuseUntil: c.now() + time.Hour}, nil
 }
 
 // exchange writes the request and reads the head of the response. A target may
@@ -183,6 +199,7 @@
 // while the response is read.
 func (c *Requester) exchange(pc *pooledConn, message Message) (*Answer, error) {
 	pc.writeResult = make(chan error, 1)
+	pc.remember(message.ID)
 	head := encodeHead(message)
 	if len(message.Body) <= bufferBytes {
 		_, err := pc.conn.Write(append(head, message.Body...))
@@ -203,6 +220,7 @@
 // readResponseHead reads the head of the response to a message and skips
 // responses to other requests.
 func (c *Requester) readResponseHead(pc *pooledConn, message Message) (*Answer, error) {
+	pc.source.limit(maxHeadBytes)
 	for range maxSkippedResponses + 1 {
 		response, err := readFinalResponse(pc.reader, message.Method)
 		if err != nil {
@@ -210,6 +228,7 @@
 		}
 		head := c.codec.Answer(response.StatusCode, response.Header)
 		if head.Request == message.ID || head.Request == "" {
+			pc.source.unlimit()
 			answer := &Answer{Status: response.StatusCode, Header: response.Header, Head: head, body: response.Body}
 			pc.reuseUntil = c.now() + idleTimeout(response)
 			if response.Close {
@@ -217,9 +236,11 @@
 			}
 			return answer, nil
 		}
+		pc.source.limit(maxSkippedBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
 			break
 		}
+		pc.source.limit(maxHeadBytes)
 	}
 	return nil, newFailure(mulberrybeam.StepAnswer, pc.target, "response belongs to another request", false, nil)
 }
@@ -238,6 +259,14 @@
 	}
 }
 
+// remember records that a request was sent on the connection.
+func (pc *pooledConn) remember(request mulberrybeam.RequestID) {
+	if len(pc.requests) == rememberedRequests {
+		pc.requests = pc.requests[1:]
+	}
+	pc.requests = append(pc.requests, request)
+}
+
 // idleTimeout returns how long the connection may stay idle after a response.
 func idleTimeout(response *http.Response) time.Duration {
 	for field := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
