Count whole events as progress of a stream, and wait on its last target

Three faults, each with a test that fails without the change.

A stalled stream whose target sent a byte now and then never ended before its deadline (8 s in the test), because any byte restarted the idle time. Complete events do now.

A slow but sound stream was cut after 2.8 s without an event also when it may run on no other target, so that its caller got a broken answer for nothing. On the last target that is allowed it is left to the caller and the deadline.

The body of a refusal was read to its end: one without end held the request until its deadline. 64 KiB are read, else the connection is closed.

--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -16,6 +16,9 @@
 	// maxBufferedBody is the largest response body, in bytes, that is buffered
 	// until it is complete. The rest of a larger one is copied as it arrives.
 	maxBufferedBody = 64 << 10
+	// maxDiscardedBody is the largest body of a refusal, in bytes, that is read
+	// so that the connection can be used again.
+	maxDiscardedBody = 64 << 10
 	// streamBufferSize is the size of the read buffer of a stream, in bytes.
 	streamBufferSize = 8 << 10
 	// minRetryAfter is the shortest Retry-After of a 503 response.
@@ -46,25 +49,26 @@
 
 // forwardStream forwards events as they arrive. Of a repeatable stream, it
 // forwards complete events only, so that the stream can resume on another
-// target. The header is written with the first event, because until then the
-// request can still be refused with a status of its own.
+// target, and moves to another target when no event is completed for too long.
+// On the last target that it may run on it waits as long as the caller does. The
+// header is written with the first event, because until then the request can
+// still be refused with a status of its own.
 func (a *attempt) forwardStream(ctx context.Context, cancel context.CancelCauseFunc, response *requester.Answer) error {
 	a.splitter.Drop()
 	flusher := http.NewResponseController(a.writer)
 	buffer := make([]byte, streamBufferSize)
-	idleLimit := time.Duration(0)
-	if a.requestInfo.Repeatable {
-		idleLimit = idleTimeout
-	}
-	idle := a.startIdleTimer(idleLimit, func() { cancel(errResponseTimeout) })
+	idle := a.startIdleTimer(a.responseTimeout(), func() { cancel(errResponseTimeout) })
 	defer idle.stop()
 	for {
 		n, err := response.Read(buffer)
-		idle.recordActivity()
 		if n > 0 {
+			events := a.splitter.Events
 			if writeErr := a.forwardChunk(flusher, response, buffer[:n]); writeErr != nil {
 				return a.callerDisconnected(writeErr)
 			}
+			if !a.requestInfo.Repeatable || a.splitter.Events > events {
+				idle.recordActivity()
+			}
 		}
 		if err == io.EOF {
 			return a.finishStream(flusher, response)
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -279,7 +279,7 @@
 // handleRefusal handles a response by which the target says that it did not
 // run the request.
 func (a *attempt) handleRefusal(response *requester.Answer) error {
-	_, _ = io.Copy(io.Discard, response)
+	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxDiscardedBody))
 	avoidFor := avoidAfterServiceRefusal
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
--- a/request/relayer/stream_test.go
+++ b/request/relayer/stream_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -102,3 +103,94 @@
 	is.NoErr(got.err)
 	is.Equal(h.requests[1].Header.Get("Mulberrybeam-Expect-Instance"), "t2")
 }
+
+// trickles sends the events up to last, and then the given text again and again
+// without completing another event, until the connection is closed.
+func trickles(last int, text string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Mulberrybeam-Response-Stamp", "first")
+		writeEvents(writer, 1, last)
+		for request.Context().Err() == nil {
+			_, _ = writer.Write([]byte(text))
+			_ = http.NewResponseController(writer).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+// Guards against a stalled stream that never ends because its target sends a
+// byte now and then: it resumes on another target.
+func TestTricklingStreamResumesOnAnotherTarget(t *testing.T) {
+	rule := streamRule
+	rule.Timeout = 8 * time.Second
+	for _, text := range []string{"x", "data: x\n"} {
+		t.Run(text, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, rule, trickles(2, text), resumesStream)
+			begin := time.Now()
+			got := h.call(nil)
+			is.NoErr(got.err)
+			is.Equal(strings.Count(got.body, "id: "), 6)
+			is.True(time.Since(begin) < 5*time.Second)
+		})
+	}
+}
+
+// Guards against a slow but sound stream that is cut although it may not run on
+// another target.
+func TestSlowStreamIsNotCutOnItsLastTarget(t *testing.T) {
+	slow := func(writer http.ResponseWriter, request *http.Request) {
+		last := 0
+		_, _ = fmt.Sscan(request.Header.Get("Last-Event-Id"), &last)
+		writer.Header().Set("Mulberrybeam-Response-Stamp", "second")
+		for id := last + 1; id <= 4; id++ {
+			writeEvents(writer, id, id)
+			if id == 3 {
+				time.Sleep(3200 * time.Millisecond)
+			}
+		}
+	}
+	rule := streamRule
+	rule.Timeout = 10 * time.Second
+	singleAttempt := rule
+	singleAttempt.MaxAttempts = 1
+	cases := []struct {
+		name    string
+		rule    mulberrybeam.Rule
+		targets []http.HandlerFunc
+	}{
+		{"only one target allowed", singleAttempt, []http.HandlerFunc{slow, resumesStream}},
+		{"second of two targets", rule, []http.HandlerFunc{abortsAfter(2), slow, resumesStream}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			got := newHarness(t, c.rule, c.targets...).call(nil)
+			is.NoErr(got.err)
+			is.Equal(strings.Count(got.body, "id: "), 4)
+		})
+	}
+}
+
+// Guards against a refusal whose body never ends and that holds the request.
+func TestRefusalWithEndlessBody(t *testing.T) {
+	is := is.New(t)
+	endless := func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Mulberrybeam-Not-Executed", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		block := []byte(strings.Repeat("x", 4096))
+		for request.Context().Err() == nil {
+			if _, err := writer.Write(block); err != nil {
+				return
+			}
+		}
+	}
+	h := newHarness(t, onceRule, endless, respondsStamped("ok"))
+	begin := time.Now()
+	got := h.call(nil)
+	is.NoErr(got.err)
+	is.Equal(got.body, "ok")
+	is.True(time.Since(begin) < onceRule.Timeout/2)
+}
--- a/request/relayer/watch.go
+++ b/request/relayer/watch.go
@@ -15,7 +15,7 @@
 	busyIdleExtra = 1300 * time.Millisecond
 )
 
-// idleTimer ends an attempt whose target has sent nothing for too long.
+// idleTimer ends an attempt whose target has made no progress for too long.
 type idleTimer struct {
 	attempt *attempt
 	limit   time.Duration
@@ -37,7 +37,8 @@
 	return i
 }
 
-// recordActivity records that the target sent data, which restarts the idle time.
+// recordActivity records that the target made progress, which restarts the idle
+// time.
 func (i *idleTimer) recordActivity() {
 	i.attempt.Monitor.RecordReceived(i.attempt.target.ID)
 	if i.limit == 0 {
