--- a/connection/loadencoder/loadencoder.go
+++ b/connection/loadencoder/loadencoder.go
@@ -21,7 +21,33 @@
 	Version  int
 	From     string
 	Sequence uint64
-	Targets  []wireLoad
+	Targets  wireLoads
+}
+
+// maxTargets is the largest number of targets in a datagram.
+const maxTargets = 1000
+
+// wireLoads decodes its elements one by one. The decoder of the library allocates
+// memory for as many elements as the datagram states, whatever its size.
+type wireLoads []wireLoad
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *wireLoads) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	count, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if count > maxTargets {
+		return fmt.Errorf("%d targets are more than %d", count, maxTargets)
+	}
+	for range count {
+		var load wireLoad
+		if err := decoder.Decode(&load); err != nil {
+			return err
+		}
+		*l = append(*l, load)
+	}
+	return nil
 }
 
 // wireLoad is the encoded form of a mulberrybeam.SharedLoad.
--- a/connection/loadencoder/loadencoder_test.go
+++ b/connection/loadencoder/loadencoder_test.go
@@ -45,3 +45,29 @@
 		})
 	}
 }
+
+// Guards against a datagram that panics, or that makes a target look as if it had
+// less load than none.
+func FuzzDecode(f *testing.F) {
+	valid, err := loadencoder.Encode(mulberrybeam.LoadUpdate{From: "h", Sequence: 7, Targets: []mulberrybeam.SharedLoad{
+		{Target: "t", Load: mulberrybeam.TargetLoad{Requests: 1, PrefillTokens: 2, HeldTokens: 3}},
+	}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(valid)
+	f.Add(valid[:len(valid)/2])
+	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0x94, 0x01, 0xa1, 'h', 0x01, 0xdd, 0x7f, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		update, err := loadencoder.Decode(datagram)
+		if err != nil {
+			return
+		}
+		for _, shared := range update.Targets {
+			if shared.Load.Requests < 0 || shared.Load.PrefillTokens < 0 || shared.Load.HeldTokens < 0 {
+				t.Errorf("%+v", shared)
+			}
+		}
+	})
+}
