--- a/connection/requester/requester.go
+++ b/connection/requester/requester.go
@@ -41,8 +41,8 @@
 	// their bodies.
 	maxSkippedResponses = 2
 	maxSkippedBytes     = 1 << 20
-	// maxHeadBytes limits the head of a response, with the responses before it
-	// that are skipped. A target in trouble may send bytes without end.
+	// maxHeadBytes limits the head of a response, with the interim responses
+	// before it. A target in trouble may send bytes without end.
 	maxHeadBytes = 64 << 10
 	// rememberedRequests is the number of earlier requests of a connection that
 	// are not sent on it again.
--- a/connection/requester/requester_test.go
+++ b/connection/requester/requester_test.go
@@ -31,11 +31,18 @@
 const closeSuffix = "\x00"
 
 func newScriptedServer(t *testing.T, respond func(conn, request int, id string) string) *scriptedServer {
+	s := &scriptedServer{respond: respond}
+	s.listener = listen(t, func(conn net.Conn) { go s.serve(conn, int(s.connCount.Add(1))) })
+	return s
+}
+
+// listen opens a listener until the end of the test and passes each connection to
+// accepted, which must not block.
+func listen(t *testing.T, accepted func(net.Conn)) net.Listener {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scriptedServer{listener: listener, respond: respond}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -43,10 +50,10 @@
 			if err != nil {
 				return
 			}
-			go s.serve(conn, int(s.connCount.Add(1)))
+			accepted(conn)
 		}
 	}()
-	return s
+	return listener
 }
 
 func (s *scriptedServer) serve(conn net.Conn, connNumber int) {
--- a/connection/requester/trouble_test.go
+++ b/connection/requester/trouble_test.go
@@ -26,21 +26,8 @@
 }
 
 func newFloodingServer(t *testing.T, prefix func(id string) string, text string) *floodingServer {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &floodingServer{listener: listener, closed: make(chan struct{}, 16)}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.flood(conn, prefix, text)
-		}
-	}()
+	s := &floodingServer{closed: make(chan struct{}, 16)}
+	s.listener = listen(t, func(conn net.Conn) { go s.flood(conn, prefix, text) })
 	return s
 }
 
