Tell responses given up for silence from those that a target broke off

The entry of a response that ended midway had the kind of a completion, and said "stream was interrupted" both when the target broke off and when this process had closed the connection because the target was silent. Entries now have a kind of their own, which the metrics count, and name the cause. No decision changes.

--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -40,7 +40,7 @@
 		_, err = io.Copy(a.writer, response)
 	}
 	if err != nil {
-		a.recordEntry(mulberrybeam.EntryCompletion, string(a.target.ID), "response interrupted: "+err.Error())
+		a.recordEntry(mulberrybeam.EntryInterruption, string(a.target.ID), "response interrupted: "+err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	a.recordCompletion(response.Status)
@@ -53,7 +53,7 @@
 // On the last target that it may run on it waits as long as the caller does. The
 // header is written with the first event, because until then the request can
 // still be refused with a status of its own.
-func (a *attempt) forwardStream(ctx context.Context, cancel context.CancelCauseFunc, response *requester.Answer) error {
+func (a *attempt) forwardStream(ctx, sendCtx context.Context, cancel context.CancelCauseFunc, response *requester.Answer) error {
 	a.splitter.Drop()
 	flusher := http.NewResponseController(a.writer)
 	buffer := make([]byte, streamBufferSize)
@@ -74,6 +74,9 @@
 			return a.finishStream(flusher, response)
 		}
 		if err != nil {
+			if context.Cause(sendCtx) == errResponseTimeout {
+				return a.recordInterruption(ctx, fmt.Sprintf("target was silent, stream was given up after event %q", a.splitter.LastID), err)
+			}
 			return a.recordInterruption(ctx, fmt.Sprintf("stream was interrupted after event %q", a.splitter.LastID), err)
 		}
 	}
@@ -157,7 +160,7 @@
 // connection.
 func (e *exchange) fail(ctx context.Context, err error) {
 	if e.headerWritten {
-		e.recordEntry(mulberrybeam.EntryCompletion, "", "response interrupted: "+err.Error())
+		e.recordEntry(mulberrybeam.EntryInterruption, "", "response interrupted: "+err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	if e.request.Context().Err() != nil {
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -131,7 +131,7 @@
 	a.firstByteAt = a.Now()
 	a.Monitor.RecordFirstByte(a.target.ID, a.load.PrefillTokens, a.firstByteAt-a.sentAt)
 	a.load.PrefillTokens = 0
-	return a.handleResponse(ctx, cancel, response)
+	return a.handleResponse(ctx, sendCtx, cancel, response)
 }
 
 var errResponseTimeout = &mulberrybeam.Failure{
@@ -248,7 +248,7 @@
 
 // handleResponse decides from the status and the header how to handle a
 // response.
-func (a *attempt) handleResponse(ctx context.Context, cancel context.CancelCauseFunc, response *requester.Answer) error {
+func (a *attempt) handleResponse(ctx, sendCtx context.Context, cancel context.CancelCauseFunc, response *requester.Answer) error {
 	switch {
 	case response.Head.NotRun && response.Status != http.StatusBadRequest:
 		return a.handleRefusal(response)
@@ -261,7 +261,7 @@
 	case impliesNotRun(response.Status) && !response.Head.NotRun:
 		return a.recordInterruption(ctx, fmt.Sprintf("target returned status %d without confirming that the request did not run", response.Status), nil)
 	case a.match.Rule.Streaming && response.Status == http.StatusOK:
-		return a.forwardStream(ctx, cancel, response)
+		return a.forwardStream(ctx, sendCtx, cancel, response)
 	}
 	return a.forwardBody(ctx, response)
 }
--- a/snapshot.go
+++ b/snapshot.go
@@ -63,6 +63,7 @@
 	EntryRefusal       EntryKind = "refusal"
 	EntryRetry         EntryKind = "retry"
 	EntryCompletion    EntryKind = "completion"
+	EntryInterruption  EntryKind = "interruption"
 	EntryIntent        EntryKind = "intent"
 	EntryPhase         EntryKind = "phase"
 	EntryPermit        EntryKind = "permit"
