Reproduce responses that end because their target was silent

A target stops sending for 2.2 s and goes on, as a sound one may. The request is given up after 1.5 s, before it is known whether another target can take it: without another target, with targets that refuse, or without retry budget the caller gets half a stream, 502 or 504.

--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -48,6 +48,10 @@
 // newHarness starts a Relayer and one target per handler. The first target is
 // preferred because it is in the Relayer's zone.
 func newHarness(t *testing.T, rule mulberrybeam.Rule, handlers ...http.HandlerFunc) *harness {
+	return newHarnessWithBudgets(t, rule, monitor.NewBudgets(0.2, 100), handlers...)
+}
+
+func newHarnessWithBudgets(t *testing.T, rule mulberrybeam.Rule, budgets *monitor.Budgets, handlers ...http.HandlerFunc) *harness {
 	h := &harness{t: t, crashes: make(chan mulberrybeam.TargetCrashed, 10)}
 	rule.Host, rule.Prefix = "h", "/"
 	rule.Shares = []mulberrybeam.Share{{Service: "s", Weight: 1}}
@@ -78,18 +82,18 @@
 		}})
 	}
 	h.fleet.Store(fleet)
-	h.startRelayer()
+	h.startRelayer(budgets)
 	return h
 }
 
-func (h *harness) startRelayer() {
+func (h *harness) startRelayer(budgets *monitor.Budgets) {
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) }
 	connections, closeIdle := requester.New(platform.Codec{}, (&net.Dialer{}).DialContext, now)
 	settings := &mulberrybeam.HostSettings{ID: "self", Zone: "z0", Bounds: mulberrybeam.HostBounds{VersionWithin: 8 * time.Second}}
 	server := httptest.NewServer(&relayer.Relayer{
 		Settings: func() *mulberrybeam.HostSettings { return settings },
-		Codec:    platform.Codec{}, Sender: connections, Monitor: monitor.New(now), Budgets: monitor.NewBudgets(0.2, 100),
+		Codec:    platform.Codec{}, Sender: connections, Monitor: monitor.New(now), Budgets: budgets,
 		Catalog: emptyCatalog{}, Recorder: discardRecorder{}, Fleet: h.fleet.Load, Now: now,
 		Post: func(event mulberrybeam.Event) {
 			if crash, ok := event.(mulberrybeam.TargetCrashed); ok {
--- /dev/null
+++ b/request/relayer/silence_test.go
@@ -0,0 +1,87 @@
+package relayer_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/process/monitor"
+	"mulberrybeam/request/retrier"
+)
+
+// silence is longer than the idle timeout of a stream.
+const silence = 2200 * time.Millisecond
+
+// pausesAfter sends the events up to last, is silent for a while, and completes
+// the stream of six events.
+func pausesAfter(last int) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Mulberrybeam-Response-Stamp", "first")
+		if last > 0 {
+			writeEvents(writer, 1, last)
+		}
+		select {
+		case <-request.Context().Done():
+		case <-time.After(silence):
+			writeEvents(writer, last+1, 6)
+		}
+	}
+}
+
+// Guards against a response that ends midway because its target was silent for
+// a moment and no other target could take the request over.
+func TestSilentTargetIsKeptUntilAnotherTakesOver(t *testing.T) {
+	cases := []struct {
+		name    string
+		budget  float64 // retries per second
+		targets []http.HandlerFunc
+	}{
+		{"no other target, before the first event", 100, []http.HandlerFunc{pausesAfter(0)}},
+		{"no other target, within the stream", 100, []http.HandlerFunc{pausesAfter(2)}},
+		{"others refuse, before the first event", 100, []http.HandlerFunc{pausesAfter(0), refuses, refuses}},
+		{"others refuse, within the stream", 100, []http.HandlerFunc{pausesAfter(2), refuses, refuses}},
+		{"retry budget exhausted, before the first event", 0, []http.HandlerFunc{pausesAfter(0), resumesStream}},
+		{"retry budget exhausted, within the stream", 0, []http.HandlerFunc{pausesAfter(2), resumesStream}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			rule := streamRule
+			rule.Timeout = 8 * time.Second
+			budgets := monitor.NewBudgets(0, c.budget)
+			if c.budget == 0 {
+				takeFirstRetry(budgets)
+			}
+			h := newHarnessWithBudgets(t, rule, budgets, c.targets...)
+			got := h.call(nil)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.header.Get("Mulberrybeam-Response-Stamp"), "first")
+			is.Equal(eventIDs(got.body), "1 2 3 4 5 6")
+		})
+	}
+}
+
+// takeFirstRetry takes the retry that a new budget allows at any rate.
+func takeFirstRetry(budgets *monitor.Budgets) {
+	request := &mulberrybeam.Request{Repeatable: true, Deadline: time.Hour}
+	budgets.Decide(mulberrybeam.Turn{}, "s", 1, request, retrier.History{}, &mulberrybeam.Failure{Code: mulberrybeam.CodeTimeout})
+}
+
+// eventIDs returns the IDs of the events of a stream in order.
+func eventIDs(body string) string {
+	var ids []string
+	for line := range strings.Lines(body) {
+		var id string
+		if n, _ := fmt.Sscanf(line, "id: %s", &id); n == 1 {
+			ids = append(ids, id)
+		}
+	}
+	return strings.Join(ids, " ")
+}
