Keep a silent target until another one has accepted the request

Callers saw half a stream, 502 or 504 although their engine went on a moment later: a stream whose target had been silent for 1.5 s (2.8 s if the target answered others) was cut first, and only then was it found out whether another target could take it. Without retry budget, with all other engines full or refusing, there was nothing left to answer with. The class of the fault is releasing a live resource on a mere suspicion.

A silent target now gets a standby: the request is also sent to another target, if the budget and an engine's capacity allow it. The silent one is dropped when the standby responds, or 250 ms after it was asked, when a target that refuses would have refused; if the silent one makes progress first, the standby is dropped. Both work on the request for 250 ms at most. One goroutine per attempt reads from the target; the request's own goroutine decides. Ruled out: deciding before the cut only, since a target may still refuse.

--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -48,38 +48,67 @@
 }
 
 // forwardStream forwards events as they arrive. Of a repeatable stream, it
-// forwards complete events only, so that the stream can resume on another
-// target, and moves to another target when no event is completed for too long.
-// On the last target that it may run on it waits as long as the caller does. The
-// header is written with the first event, because until then the request can
-// still be refused with a status of its own.
-func (a *attempt) forwardStream(ctx, sendCtx context.Context, cancel context.CancelCauseFunc, response *requester.Answer) error {
+// forwards complete events only, so that the stream can go on at another target,
+// which is asked to take over when no event is completed for too long. The header
+// is written with the first event, because until then the request can still be
+// refused with a status of its own.
+func (a *attempt) forwardStream(ctx context.Context, response *requester.Answer) (*attempt, error) {
 	a.splitter.Drop()
 	flusher := http.NewResponseController(a.writer)
-	buffer := make([]byte, streamBufferSize)
-	idle := a.startIdleTimer(a.responseTimeout(), func() { cancel(errResponseTimeout) })
-	defer idle.stop()
+	chunks, stopReading := readChunks(response)
+	bodyEnded := false
+	defer func() {
+		if !bodyEnded {
+			a.cancel()
+		}
+		stopReading()
+	}()
+	w := a.startWatch()
+	defer w.stop()
 	for {
-		n, err := response.Read(buffer)
-		if n > 0 {
-			events := a.splitter.Events
-			if writeErr := a.forwardChunk(flusher, response, buffer[:n]); writeErr != nil {
-				return a.callerDisconnected(writeErr)
+		var successor *attempt
+		select {
+		case received := <-chunks:
+			bodyEnded = received.err != nil
+			ended, err := a.forwardReceived(ctx, w, flusher, response, received)
+			if err != nil {
+				return w.takeStandby(), err
 			}
-			if !a.requestInfo.Repeatable || a.splitter.Events > events {
-				idle.recordActivity()
+			if ended {
+				return nil, nil
 			}
+		case <-w.expired():
+			successor = w.check(ctx)
+		case result := <-w.standbySent():
+			successor = w.handleStandby(ctx, result)
 		}
-		if err == io.EOF {
-			return a.finishStream(flusher, response)
+		if successor != nil {
+			return successor, a.recordSilence()
 		}
-		if err != nil {
-			if context.Cause(sendCtx) == errResponseTimeout {
-				return a.recordInterruption(ctx, fmt.Sprintf("target was silent, stream was given up after event %q", a.splitter.LastID), err)
-			}
-			return a.recordInterruption(ctx, fmt.Sprintf("stream was interrupted after event %q", a.splitter.LastID), err)
+	}
+}
+
+// forwardReceived forwards a part of a stream and reports whether it was the
+// last one.
+func (a *attempt) forwardReceived(ctx context.Context, w *watch, flusher *http.ResponseController, response *requester.Answer, received chunk) (bool, error) {
+	if len(received.data) > 0 {
+		events := a.splitter.Events
+		if err := a.forwardChunk(flusher, response, received.data); err != nil {
+			w.dropStandby()
+			return false, a.callerDisconnected(err)
+		}
+		if !a.requestInfo.Repeatable || a.splitter.Events > events {
+			w.recordActivity()
 		}
 	}
+	switch received.err {
+	case nil:
+		return false, nil
+	case io.EOF:
+		w.dropStandby()
+		return true, a.finishStream(flusher, response)
+	}
+	return false, a.recordInterruption(ctx, fmt.Sprintf("stream was interrupted after event %q", a.splitter.LastID), received.err)
 }
 
 func (a *attempt) forwardChunk(flusher *http.ResponseController, response *requester.Answer, chunk []byte) error {
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -11,7 +10,6 @@
 	"mulberrybeam/connection/requester"
 	"mulberrybeam/request/chooser"
 	"mulberrybeam/request/fetcher"
-	"mulberrybeam/request/retrier"
 )
 
 const (
@@ -43,25 +41,55 @@
 	crashCheckTimeout = 300 * time.Millisecond
 )
 
-// runAttempt sends the request to one target and forwards the response. It
-// returns a Failure if the caller did not get a complete response.
+// runAttempt sends the request to one target and forwards the response, or that
+// of another target which takes over from a silent one. It returns a Failure if
+// the caller did not get a complete response.
 func (e *exchange) runAttempt(ctx context.Context) error {
 	query := e.chooserQuery()
 	choice, err := chooser.Choose(e.Now(), e.random, e.fleet, e.Monitor, query)
 	if err != nil {
 		return err
 	}
-	current := &attempt{exchange: e, target: choice.Target, preferred: choice.PreferredEngine, reason: choice.Reason, sentAt: e.Now(), requireGoal: query.ExcludeOldWeights}
-	message := current.buildMessage()
-	if !e.Monitor.Reserve(current.target.ID, current.load, choice.ColdLimit) {
-		return &mulberrybeam.Failure{
-			Code: mulberrybeam.CodeNoTarget, Step: mulberrybeam.StepRoute, Peer: string(current.target.ID),
+	current, err := e.startAttempt(ctx, choice, query.ExcludeOldWeights)
+	if err != nil {
+		return err
+	}
+	for {
+		successor, err := current.run(ctx)
+		current.end(ctx, err)
+		if successor == nil {
+			return err
+		}
+		current = successor
+	}
+}
+
+// startAttempt sends the request to the chosen target.
+func (e *exchange) startAttempt(ctx context.Context, choice chooser.Choice, requireGoal bool) (*attempt, error) {
+	a := &attempt{
+		exchange: e, target: choice.Target, preferred: choice.PreferredEngine, reason: choice.Reason,
+		sentAt: e.Now(), requireGoal: requireGoal, sent: make(chan sendResult, 1),
+	}
+	message := a.buildMessage()
+	if !e.Monitor.Reserve(a.target.ID, a.load, choice.ColdLimit) {
+		return nil, &mulberrybeam.Failure{
+			Code: mulberrybeam.CodeNoTarget, Step: mulberrybeam.StepRoute, Peer: string(a.target.ID),
 			Message: "request rate limit of the cold target is reached", NotRun: true,
 		}
 	}
-	err = current.run(ctx, message)
-	e.Monitor.RecordEnd(current.target.ID, current.load, err != nil && ctx.Err() == nil && !isRefusal(err))
-	return err
+	sendCtx, cancel := context.WithCancel(ctx)
+	a.cancel = cancel
+	limit := a.connectionLimit()
+	go func() {
+		response, err := a.Sender.Send(sendCtx, a.target, limit, message)
+		a.sent <- sendResult{response, err}
+	}()
+	return a, nil
+}
+
+// end removes the attempt's load from its target.
+func (a *attempt) end(ctx context.Context, err error) {
+	a.Monitor.RecordEnd(a.target.ID, a.load, err != nil && ctx.Err() == nil && !isRefusal(err))
 }
 
 func (e *exchange) chooserQuery() chooser.Query {
@@ -115,31 +143,58 @@
 	sentAt time.Duration
 	// requireGoal requires the target to run the current weight goal.
 	requireGoal bool
+	// cancel closes the connection to the target, and sent receives the head of
+	// the response.
+	cancel context.CancelFunc
+	sent   chan sendResult
 }
 
-func (a *attempt) run(ctx context.Context, message requester.Message) error {
-	sendCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	idle := a.startIdleTimer(a.responseTimeout(), func() { cancel(errResponseTimeout) })
-	defer idle.stop()
-	response, err := a.Sender.Send(sendCtx, a.target, a.connectionLimit(), message)
-	if err != nil {
-		return a.classifySendError(ctx, context.Cause(sendCtx), err)
+// sendResult is the head of a target's response, or why there is none.
+type sendResult struct {
+	response *requester.Answer
+	err      error
+}
+
+// run forwards the target's response. It returns the attempt that took over, if
+// any, or a Failure if the caller did not get a complete response.
+func (a *attempt) run(ctx context.Context) (*attempt, error) {
+	defer a.cancel()
+	response, successor, err := a.awaitHead(ctx)
+	if response == nil {
+		return successor, err
 	}
 	defer response.Close()
-	idle.stop()
 	a.firstByteAt = a.Now()
 	a.Monitor.RecordFirstByte(a.target.ID, a.load.PrefillTokens, a.firstByteAt-a.sentAt)
 	a.load.PrefillTokens = 0
-	return a.handleResponse(ctx, sendCtx, cancel, response)
+	return a.handleResponse(ctx, response)
 }
 
-var errResponseTimeout = &mulberrybeam.Failure{
-	Code: mulberrybeam.CodeTimeout, Step: mulberrybeam.StepAnswer, Message: "target did not respond in time",
+// awaitHead waits for the head of the response.
+func (a *attempt) awaitHead(ctx context.Context) (*requester.Answer, *attempt, error) {
+	w := a.startWatch()
+	defer w.stop()
+	for {
+		var successor *attempt
+		select {
+		case result := <-a.sent:
+			if result.err != nil {
+				return nil, w.takeStandby(), a.classifySendError(ctx, result.err)
+			}
+			return result.response, nil, nil
+		case <-w.expired():
+			successor = w.check(ctx)
+		case result := <-w.standbySent():
+			successor = w.handleStandby(ctx, result)
+		}
+		if successor != nil {
+			return nil, successor, a.recordSilence()
+		}
+	}
 }
 
-// responseTimeout returns how long to wait for the response header before the
-// request goes to another target, or 0 for no limit when it may not run on
+// responseTimeout returns for how long the target may be silent before another
+// one is asked to take over, or 0 for any time when the request may not run on
 // another one.
 func (a *attempt) responseTimeout() time.Duration {
 	runs := 0
@@ -246,138 +301,6 @@
 	return load
 }
 
-// handleResponse decides from the status and the header how to handle a
-// response.
-func (a *attempt) handleResponse(ctx, sendCtx context.Context, cancel context.CancelCauseFunc, response *requester.Answer) error {
-	switch {
-	case response.Head.NotRun && response.Status != http.StatusBadRequest:
-		return a.handleRefusal(response)
-	case response.Status < http.StatusMultipleChoices && !response.Head.Stamped:
-		return a.recordInterruption(ctx, "response lacks the target's stamp", nil)
-	case response.Status >= http.StatusInternalServerError && a.requestInfo.Repeatable && !a.headerWritten:
-		return a.handleErrorStatus(response)
-	case a.headerWritten && response.Status != http.StatusOK:
-		return a.recordInterruption(ctx, fmt.Sprintf("stream cannot be resumed, target returned status %d", response.Status), nil)
-	case impliesNotRun(response.Status) && !response.Head.NotRun:
-		return a.recordInterruption(ctx, fmt.Sprintf("target returned status %d without confirming that the request did not run", response.Status), nil)
-	case a.match.Rule.Streaming && response.Status == http.StatusOK:
-		return a.forwardStream(ctx, sendCtx, cancel, response)
-	}
-	return a.forwardBody(ctx, response)
-}
-
-// impliesNotRun reports whether callers may conclude from the status that the
-// request did not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
-
-// handleRefusal handles a response by which the target says that it did not
-// run the request.
-func (a *attempt) handleRefusal(response *requester.Answer) error {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxDiscardedBody))
-	avoidFor := avoidAfterServiceRefusal
-	switch {
-	case response.Status == http.StatusMisdirectedRequest:
-		avoidFor = avoidAfterUnreachable
-	case a.inbound.Model != "":
-		avoidFor = avoidAfterEngineRefusal
-	}
-	a.Monitor.Avoid(a.target.ID, avoidFor)
-	a.recordAttempt(true, true)
-	return &mulberrybeam.Failure{
-		Code: mulberrybeam.CodeTargetRefused, Step: mulberrybeam.StepAnswer, Peer: string(a.target.ID),
-		Message: fmt.Sprintf("target refused the request with status %d", response.Status), NotRun: true,
-	}
-}
-
-// handleErrorStatus handles a 5xx response to a repeatable request: it returns
-// an error that causes a retry, or forwards the response if no retry is
-// allowed.
-func (a *attempt) handleErrorStatus(response *requester.Answer) error {
-	a.recordAttempt(true, false)
-	failure := &mulberrybeam.Failure{
-		Code: mulberrybeam.CodeTargetFailed, Step: mulberrybeam.StepAnswer, Peer: string(a.target.ID),
-		Message: fmt.Sprintf("target returned status %d", response.Status),
-	}
-	turn := mulberrybeam.Turn{Now: a.Now(), Rand: a.random}
-	if decision := a.Budgets.Decide(turn, a.service, len(a.fleet.EntryHosts), &a.requestInfo, a.history, failure); !decision.Retry {
-		return a.forwardBody(a.request.Context(), response)
-	}
-	return &grantedRetry{failure}
-}
-
-// grantedRetry is a failure after which the retry budget has granted a retry.
-type grantedRetry struct{ *mulberrybeam.Failure }
-
-// Unwrap returns the underlying failure.
-func (r *grantedRetry) Unwrap() error { return r.Failure }
-
-// classifySendError classifies an attempt that ended before a response header
-// arrived.
-func (a *attempt) classifySendError(ctx context.Context, cause, err error) error {
-	if !isRefusal(err) {
-		if cause == errResponseTimeout {
-			a.recordAttempt(true, false)
-			return errResponseTimeout
-		}
-		return a.recordInterruption(ctx, "no response", err)
-	}
-	a.recordAttempt(false, true)
-	if ctx.Err() == nil {
-		pool := a.fleet.Deployment.Pools[a.service]
-		a.Monitor.Avoid(a.target.ID, avoidAfterUnreachable)
-		if pool.ColdTime > 0 {
-			a.Monitor.Suspect(a.target.ID, pool.ColdTime+suspectMargin)
-		}
-	}
-	return err
-}
-
-// recordInterruption records an attempt that the target may have run although
-// no complete response arrived, and returns its failure.
-func (a *attempt) recordInterruption(ctx context.Context, message string, cause error) error {
-	a.recordAttempt(true, false)
-	if ctx.Err() == nil && cause != nil {
-		a.reportCrash()
-	}
-	return &mulberrybeam.Failure{
-		Code: mulberrybeam.CodeTargetFailed, Step: mulberrybeam.StepAnswer, Peer: string(a.target.ID),
-		Message: message, Cause: cause,
-	}
-}
-
-// reportCrash reports the request to the control loop if its target has
-// crashed. If the target still accepts connections, only the response was
-// lost.
-func (a *attempt) reportCrash() {
-	crash := mulberrybeam.CrashRecord{Fingerprint: a.requestInfo.Fingerprint, Target: a.target.ID}
-	address, post, sender := a.target.Address, a.Post, a.Sender
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-		defer cancel()
-		if sender.RefusesConnections(ctx, address) {
-			post(mulberrybeam.TargetCrashed{Crash: crash})
-		}
-	}()
-}
-
-func (a *attempt) recordAttempt(sent, refused bool) {
-	a.history.Attempts = append(a.history.Attempts, retrier.Attempt{
-		Target: mulberrybeam.TargetID(a.target.ID), Sent: sent, Refused: refused,
-	})
-	a.tried = append(a.tried, a.target.ID)
-	a.mayHaveRun = a.mayHaveRun || sent && !refused
-}
-
-func isRefusal(err error) bool {
-	return mulberrybeam.CodeOf(err) == mulberrybeam.CodeTargetRefused
-}
-
 // requestURI returns the request target in origin form.
 func requestURI(request *http.Request) string {
 	if request.URL.Host == "" {
--- /dev/null
+++ b/request/relayer/outcome.go
@@ -0,0 +1,147 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/requester"
+	"mulberrybeam/request/retrier"
+)
+
+// handleResponse decides from the status and the header how to handle a
+// response. Like run, it returns the attempt that took over.
+func (a *attempt) handleResponse(ctx context.Context, response *requester.Answer) (*attempt, error) {
+	switch {
+	case response.Head.NotRun && response.Status != http.StatusBadRequest:
+		return nil, a.handleRefusal(response)
+	case response.Status < http.StatusMultipleChoices && !response.Head.Stamped:
+		return nil, a.recordInterruption(ctx, "response lacks the target's stamp", nil)
+	case response.Status >= http.StatusInternalServerError && a.requestInfo.Repeatable && !a.headerWritten:
+		return nil, a.handleErrorStatus(response)
+	case a.headerWritten && response.Status != http.StatusOK:
+		return nil, a.recordInterruption(ctx, fmt.Sprintf("stream cannot be resumed, target returned status %d", response.Status), nil)
+	case impliesNotRun(response.Status) && !response.Head.NotRun:
+		return nil, a.recordInterruption(ctx, fmt.Sprintf("target returned status %d without confirming that the request did not run", response.Status), nil)
+	case a.match.Rule.Streaming && response.Status == http.StatusOK:
+		return a.forwardStream(ctx, response)
+	}
+	return nil, a.forwardBody(ctx, response)
+}
+
+// impliesNotRun reports whether callers may conclude from the status that the
+// request did not run.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// handleRefusal handles a response by which the target says that it did not
+// run the request.
+func (a *attempt) handleRefusal(response *requester.Answer) error {
+	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxDiscardedBody))
+	avoidFor := avoidAfterServiceRefusal
+	switch {
+	case response.Status == http.StatusMisdirectedRequest:
+		avoidFor = avoidAfterUnreachable
+	case a.inbound.Model != "":
+		avoidFor = avoidAfterEngineRefusal
+	}
+	a.Monitor.Avoid(a.target.ID, avoidFor)
+	a.recordAttempt(true, true)
+	return &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeTargetRefused, Step: mulberrybeam.StepAnswer, Peer: string(a.target.ID),
+		Message: fmt.Sprintf("target refused the request with status %d", response.Status), NotRun: true,
+	}
+}
+
+// handleErrorStatus handles a 5xx response to a repeatable request: it returns
+// an error that causes a retry, or forwards the response if no retry is
+// allowed.
+func (a *attempt) handleErrorStatus(response *requester.Answer) error {
+	a.recordAttempt(true, false)
+	failure := &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeTargetFailed, Step: mulberrybeam.StepAnswer, Peer: string(a.target.ID),
+		Message: fmt.Sprintf("target returned status %d", response.Status),
+	}
+	turn := mulberrybeam.Turn{Now: a.Now(), Rand: a.random}
+	if decision := a.Budgets.Decide(turn, a.service, len(a.fleet.EntryHosts), &a.requestInfo, a.history, failure); !decision.Retry {
+		return a.forwardBody(a.request.Context(), response)
+	}
+	return &grantedRetry{failure}
+}
+
+// grantedRetry is a failure after which the retry budget has granted a retry.
+type grantedRetry struct{ *mulberrybeam.Failure }
+
+// Unwrap returns the underlying failure.
+func (r *grantedRetry) Unwrap() error { return r.Failure }
+
+// classifySendError classifies an attempt that ended before a response header
+// arrived.
+func (a *attempt) classifySendError(ctx context.Context, err error) error {
+	if !isRefusal(err) {
+		return a.recordInterruption(ctx, "no response", err)
+	}
+	a.recordAttempt(false, true)
+	if ctx.Err() == nil {
+		pool := a.fleet.Deployment.Pools[a.service]
+		a.Monitor.Avoid(a.target.ID, avoidAfterUnreachable)
+		if pool.ColdTime > 0 {
+			a.Monitor.Suspect(a.target.ID, pool.ColdTime+suspectMargin)
+		}
+	}
+	return err
+}
+
+// recordInterruption records an attempt that the target may have run although
+// no complete response arrived, and returns its failure.
+func (a *attempt) recordInterruption(ctx context.Context, message string, cause error) error {
+	a.recordAttempt(true, false)
+	if ctx.Err() == nil && cause != nil {
+		a.reportCrash()
+	}
+	return &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeTargetFailed, Step: mulberrybeam.StepAnswer, Peer: string(a.target.ID),
+		Message: message, Cause: cause,
+	}
+}
+
+// recordSilence records that another target took over because this one was
+// silent.
+func (a *attempt) recordSilence() error {
+	a.recordAttempt(true, false)
+	return errSilent
+}
+
+// reportCrash reports the request to the control loop if its target has
+// crashed. If the target still accepts connections, only the response was
+// lost.
+func (a *attempt) reportCrash() {
+	crash := mulberrybeam.CrashRecord{Fingerprint: a.requestInfo.Fingerprint, Target: a.target.ID}
+	address, post, sender := a.target.Address, a.Post, a.Sender
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+		defer cancel()
+		if sender.RefusesConnections(ctx, address) {
+			post(mulberrybeam.TargetCrashed{Crash: crash})
+		}
+	}()
+}
+
+func (a *attempt) recordAttempt(sent, refused bool) {
+	a.history.Attempts = append(a.history.Attempts, retrier.Attempt{
+		Target: mulberrybeam.TargetID(a.target.ID), Sent: sent, Refused: refused,
+	})
+	a.tried = append(a.tried, a.target.ID)
+	a.mayHaveRun = a.mayHaveRun || sent && !refused
+}
+
+func isRefusal(err error) bool {
+	return mulberrybeam.CodeOf(err) == mulberrybeam.CodeTargetRefused
+}
--- a/request/relayer/silence_test.go
+++ b/request/relayer/silence_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,3 +87,52 @@
 	}
 	return strings.Join(ids, " ")
 }
+
+// Guards against two targets that work on the same request for long.
+func TestSilentTargetIsCancelledWhenAnotherTakesOver(t *testing.T) {
+	is := is.New(t)
+	var started, cancelled atomic.Int64
+	h := newHarness(t, streamRule, func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		writer.Header().Set("Mulberrybeam-Response-Stamp", "first")
+		writeEvents(writer, 1, 2)
+		<-request.Context().Done()
+		cancelled.Store(time.Now().UnixNano())
+	}, func(writer http.ResponseWriter, request *http.Request) {
+		started.Store(time.Now().UnixNano())
+		time.Sleep(900 * time.Millisecond)
+		resumesStream(writer, request)
+	})
+	got := h.call(nil)
+	is.NoErr(got.err)
+	is.Equal(eventIDs(got.body), "1 2 3 4 5 6")
+	is.True(time.Duration(cancelled.Load()-started.Load()) < 400*time.Millisecond)
+}
+
+// Guards against events of two targets in one stream when a silent target goes
+// on while another one was asked to take over.
+func TestTargetThatGoesOnKeepsItsStream(t *testing.T) {
+	is := is.New(t)
+	cancelled := make(chan struct{})
+	h := newHarness(t, streamRule, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Mulberrybeam-Response-Stamp", "first")
+		writeEvents(writer, 1, 2)
+		time.Sleep(1600 * time.Millisecond)
+		writeEvents(writer, 3, 4)
+		time.Sleep(500 * time.Millisecond)
+		writeEvents(writer, 5, 6)
+	}, func(_ http.ResponseWriter, request *http.Request) {
+		// The server notices a closed connection only after the body.
+		_, _ = io.Copy(io.Discard, request.Body)
+		<-request.Context().Done()
+		close(cancelled)
+	})
+	got := h.call(nil)
+	is.NoErr(got.err)
+	is.Equal(eventIDs(got.body), "1 2 3 4 5 6")
+	select {
+	case <-cancelled:
+	case <-time.After(time.Second):
+		t.Fatal("the other target is still running the request")
+	}
+}
--- a/request/relayer/watch.go
+++ b/request/relayer/watch.go
@@ -1,80 +1,236 @@
 package relayer
 
 import (
-	"sync"
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
 	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/requester"
+	"mulberrybeam/request/chooser"
+	"mulberrybeam/request/retrier"
 )
 
 const (
-	// idleTimeout is how long a stream may be idle before it resumes on another
-	// target, if the target sends nothing to other requests either. Callers
-	// disconnect after about three seconds.
+	// idleTimeout is how long a stream may be idle before another target is
+	// asked to take it over, if the target sends nothing to other requests
+	// either. Callers disconnect after about three seconds.
 	idleTimeout = 1500 * time.Millisecond
 	// busyIdleExtra is added to idleTimeout while the target sends data to
 	// other requests, which shows that it is busy rather than down.
 	busyIdleExtra = 1300 * time.Millisecond
+	// standbyGrace is the time after which the target of a standby has accepted
+	// the request, because a target refuses at once. It also limits how long
+	// both targets work on the request.
+	standbyGrace = 250 * time.Millisecond
+	// standbyInterval is the time between two searches for a standby.
+	standbyInterval = 500 * time.Millisecond
 )
 
-// idleTimer ends an attempt whose target has made no progress for too long.
-type idleTimer struct {
-	attempt *attempt
-	limit   time.Duration
-	onIdle  func()
+var errSilent = &mulberrybeam.Failure{
+	Code: mulberrybeam.CodeTimeout, Step: mulberrybeam.StepAnswer, Message: "target was silent, another one took over",
+}
 
-	mutex        sync.Mutex
+// watch notices that the target of an attempt is silent, and looks for another
+// one. A silent target may be sound, so its attempt ends only when the standby's
+// target has accepted the request. Only the request's goroutine uses it.
+type watch struct {
+	attempt *attempt
+	// limit is how long the target may be silent, or 0 for any time.
+	limit        time.Duration
 	timer        *time.Timer
 	lastActivity time.Duration
-	stopped      bool
+	// standby is the attempt that will take over, or nil.
+	standby *attempt
 }
 
-// startIdleTimer starts the idle timer of the attempt. A limit of 0 disables
-// it.
-func (a *attempt) startIdleTimer(limit time.Duration, onIdle func()) *idleTimer {
-	i := &idleTimer{attempt: a, limit: limit, onIdle: onIdle, lastActivity: a.Now()}
-	if limit > 0 {
-		i.timer = time.AfterFunc(limit, i.check)
+// startWatch starts the watch of an attempt. Stop must be called.
+func (a *attempt) startWatch() *watch {
+	w := &watch{attempt: a, limit: a.responseTimeout(), lastActivity: a.Now()}
+	if w.limit > 0 {
+		w.timer = time.NewTimer(w.limit)
 	}
-	return i
+	return w
 }
 
-// recordActivity records that the target made progress, which restarts the idle
-// time.
-func (i *idleTimer) recordActivity() {
-	i.attempt.Monitor.RecordReceived(i.attempt.target.ID)
-	if i.limit == 0 {
-		return
+// expired returns the channel that receives when check must be called.
+func (w *watch) expired() <-chan time.Time {
+	if w.timer == nil {
+		return nil
 	}
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	i.lastActivity = i.attempt.Now()
+	return w.timer.C
 }
 
-func (i *idleTimer) stop() {
-	if i.limit == 0 {
-		return
+// standbySent returns the channel that receives the response to the standby.
+func (w *watch) standbySent() <-chan sendResult {
+	if w.standby == nil {
+		return nil
 	}
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	i.stopped = true
-	i.timer.Stop()
+	return w.standby.sent
 }
 
-// check ends the attempt if it was idle for too long, or restarts the timer for
-// the remaining time.
-func (i *idleTimer) check() {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	if i.stopped {
-		return
+// recordActivity records that the target made progress, which makes a standby
+// unnecessary.
+func (w *watch) recordActivity() {
+	w.attempt.Monitor.RecordReceived(w.attempt.target.ID)
+	w.lastActivity = w.attempt.Now()
+	w.dropStandby()
+}
+
+// check looks for a standby if the target has been silent for too long. It
+// returns the standby once it takes over.
+func (w *watch) check(ctx context.Context) *attempt {
+	if w.standby != nil {
+		return w.takeStandby()
+	}
+	if remaining := w.remaining(); remaining > 0 {
+		w.timer.Reset(max(min(remaining, w.limit), time.Millisecond))
+		return nil
 	}
-	now := i.attempt.Now()
-	limit := i.limit
-	if i.attempt.match.Rule.Streaming && now-i.attempt.Monitor.TargetStats(i.attempt.target.ID).LastReceivedAt < i.limit {
+	w.standby = w.attempt.startStandby(ctx)
+	if w.standby == nil {
+		w.timer.Reset(standbyInterval)
+		return nil
+	}
+	w.timer.Reset(standbyGrace)
+	return nil
+}
+
+// remaining returns for how much longer the target may be silent.
+func (w *watch) remaining() time.Duration {
+	a := w.attempt
+	limit := w.limit
+	if a.match.Rule.Streaming && a.Now()-a.Monitor.TargetStats(a.target.ID).LastReceivedAt < w.limit {
 		limit += busyIdleExtra
 	}
-	if idle := now - i.lastActivity; idle < limit {
-		i.timer.Reset(max(min(limit-idle, i.limit), time.Millisecond))
+	return limit - (a.Now() - w.lastActivity)
+}
+
+// handleStandby handles the response to the standby. It returns the standby if
+// it takes over, and nil if its target failed or refused the request.
+func (w *watch) handleStandby(ctx context.Context, result sendResult) *attempt {
+	if result.err == nil && result.response.Head.Stamped && result.response.Status < 300 {
+		w.standby.sent <- result
+		return w.takeStandby()
+	}
+	standby := w.standby
+	w.standby = nil
+	standby.end(ctx, standby.rejectStandby(ctx, result))
+	w.timer.Reset(standbyInterval)
+	return nil
+}
+
+func (w *watch) takeStandby() *attempt {
+	standby := w.standby
+	w.standby = nil
+	return standby
+}
+
+func (w *watch) dropStandby() {
+	if w.standby == nil {
 		return
 	}
-	i.onIdle()
+	w.standby.discard()
+	w.standby = nil
+	w.timer.Reset(w.limit)
+}
+
+// stop ends the watch and drops a standby that has not taken over.
+func (w *watch) stop() {
+	w.dropStandby()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// startStandby sends the request of a silent attempt to another target as well.
+// It returns nil if that is not allowed or no target has capacity.
+func (a *attempt) startStandby(ctx context.Context) *attempt {
+	if a.headerWritten && !a.splitter.Resumable() {
+		return nil
+	}
+	a.fleet = a.Fleet()
+	query := a.chooserQuery()
+	query.Tried = append(slices.Clone(a.tried), a.target.ID)
+	query.MayWait = true
+	choice, err := chooser.Choose(a.Now(), a.random, a.fleet, a.Monitor, query)
+	if err != nil {
+		a.recordEntry(mulberrybeam.EntryRetry, string(a.target.ID), "silent target is kept: "+err.Error())
+		return nil
+	}
+	history := a.history
+	history.Attempts = append(slices.Clone(history.Attempts), retrier.Attempt{Target: mulberrybeam.TargetID(a.target.ID), Sent: true})
+	turn := mulberrybeam.Turn{Now: a.Now(), Rand: a.random}
+	decision := a.Budgets.Decide(turn, a.service, len(a.fleet.EntryHosts), &a.requestInfo, history, errSilent)
+	if !decision.Retry {
+		a.recordEntry(mulberrybeam.EntryRetry, string(a.target.ID), "silent target is kept: "+decision.Reason)
+		return nil
+	}
+	a.recordEntry(mulberrybeam.EntryRetry, string(a.target.ID), fmt.Sprintf("silent target, trying %s", choice.Target.ID))
+	standby, err := a.startAttempt(ctx, choice, query.ExcludeOldWeights)
+	if err != nil {
+		return nil
+	}
+	return standby
+}
+
+// rejectStandby records that the target of a standby did not take over, and
+// returns why.
+func (a *attempt) rejectStandby(ctx context.Context, result sendResult) error {
+	defer a.cancel()
+	if result.err != nil {
+		return a.classifySendError(ctx, result.err)
+	}
+	defer result.response.Close()
+	if result.response.Head.NotRun {
+		return a.handleRefusal(result.response)
+	}
+	return a.recordInterruption(ctx, fmt.Sprintf("target returned status %d", result.response.Status), nil)
+}
+
+// discard ends an attempt that is not needed any more. Its target may have run
+// the request.
+func (a *attempt) discard() {
+	a.cancel()
+	a.recordAttempt(true, false)
+	a.Monitor.RecordEnd(a.target.ID, a.load, false)
+	go func() {
+		if result := <-a.sent; result.err == nil {
+			result.response.Close()
+		}
+	}()
+}
+
+// chunk is a part of a response body, with the error that ended it.
+type chunk struct {
+	data []byte
+	err  error
+}
+
+// readChunks reads a response body in a goroutine. The returned function waits
+// until the goroutine has ended; unless the body has, its connection must be
+// closed before.
+func readChunks(response *requester.Answer) (<-chan chunk, func()) {
+	chunks, stopped, done := make(chan chunk), make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		buffer := make([]byte, streamBufferSize)
+		for {
+			n, err := response.Read(buffer)
+			select {
+			case chunks <- chunk{bytes.Clone(buffer[:n]), err}:
+			case <-stopped:
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return chunks, func() {
+		close(stopped)
+		<-done
+	}
 }
