Log what a planned stop does to connections

The log of a host said nothing of the connections that a stop closes, so that callers whose requests ended without an answer could not be told from those whose connection broke. The last line of a stop now counts the waiting connections it closed, those of them with unread or partly read bytes of a request, those taken from the accept queue (none yet) and the requests it interrupted. The counts need connections that know whether a request has begun to arrive; package drainer tracks that. No decision changes.

--- /dev/null
+++ b/connection/drainer/drainer.go
@@ -0,0 +1,131 @@
+// Package drainer tracks which connections of an HTTP server have a request
+// arriving, so that a planned stop closes only the others.
+package drainer
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Stats counts what a stop did to connections.
+type Stats struct {
+	// Closed counts the connections closed while they waited for a request, and
+	// Arriving those of them on which a request had begun to arrive.
+	Closed, Arriving int
+	// Accepted counts the connections taken from the accept queue when the
+	// listener was closed.
+	Accepted int
+	// Interrupted counts the requests that had not ended when the stop ran out of
+	// time.
+	Interrupted int
+}
+
+// String returns the counts as text for the log.
+func (s Stats) String() string {
+	return fmt.Sprintf("%d waiting connections closed, %d of them with bytes of a request, %d taken from the accept queue, %d requests interrupted",
+		s.Closed, s.Arriving, s.Accepted, s.Interrupted)
+}
+
+// Drainer is a listener that tracks its connections.
+type Drainer struct {
+	*net.TCPListener
+
+	mutex    sync.Mutex
+	conns    map[*Conn]struct{}
+	stopping bool
+	stats    Stats
+}
+
+// New returns a Drainer for the connections of listener.
+func New(listener *net.TCPListener) *Drainer {
+	return &Drainer{TCPListener: listener, conns: map[*Conn]struct{}{}}
+}
+
+// Attach makes the server report the states of its connections.
+func (d *Drainer) Attach(server *http.Server) {
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if c := tracked(conn); c != nil {
+			c.observe(state)
+		}
+	}
+}
+
+// tracked returns the tracked connection below a connection of the server.
+func tracked(conn net.Conn) *Conn {
+	if secure, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = secure.NetConn()
+	}
+	c, _ := conn.(*Conn)
+	return c
+}
+
+// Accept waits for the next connection.
+func (d *Drainer) Accept() (net.Conn, error) {
+	conn, err := d.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return d.track(conn)
+}
+
+func (d *Drainer) track(conn *net.TCPConn) (*Conn, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	c := &Conn{TCPConn: conn, drainer: d, raw: raw, quietSince: time.Now()}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.conns[c] = struct{}{}
+	return c, nil
+}
+
+// forget ends the tracking of a connection that is about to be closed.
+func (d *Drainer) forget(c *Conn) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if _, found := d.conns[c]; !found {
+		return
+	}
+	delete(d.conns, c)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !d.stopping || c.ended || c.state == http.StateActive {
+		return
+	}
+	d.stats.Closed++
+	if c.arriving || c.hasUnread() {
+		d.stats.Arriving++
+	}
+}
+
+// BeginStop starts to count the connections that are closed.
+func (d *Drainer) BeginStop() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.stopping = true
+}
+
+// Interrupt counts the requests that have not ended as interrupted.
+func (d *Drainer) Interrupt() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for c := range d.conns {
+		c.mutex.Lock()
+		if c.state == http.StateActive {
+			d.stats.Interrupted++
+		}
+		c.mutex.Unlock()
+	}
+}
+
+// Stats returns the counts so far.
+func (d *Drainer) Stats() Stats {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.stats
+}
--- a/process/starter/listen.go
+++ b/process/starter/listen.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/drainer"
 	"mulberrybeam/process/meter"
 )
 
@@ -52,7 +53,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	if err := p.serve(settings.CallerAddress, callers); err != nil {
+	if err := p.serveCallers(settings.CallerAddress, callers); err != nil {
 		return err
 	}
 	if err := p.serve(settings.ReadyAddress, &http.Server{Handler: http.HandlerFunc(p.handleReady)}); err != nil {
@@ -70,11 +71,28 @@
 	return p.serve(net.JoinHostPort(host, strconv.Itoa(metricsPort)), &http.Server{Handler: mux})
 }
 
+// serveCallers serves callers on connections that the stop can tell apart.
+func (p *Process) serveCallers(address string, server *http.Server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	p.drainer = drainer.New(listener.(*net.TCPListener))
+	p.drainer.Attach(server)
+	p.serveOn(p.drainer, server)
+	return nil
+}
+
 func (p *Process) serve(address string, server *http.Server) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
+	p.serveOn(listener, server)
+	return nil
+}
+
+func (p *Process) serveOn(listener net.Listener, server *http.Server) {
 	server.ErrorLog = log.New(errorLogWriter{p}, "", 0)
 	p.servers = append(p.servers, server)
 	go func() {
@@ -82,7 +100,6 @@
 			p.recordEvent("listener", err.Error())
 		}
 	}()
-	return nil
 }
 
 // errorLogWriter records the log lines of an HTTP server on the timeline.
@@ -128,12 +145,14 @@
 	time.Sleep(drainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin-(p.now()-startedAt))
 	defer cancel()
+	p.drainer.BeginStop()
 	if err := p.servers[0].Shutdown(ctx); err != nil {
 		p.recordEvent("stop", "requests were interrupted: "+err.Error())
+		p.drainer.Interrupt()
 	}
 	for _, server := range p.servers {
 		_ = server.Close()
 	}
-	p.recordEvent("stop", "stopped")
+	p.recordEvent("stop", "stopped: "+p.drainer.Stats().String())
 	p.runCleanups()
 }
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -14,6 +14,7 @@
 
 	"mulberrybeam"
 	"mulberrybeam/connection/dialer"
+	"mulberrybeam/connection/drainer"
 	"mulberrybeam/connection/feeder"
 	"mulberrybeam/connection/requester"
 	"mulberrybeam/platform"
@@ -55,6 +56,7 @@
 	catalog   *cataloger.Cataloger
 	draining  atomic.Bool
 	servers   []*http.Server
+	drainer   *drainer.Drainer
 	// cleanups run in reverse order when the process stops.
 	cleanups []func()
 	workers  sync.WaitGroup
