Close connections in a planned stop only when no request arrives on them

Callers saw requests end without an answer when a host stopped as planned. 2.8 s after the stop began, http.Server.Shutdown closed the listener, with the whole requests of its accept queue, and every connection in StateIdle, which a connection keeps until the complete head of its next request is read; Close then cut connections that had just been accepted. Answers whose request had arrived before the stop did not announce the end of their connection.

The drainer now stops in place of http.Server.Shutdown: it takes the accept queue before it closes the listener, and closes a connection once it is idle, no byte of a request has been read from it and none waits in its socket; reading and this check exclude each other. The stop ends when no connection is left or the grace period is over; the contexts of cut requests end before their connection, so that a request just read is not passed on. Headers written during the stop carry Connection: close.

--- a/connection/drainer/conn.go
+++ b/connection/drainer/conn.go
@@ -1,6 +1,7 @@
 package drainer
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -31,6 +32,8 @@
 	closed bool
 	// quietSince is when the connection was accepted or became idle.
 	quietSince time.Time
+	// cancel ends the contexts of the connection's requests.
+	cancel context.CancelFunc
 }
 
 // Read reads from the connection. Reading a byte and noting that a request has
@@ -85,12 +88,52 @@
 	return n, nil
 }
 
-// Close closes the connection.
+// Close closes the connection. The contexts of its requests end first, so that a
+// request that was read but has not been passed on cannot run without its caller.
 func (c *Conn) Close() error {
 	c.drainer.forget(c)
+	c.mutex.Lock()
+	c.closed = true
+	cancel := c.cancel
+	c.mutex.Unlock()
+	if cancel != nil {
+		cancel()
+	}
 	return c.TCPConn.Close()
 }
 
+func (c *Conn) withCancel(ctx context.Context) context.Context {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	ctx, c.cancel = context.WithCancel(ctx)
+	return ctx
+}
+
+// retire marks the connection as closed if it waits for a request of which nothing
+// has arrived.
+func (c *Conn) retire() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	wait := pollInterval
+	if c.state == http.StateNew {
+		wait = firstByteTimeout
+	}
+	if c.closed || c.arriving || time.Since(c.quietSince) < wait || c.hasUnread() {
+		return false
+	}
+	c.closed = true
+	return true
+}
+
+// interrupt marks the connection as closed. It reports whether a request is
+// running on it.
+func (c *Conn) interrupt() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.closed = true
+	return c.state == http.StateActive
+}
+
 // observe follows the state that the HTTP server gives the connection.
 func (c *Conn) observe(state http.ConnState) {
 	c.mutex.Lock()
--- a/connection/drainer/drainer.go
+++ b/connection/drainer/drainer.go
@@ -3,6 +3,8 @@
 package drainer
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -36,7 +38,11 @@
 	mutex    sync.Mutex
 	conns    map[*Conn]struct{}
 	stopping bool
-	stats    Stats
+	// queue holds the connections of the accept queue of the closed listener.
+	queue []*net.TCPConn
+	// acceptEnded is true once Accept has returned the last connection.
+	acceptEnded bool
+	stats       Stats
 }
 
 // New returns a Drainer for the connections of listener.
@@ -44,8 +50,15 @@
 	return &Drainer{TCPListener: listener, conns: map[*Conn]struct{}{}}
 }
 
-// Attach makes the server report the states of its connections.
+// Attach makes the server report the states of its connections. The contexts of
+// its requests end when their connection is closed.
 func (d *Drainer) Attach(server *http.Server) {
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if c := tracked(conn); c != nil {
+			return c.withCancel(ctx)
+		}
+		return ctx
+	}
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if c := tracked(conn); c != nil {
 			c.observe(state)
@@ -62,24 +75,29 @@
 	return c
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection. After the listener was closed it returns
+// the connections of the accept queue first.
 func (d *Drainer) Accept() (net.Conn, error) {
 	conn, err := d.AcceptTCP()
+	if errors.Is(err, net.ErrClosed) {
+		return d.nextQueued(err)
+	}
 	if err != nil {
 		return nil, err
 	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	return d.track(conn)
 }
 
-func (d *Drainer) track(conn *net.TCPConn) (*Conn, error) {
+// track starts the tracking of a connection. The caller holds the mutex.
+func (d *Drainer) track(conn *net.TCPConn) (net.Conn, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
 	c := &Conn{TCPConn: conn, drainer: d, raw: raw, quietSince: time.Now()}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
 	d.conns[c] = struct{}{}
 	return c, nil
 }
@@ -102,30 +120,3 @@
 		d.stats.Arriving++
 	}
 }
-
-// BeginStop starts to count the connections that are closed.
-func (d *Drainer) BeginStop() {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.stopping = true
-}
-
-// Interrupt counts the requests that have not ended as interrupted.
-func (d *Drainer) Interrupt() {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	for c := range d.conns {
-		c.mutex.Lock()
-		if c.state == http.StateActive {
-			d.stats.Interrupted++
-		}
-		c.mutex.Unlock()
-	}
-}
-
-// Stats returns the counts so far.
-func (d *Drainer) Stats() Stats {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.stats
-}
--- a/process/starter/listen.go
+++ b/process/starter/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"net"
 	"net/http"
@@ -96,7 +97,7 @@
 	server.ErrorLog = log.New(errorLogWriter{p}, "", 0)
 	p.servers = append(p.servers, server)
 	go func() {
-		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed && !errors.Is(err, net.ErrClosed) {
 			p.recordEvent("listener", err.Error())
 		}
 	}()
@@ -133,7 +134,7 @@
 
 // Shutdown stops the process without interrupting requests. The process reports
 // that it is not ready, accepts connections until the platform has noticed, and
-// waits for the requests in flight.
+// waits for the requests that run or are arriving.
 func (p *Process) Shutdown() {
 	startedAt := p.now()
 	p.draining.Store(true)
@@ -145,14 +146,13 @@
 	time.Sleep(drainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin-(p.now()-startedAt))
 	defer cancel()
-	p.drainer.BeginStop()
-	if err := p.servers[0].Shutdown(ctx); err != nil {
-		p.recordEvent("stop", "requests were interrupted: "+err.Error())
-		p.drainer.Interrupt()
+	stats, err := p.drainer.Drain(ctx)
+	if err != nil {
+		p.recordEvent("stop", "connections were lost: "+err.Error())
 	}
 	for _, server := range p.servers {
 		_ = server.Close()
 	}
-	p.recordEvent("stop", "stopped: "+p.drainer.Stats().String())
+	p.recordEvent("stop", "stopped: "+stats.String())
 	p.runCleanups()
 }
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -39,7 +39,7 @@
 // response.
 type exchange struct {
 	*Relayer
-	writer    http.ResponseWriter
+	writer    drainWriter
 	request   *http.Request
 	arrivedAt time.Duration
 	fleet     *mulberrybeam.Fleet
@@ -129,7 +129,7 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.writer, e.request.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(e.writer.ResponseWriter, e.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -46,9 +47,33 @@
 
 // ServeHTTP handles one request of a caller.
 func (r *Relayer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	if r.Draining() {
-		writer.Header().Set("Connection", "close")
+	if request.Context().Err() != nil {
+		// The connection was closed while the request was read.
+		panic(http.ErrAbortHandler)
 	}
-	e := &exchange{Relayer: r, writer: writer, request: request, arrivedAt: r.Now(), fleet: r.Fleet(), settings: r.Settings()}
+	e := &exchange{Relayer: r, writer: drainWriter{writer, r.Draining}, request: request, arrivedAt: r.Now(), fleet: r.Fleet(), settings: r.Settings()}
 	e.run()
 }
+
+// drainWriter announces the end of the connection in headers that are written
+// while the process is shutting down.
+type drainWriter struct {
+	http.ResponseWriter
+	draining func() bool
+}
+
+// WriteHeader writes the header of the response.
+func (w drainWriter) WriteHeader(status int) {
+	if w.draining() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// ReadFrom keeps the buffers that the writer below has for io.Copy.
+func (w drainWriter) ReadFrom(source io.Reader) (int64, error) {
+	return io.Copy(w.ResponseWriter, source)
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (w drainWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
