Give requests on their way time to arrive before a stop closes connections

A stop closed the idle connections in the same moment as the listener, 2.8 s after it began. The first search for connections to close now follows 60 ms after the listener was closed, and each search 10 ms after a wait of 50 ms, so that a suspended process first takes up what has arrived.

--- a/connection/drainer/drain.go
+++ b/connection/drainer/drain.go
@@ -8,13 +8,18 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"mulberrybeam/connection/pauser"
 )
 
 const (
 	// pollInterval is the time between two searches for connections that can be
 	// closed. A connection is closed at the earliest that long after it became
 	// idle, so that the server can take up a request it has read already.
-	pollInterval = 20 * time.Millisecond
+	pollInterval = 50 * time.Millisecond
+	// settleTime is the pause between the end of a wait and a search, in which a
+	// process that was suspended takes up what arrived meanwhile.
+	settleTime = 10 * time.Millisecond
 	// firstByteTimeout is how long a new connection may stay silent. Callers send
 	// a request as soon as they are connected.
 	firstByteTimeout = 200 * time.Millisecond
@@ -26,13 +31,7 @@
 // lost.
 func (d *Drainer) Drain(ctx context.Context) (Stats, error) {
 	err := d.stopListening()
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for d.closeWaiting() && ctx.Err() == nil {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-		}
+	for pauser.Pause(ctx, pollInterval) && pauser.Pause(ctx, settleTime) && d.closeWaiting() {
 	}
 	d.closeAll()
 	d.mutex.Lock()
--- a/connection/drainer/drainer_test.go
+++ b/connection/drainer/drainer_test.go
@@ -1,6 +1,7 @@
 package drainer_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -133,3 +134,37 @@
 	is.Equal(stats, drainer.Stats{Interrupted: 1})
 	<-ended
 }
+
+// Guards against a stop that closes kept connections at the moment it closes the
+// listener, while requests sent shortly before are still on their way.
+func TestDrainWaitsForBytesOnTheirWay(t *testing.T) {
+	is := is.New(t)
+	d := listen(t)
+	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) })}
+	d.Attach(server)
+	served := make(chan struct{})
+	go func() {
+		_ = server.Serve(d)
+		close(served)
+	}()
+	caller := dial(t, d)
+	reader := bufio.NewReader(caller)
+	call := func() error {
+		if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			return err
+		}
+		_, err := http.ReadResponse(reader, nil)
+		return err
+	}
+	is.NoErr(call())
+	time.Sleep(stopTime / 4)
+	done := make(chan drainer.Stats, 1)
+	go func() {
+		stats, err := d.Drain(t.Context())
+		is.NoErr(err)
+		done <- stats
+	}()
+	<-served // the listener is closed
+	is.NoErr(call())
+	is.Equal(<-done, drainer.Stats{Closed: 1})
+}
