Let the silent target of a test go on once another one was asked

TestTargetThatGoesOnKeepsItsStream failed once: the target went on after 1.6 s, on a busy machine before the other one had been asked, so that there was nothing to cancel. It now waits for that; the checks are the same.

--- a/request/relayer/silence_test.go
+++ b/request/relayer/silence_test.go
@@ -118,15 +118,16 @@
 // on while another one was asked to take over.
 func TestTargetThatGoesOnKeepsItsStream(t *testing.T) {
 	is := is.New(t)
-	cancelled := make(chan struct{})
+	asked, cancelled := make(chan struct{}), make(chan struct{})
 	h := newHarness(t, patientStreamRule(), func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Mulberrybeam-Response-Stamp", "first")
 		writeEvents(writer, 1, 2)
-		time.Sleep(1600 * time.Millisecond)
+		<-asked
 		writeEvents(writer, 3, 4)
 		time.Sleep(500 * time.Millisecond)
 		writeEvents(writer, 5, 6)
 	}, func(_ http.ResponseWriter, request *http.Request) {
+		close(asked)
 		// The server notices a closed connection only after the body.
 		_, _ = io.Copy(io.Discard, request.Body)
 		<-request.Context().Done()
