Name the shared prompt parts in crash records and their log lines

The log of a crash named the request's fingerprint and the target only, so that a part that all crashing requests share had to be found by joining the route lines by request.

--- a/fleet.go
+++ b/fleet.go
@@ -177,6 +177,9 @@
 type CrashRecord struct {
 	Fingerprint Fingerprint
 	Target      InstanceID
+	// Parts are the shared parts of the request's prompt. They are empty if the
+	// answer had begun long before the crash.
+	Parts []SharedPart
 }
 
 // Record is a decoded object of the platform's store. At most one field is set;
--- a/name.go
+++ b/name.go
@@ -17,6 +17,10 @@
 // ModelName is the name of a model as callers write it in a request.
 type ModelName string
 
+// SharedPart identifies a prompt part that several requests to a model may share,
+// as "model/part".
+type SharedPart string
+
 // ServiceName is the name of a service.
 type ServiceName string
 
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -4,6 +4,7 @@
 package registrar
 
 import (
+	"fmt"
 	"time"
 
 	"mulberrybeam"
@@ -59,6 +60,8 @@
 		if len(r.pending) < maxPending {
 			r.pending = append(r.pending, r.encoder.Crash(event.Crash))
 		}
+		return append(r.sendNext(turn), addEntry(mulberrybeam.EntryCrash, string(event.Crash.Target), fmt.Sprintf(
+			"target crashed while running request %x, which shares the prompt parts %v", event.Crash.Fingerprint, event.Crash.Parts)))
 	case mulberrybeam.ObjectReplied:
 		if event.Ticket != r.ticket || r.ticket == 0 {
 			return nil
@@ -119,7 +122,7 @@
 		return nil
 	}
 	r.writtenCrashes = append(r.writtenCrashes, writtenCrash{r.inFlight, turn.Now + crashRetention})
-	return []mulberrybeam.Action{addEntry(mulberrybeam.EntryCrash, r.inFlight.Name, "target crashed while running a request")}
+	return nil
 }
 
 // addEntry returns the action that adds an entry to the timeline.
--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -25,7 +25,7 @@
 	}
 	t.fleet.Leaving = leavingEngines(t.fleet.Targets, t.desiredWeights)
 	for crash := range t.crashes {
-		t.fleet.Crashes[crash.Fingerprint]++
+		t.fleet.Crashes[crash.fingerprint]++
 	}
 	if t.deployment != nil {
 		t.fleet.Keys = workspacesByKey(t.deployment)
--- a/process/tracker/tracker.go
+++ b/process/tracker/tracker.go
@@ -44,7 +44,7 @@
 	desiredWeights        map[mulberrybeam.ModelName]mulberrybeam.DesiredWeights
 	hosts                 map[mulberrybeam.ProcessID]mulberrybeam.EntryHost
 	upgradedEngines       map[mulberrybeam.InstanceID]mulberrybeam.UpgradedEngine
-	crashes               map[mulberrybeam.CrashRecord]time.Duration
+	crashes               map[crashKey]time.Duration
 
 	// fleet is rebuilt by FillSnapshot if stale is set.
 	fleet mulberrybeam.Fleet
@@ -53,6 +53,12 @@
 
 var _ mulberrybeam.StateMachine = (*Tracker)(nil)
 
+// crashKey identifies a request and a target that crashed during it.
+type crashKey struct {
+	fingerprint mulberrybeam.Fingerprint
+	target      mulberrybeam.InstanceID
+}
+
 // trackedTarget is a registered target with state derived from earlier
 // registrations.
 type trackedTarget struct {
@@ -74,7 +80,7 @@
 		desiredWeights:  map[mulberrybeam.ModelName]mulberrybeam.DesiredWeights{},
 		hosts:           map[mulberrybeam.ProcessID]mulberrybeam.EntryHost{},
 		upgradedEngines: map[mulberrybeam.InstanceID]mulberrybeam.UpgradedEngine{},
-		crashes:         map[mulberrybeam.CrashRecord]time.Duration{},
+		crashes:         map[crashKey]time.Duration{},
 	}
 }
 
@@ -204,7 +210,7 @@
 		t.setUpgradedEngines(record.Lease)
 	case mulberrybeam.ObjectCrash:
 		if record.Crash != nil {
-			t.crashes[*record.Crash] = turn.Now
+			t.crashes[crashKey{record.Crash.Fingerprint, record.Crash.Target}] = turn.Now
 		}
 	}
 	return nil
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -355,7 +355,7 @@
 // crashed. If the target still accepts connections, only the response was
 // lost.
 func (a *attempt) reportCrash() {
-	crash := mulberrybeam.CrashRecord{Fingerprint: a.requestInfo.Fingerprint, Target: a.target.ID}
+	crash := mulberrybeam.CrashRecord{Fingerprint: a.requestInfo.Fingerprint, Target: a.target.ID, Parts: a.crashParts()}
 	address, post, sender := a.target.Address, a.Post, a.Sender
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
