Show that a deadly prompt part crashes a target at each request

Requests that share one deadly part and differ otherwise have different fingerprints, so that no crash count stops them.

--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -43,6 +43,10 @@
 	mutex    sync.Mutex
 	requests []*http.Request
 	crashes  chan mulberrybeam.TargetCrashed
+	start    time.Time
+	prompts  int
+	// control gets the events that the Relayer posts, if it is set.
+	control atomic.Pointer[controlLoop]
 }
 
 // newHarness starts a Relayer and one target per handler. The first target is
@@ -83,8 +87,8 @@
 }
 
 func (h *harness) startRelayer() {
-	start := time.Now()
-	now := func() time.Duration { return time.Since(start) }
+	h.start = time.Now()
+	now := func() time.Duration { return time.Since(h.start) }
 	connections, closeIdle := requester.New(platform.Codec{}, (&net.Dialer{}).DialContext, now)
 	settings := &mulberrybeam.HostSettings{ID: "self", Zone: "z0", Bounds: mulberrybeam.HostBounds{VersionWithin: 8 * time.Second}}
 	server := httptest.NewServer(&relayer.Relayer{
@@ -92,6 +96,10 @@
 		Codec:    platform.Codec{}, Sender: connections, Monitor: monitor.New(now), Budgets: monitor.NewBudgets(0.2, 100),
 		Catalog: emptyCatalog{}, Recorder: discardRecorder{}, Fleet: h.fleet.Load, Now: now,
 		Post: func(event mulberrybeam.Event) {
+			if control := h.control.Load(); control != nil {
+				control.post(event)
+				return
+			}
 			if crash, ok := event.(mulberrybeam.TargetCrashed); ok {
 				h.crashes <- crash
 			}
