Refuse prompt parts that crash engines

Callers saw engine after engine crash: requests that share one deadly part of their prompt and nothing else came at any host.

A host knew a crashing request by its fingerprint only, which differs between such requests, so that no crash count ever reached the limit. The control loop counts the crashed targets of each part. A part that crashes targets never completes, so that a complete answer clears its parts, at the other hosts by a clearance in the store. From three crashes that no completion clears within 0.8 s, requests with the part are refused, except one trial by one host at a time, after 6 s and then three times longer with each failed one. An interrupted request with a suspected part waits until the part is cleared or convicted.

--- a/event.go
+++ b/event.go
@@ -144,6 +144,17 @@
 	Crash CrashRecord
 }
 
+// PartsCompleted reports that a request of this process with these shared prompt
+// parts got a complete answer.
+type PartsCompleted struct {
+	Parts []SharedPart
+}
+
+// PartCleared reports that a completed request clears a prompt part of crashes.
+type PartCleared struct {
+	Clearance PartClearance
+}
+
 // RecordsListed carries a full list of the objects of a kind, which replaces
 // all earlier records of that kind.
 type RecordsListed struct {
@@ -193,6 +204,8 @@
 func (SlotOwnershipChanged) event() {}
 func (ShutdownRequested) event()    {}
 func (TargetCrashed) event()        {}
+func (PartsCompleted) event()       {}
+func (PartCleared) event()          {}
 func (RecordsListed) event()        {}
 func (RecordChanged) event()        {}
 func (FeedConfirmed) event()        {}
--- a/fleet.go
+++ b/fleet.go
@@ -182,6 +182,27 @@
 	Parts []SharedPart
 }
 
+// PartSuspicion is what is known against a prompt part that was in flight at
+// several crashed targets and has not completed since.
+type PartSuspicion struct {
+	// Crashes is the number of crashed targets that count against the part.
+	Crashes int
+	// FailedTrials is the number of these crashes since requests with the part are
+	// refused.
+	FailedTrials int
+	// Since is when this process knew of enough crashes to convict the part, and
+	// LastCrashAt when it learned of the last one.
+	Since       time.Duration
+	LastCrashAt time.Duration
+}
+
+// PartClearance states that a request with a prompt part got a complete answer,
+// so that the part did not crash the targets.
+type PartClearance struct {
+	Part    SharedPart
+	Targets []InstanceID
+}
+
 // Record is a decoded object of the platform's store. At most one field is set;
 // none is set if the content could not be decoded.
 type Record struct {
@@ -191,6 +212,7 @@
 	Host       *EntryHost
 	Lease      *LeaderLease
 	Crash      *CrashRecord
+	Clearance  *PartClearance
 }
 
 // Kinds of objects that make up the state of the fleet.
@@ -231,6 +253,8 @@
 	// Crashes counts the targets whose connection broke during a request, by
 	// the request's fingerprint.
 	Crashes map[Fingerprint]int
+	// Suspects are the prompt parts that may crash targets.
+	Suspects map[SharedPart]PartSuspicion
 	// ConfirmedAt is when the deployment was last known to be the newest.
 	ConfirmedAt time.Duration
 	// Complete reports that objects of every kind were read at least once.
--- a/interface.go
+++ b/interface.go
@@ -99,6 +99,7 @@
 	Lease(name string, lease LeaderLease) Object
 	Host(host EntryHost) Object
 	Crash(crash CrashRecord) Object
+	Clearance(clearance PartClearance) Object
 }
 
 // PeerClient sends messages to other entry processes. Errors are of type
--- /dev/null
+++ b/process/parttracker/evidence.go
@@ -0,0 +1,87 @@
+package parttracker
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/request/quarantiner"
+)
+
+// addCrash adds a crash, and drops the oldest if there are too many.
+func (e *evidence) addCrash(target mulberrybeam.InstanceID, now time.Duration) {
+	if len(e.crashes) >= maxCrashes {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(e.crashes)), func(a, b mulberrybeam.InstanceID) int {
+			return cmp.Or(cmp.Compare(e.crashes[a].seenAt, e.crashes[b].seenAt), cmp.Compare(a, b))
+		})
+		delete(e.crashes, oldest)
+	}
+	e.crashes[target] = &crash{seenAt: now}
+	e.LastCrashAt = now
+}
+
+func (e *evidence) clearAll() {
+	for _, crash := range e.crashes {
+		crash.cleared = true
+	}
+}
+
+// uncleared returns the crashes that count against the part.
+func (e *evidence) uncleared() []mulberrybeam.InstanceID {
+	var targets []mulberrybeam.InstanceID
+	for target, crash := range e.crashes {
+		if !crash.cleared {
+			targets = append(targets, target)
+		}
+	}
+	slices.Sort(targets)
+	return targets
+}
+
+// shareClearance publishes the crashes that the part is cleared of, once they are
+// so many that other hosts may suspect the part.
+func (e *evidence) shareClearance(part mulberrybeam.SharedPart) []mulberrybeam.Action {
+	var targets []mulberrybeam.InstanceID
+	for target, crash := range e.crashes {
+		if crash.cleared && !crash.shared {
+			targets = append(targets, target)
+		}
+	}
+	if len(targets) < quarantiner.SuspicionThreshold {
+		return nil
+	}
+	slices.Sort(targets)
+	for _, target := range targets {
+		e.crashes[target].shared = true
+	}
+	return []mulberrybeam.Action{mulberrybeam.EmitEvent{Event: mulberrybeam.PartCleared{
+		Clearance: mulberrybeam.PartClearance{Part: part, Targets: targets},
+	}}}
+}
+
+// reassess updates the suspicion from the crashes.
+func (e *evidence) reassess(turn mulberrybeam.Turn, part mulberrybeam.SharedPart) []mulberrybeam.Action {
+	before := e.Crashes
+	uncleared := e.uncleared()
+	e.Crashes = len(uncleared)
+	switch {
+	case e.Crashes >= quarantiner.ConvictionThreshold && before < quarantiner.ConvictionThreshold:
+		e.Since = turn.Now
+	case e.Crashes < quarantiner.ConvictionThreshold && e.convicted:
+		e.convicted = false
+		return []mulberrybeam.Action{mulberrybeam.PublishSnapshot{}, addEntry(mulberrybeam.EntryAcquittal, part,
+			"requests with the part are no longer refused: one of them got a complete answer")}
+	}
+	e.FailedTrials = 0
+	for _, target := range uncleared {
+		if e.crashes[target].seenAt > e.Since+quarantiner.StragglerWindow {
+			e.FailedTrials++
+		}
+	}
+	if max(before, e.Crashes) < quarantiner.SuspicionThreshold {
+		return nil
+	}
+	return []mulberrybeam.Action{mulberrybeam.PublishSnapshot{}}
+}
--- /dev/null
+++ b/process/parttracker/parttracker.go
@@ -0,0 +1,200 @@
+// Package parttracker is the control state machine that tracks which shared prompt
+// parts were in flight at crashed targets, and clears those that have completed. It
+// fills in the suspects of the fleet.
+//
+// A part that crashes targets never completes. A completed request therefore clears
+// its parts of all crashes until then, also at the other hosts, which learn of it
+// by a clearance in the platform's store. The clearance names the crashes, so that
+// the order in which hosts learn of crashes and clearances does not matter.
+package parttracker
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/request/quarantiner"
+)
+
+const (
+	// retention is how long a part is tracked after its last crash.
+	retention = 2 * time.Minute
+	// maxParts is the number of parts that are tracked, and maxCrashes the number
+	// of crashes of each.
+	maxParts   = 512
+	maxCrashes = 32
+	// maxCompletions is the number of parts whose last completion is known.
+	maxCompletions = 4096
+)
+
+// Tracker keeps the evidence. Only the control goroutine may use it.
+type Tracker struct {
+	parts map[mulberrybeam.SharedPart]*evidence
+	// completedAt is when a request of this process with the part last completed.
+	completedAt map[mulberrybeam.SharedPart]time.Duration
+}
+
+var _ mulberrybeam.StateMachine = (*Tracker)(nil)
+
+// evidence is what is known of a part.
+type evidence struct {
+	crashes map[mulberrybeam.InstanceID]*crash
+	mulberrybeam.PartSuspicion
+	convicted bool
+}
+
+// crash is a target that crashed with the part in flight.
+type crash struct {
+	seenAt time.Duration
+	// cleared is set once a completed request shows that the part did not cause
+	// the crash, and shared once other hosts can know of it.
+	cleared, shared bool
+}
+
+// New returns the state machine.
+func New() *Tracker {
+	return &Tracker{
+		parts:       map[mulberrybeam.SharedPart]*evidence{},
+		completedAt: map[mulberrybeam.SharedPart]time.Duration{},
+	}
+}
+
+// FillSnapshot sets the suspects of the fleet, which the tracker of objects sets
+// first.
+func (t *Tracker) FillSnapshot(snapshot *mulberrybeam.Snapshot) {
+	if snapshot.Fleet == nil {
+		return
+	}
+	suspects := map[mulberrybeam.SharedPart]mulberrybeam.PartSuspicion{}
+	for part, known := range t.parts {
+		if known.Crashes >= quarantiner.SuspicionThreshold {
+			suspects[part] = known.PartSuspicion
+		}
+	}
+	snapshot.Fleet.Suspects = suspects
+}
+
+// Step processes one event.
+func (t *Tracker) Step(turn mulberrybeam.Turn, event mulberrybeam.Event) []mulberrybeam.Action {
+	switch event := event.(type) {
+	case mulberrybeam.TargetCrashed:
+		return t.addCrash(turn, event.Crash)
+	case mulberrybeam.RecordChanged:
+		if event.Kind == mulberrybeam.ObjectCrash && !event.Removed {
+			return t.addRecord(turn, event.Record)
+		}
+	case mulberrybeam.RecordsListed:
+		if event.Kind == mulberrybeam.ObjectCrash {
+			var actions []mulberrybeam.Action
+			for _, name := range slices.Sorted(maps.Keys(event.Records)) {
+				actions = append(actions, t.addRecord(turn, event.Records[name])...)
+			}
+			return actions
+		}
+	case mulberrybeam.PartsCompleted:
+		return t.addCompletion(turn, event.Parts)
+	case mulberrybeam.Tick:
+		return t.expire(turn)
+	}
+	return nil
+}
+
+func (t *Tracker) addRecord(turn mulberrybeam.Turn, record mulberrybeam.Record) []mulberrybeam.Action {
+	switch {
+	case record.Crash != nil:
+		return t.addCrash(turn, *record.Crash)
+	case record.Clearance != nil:
+		return t.applyClearance(turn, *record.Clearance)
+	}
+	return nil
+}
+
+func (t *Tracker) addCrash(turn mulberrybeam.Turn, record mulberrybeam.CrashRecord) []mulberrybeam.Action {
+	var actions []mulberrybeam.Action
+	for _, part := range record.Parts {
+		known := t.track(part)
+		if _, found := known.crashes[record.Target]; found {
+			continue
+		}
+		known.addCrash(record.Target, turn.Now)
+		completedAt, completed := t.completedAt[part]
+		if completed && turn.Now-completedAt < quarantiner.CompletionWindow {
+			known.clearAll()
+			actions = append(actions, known.shareClearance(part)...)
+		}
+		actions = append(actions, known.reassess(turn, part)...)
+	}
+	return actions
+}
+
+// track returns the evidence for a part, and drops that of the part with the oldest
+// crash if there is too much.
+func (t *Tracker) track(part mulberrybeam.SharedPart) *evidence {
+	if known, found := t.parts[part]; found {
+		return known
+	}
+	if len(t.parts) >= maxParts {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(t.parts)), func(a, b mulberrybeam.SharedPart) int {
+			return cmp.Or(cmp.Compare(t.parts[a].LastCrashAt, t.parts[b].LastCrashAt), cmp.Compare(a, b))
+		})
+		delete(t.parts, oldest)
+	}
+	known := &evidence{crashes: map[mulberrybeam.InstanceID]*crash{}}
+	t.parts[part] = known
+	return known
+}
+
+func (t *Tracker) applyClearance(turn mulberrybeam.Turn, clearance mulberrybeam.PartClearance) []mulberrybeam.Action {
+	known := t.track(clearance.Part)
+	for _, target := range clearance.Targets {
+		if _, found := known.crashes[target]; !found {
+			known.addCrash(target, turn.Now)
+		}
+		known.crashes[target].cleared, known.crashes[target].shared = true, true
+	}
+	return known.reassess(turn, clearance.Part)
+}
+
+func (t *Tracker) addCompletion(turn mulberrybeam.Turn, parts []mulberrybeam.SharedPart) []mulberrybeam.Action {
+	var actions []mulberrybeam.Action
+	for _, part := range parts {
+		if _, known := t.completedAt[part]; known || len(t.completedAt) < maxCompletions {
+			t.completedAt[part] = turn.Now
+		}
+		if known, found := t.parts[part]; found && known.Crashes > 0 {
+			known.clearAll()
+			actions = append(actions, known.shareClearance(part)...)
+			actions = append(actions, known.reassess(turn, part)...)
+		}
+	}
+	return actions
+}
+
+// expire drops old evidence and records the convictions that came into force.
+func (t *Tracker) expire(turn mulberrybeam.Turn) []mulberrybeam.Action {
+	var actions []mulberrybeam.Action
+	for _, part := range slices.Sorted(maps.Keys(t.parts)) {
+		known := t.parts[part]
+		if turn.Now-known.LastCrashAt > retention {
+			delete(t.parts, part)
+			actions = append(actions, mulberrybeam.PublishSnapshot{})
+			continue
+		}
+		if !known.convicted && quarantiner.Convicted(known.PartSuspicion, turn.Now) {
+			known.convicted = true
+			actions = append(actions, addEntry(mulberrybeam.EntryConviction, part, fmt.Sprintf(
+				"requests with the part are refused: it was in flight at the crashes of %v and has not completed", known.uncleared())))
+		}
+	}
+	maps.DeleteFunc(t.completedAt, func(_ mulberrybeam.SharedPart, at time.Duration) bool {
+		return turn.Now-at >= quarantiner.CompletionWindow
+	})
+	return actions
+}
+
+func addEntry(kind mulberrybeam.EntryKind, part mulberrybeam.SharedPart, text string) mulberrybeam.Action {
+	return mulberrybeam.RecordEntry{Entry: mulberrybeam.Entry{Kind: kind, Subject: string(part), Text: text}}
+}
--- /dev/null
+++ b/process/parttracker/parttracker_test.go
@@ -0,0 +1,267 @@
+package parttracker_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/platform"
+	"mulberrybeam/process/parttracker"
+	"mulberrybeam/request/quarantiner"
+)
+
+const (
+	step = 50 * time.Millisecond
+	// storeDelay is the time from a record's creation until hosts know of it.
+	storeDelay  = 500 * time.Millisecond
+	answerAfter = 300 * time.Millisecond
+	restartTime = 4 * time.Second
+)
+
+// simulation is a fleet of hosts and engines in virtual time. An engine crashes when
+// it begins the answer to a prompt with the deadly part.
+type simulation struct {
+	random  *rand.Rand
+	now     time.Duration
+	hosts   []*parttracker.Tracker
+	ids     []mulberrybeam.ProcessID
+	engines []*engine
+	records []delayedRecord
+	known   map[string]bool
+	// trials are the ends of the turns in which a host has made its trial.
+	trials map[int]time.Duration
+
+	crashedAt []time.Duration
+	deadlyAt  []time.Duration
+	served    map[mulberrybeam.SharedPart]int
+	refused   map[mulberrybeam.SharedPart]int
+}
+
+type engine struct {
+	run     int
+	upAt    time.Duration
+	running []*run
+}
+
+// run is one attempt of a request.
+type run struct {
+	host    int
+	parts   []mulberrybeam.SharedPart
+	endsAt  time.Duration
+	retried bool
+}
+
+type delayedRecord struct {
+	at     time.Duration
+	record mulberrybeam.Record
+}
+
+const deadly = mulberrybeam.SharedPart("m/deadly")
+
+func newSimulation(hosts, engines int, seed uint64) *simulation {
+	s := &simulation{
+		random: rand.New(rand.NewPCG(seed, 1)), known: map[string]bool{}, trials: map[int]time.Duration{},
+		served: map[mulberrybeam.SharedPart]int{}, refused: map[mulberrybeam.SharedPart]int{},
+	}
+	for i := range hosts {
+		s.hosts = append(s.hosts, parttracker.New())
+		s.ids = append(s.ids, mulberrybeam.ProcessID(fmt.Sprint("host", i)))
+	}
+	for range engines {
+		s.engines = append(s.engines, &engine{})
+	}
+	return s
+}
+
+func (s *simulation) deliver(host int, event mulberrybeam.Event) {
+	for _, action := range s.hosts[host].Step(mulberrybeam.Turn{Now: s.now}, event) {
+		if emit, ok := action.(mulberrybeam.EmitEvent); ok {
+			s.write(platform.Encoder{}.Clearance(emit.Event.(mulberrybeam.PartCleared).Clearance))
+		}
+	}
+}
+
+// write creates an object in the store.
+func (s *simulation) write(object mulberrybeam.Object) {
+	record, err := platform.Decoder{}.Decode(object)
+	if err != nil {
+		panic(err)
+	}
+	if !s.known[object.Name] {
+		s.known[object.Name] = true
+		s.records = append(s.records, delayedRecord{s.now + storeDelay, record})
+	}
+}
+
+// send makes an attempt at an engine that is up, unless the host refuses it.
+func (s *simulation) send(attempt *run) {
+	snapshot := &mulberrybeam.Snapshot{Fleet: &mulberrybeam.Fleet{}}
+	s.hosts[attempt.host].FillSnapshot(snapshot)
+	decision := quarantiner.DecideParts(quarantiner.PartQuery{
+		Parts: attempt.parts, Suspects: snapshot.Fleet.Suspects, Hosts: s.ids, Self: s.ids[attempt.host],
+		Now: s.now, Interrupted: attempt.retried,
+	})
+	isTrial := decision.Verdict == quarantiner.RunIsolated
+	if decision.Verdict == quarantiner.Refuse || decision.Verdict == quarantiner.Wait || isTrial && s.now < s.trials[attempt.host] {
+		s.refused[attempt.parts[len(attempt.parts)-1]]++
+		return
+	}
+	if isTrial {
+		s.trials[attempt.host] = decision.TrialEnd
+	}
+	var up []*engine
+	for _, engine := range s.engines {
+		if engine.upAt <= s.now {
+			up = append(up, engine)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	if slices.Contains(attempt.parts, deadly) {
+		s.deadlyAt = append(s.deadlyAt, s.now)
+	}
+	attempt.endsAt = s.now + answerAfter
+	target := up[s.random.IntN(len(up))]
+	target.running = append(target.running, attempt)
+}
+
+// advance runs one step: completions and crashes, then records that arrive.
+func (s *simulation) advance() {
+	s.now += step
+	for i, engine := range s.engines {
+		crashes := slices.ContainsFunc(engine.running, func(r *run) bool { return r.endsAt <= s.now && slices.Contains(r.parts, deadly) })
+		if crashes {
+			s.crash(i)
+			continue
+		}
+		engine.running = slices.DeleteFunc(engine.running, func(r *run) bool {
+			if r.endsAt > s.now {
+				return false
+			}
+			s.served[r.parts[len(r.parts)-1]]++
+			s.deliver(r.host, mulberrybeam.PartsCompleted{Parts: r.parts})
+			return true
+		})
+	}
+	s.records = slices.DeleteFunc(s.records, func(d delayedRecord) bool {
+		if d.at > s.now {
+			return false
+		}
+		for host := range s.hosts {
+			s.deliver(host, mulberrybeam.RecordChanged{Kind: mulberrybeam.ObjectCrash, Record: d.record})
+		}
+		return true
+	})
+	for host := range s.hosts {
+		s.deliver(host, mulberrybeam.Tick{})
+	}
+}
+
+// crash ends an engine. Interrupted requests are sent once more.
+func (s *simulation) crash(index int) {
+	crashed := s.engines[index]
+	interrupted := crashed.running
+	target := mulberrybeam.InstanceID(fmt.Sprintf("engine%d-run%d", index, crashed.run))
+	s.engines[index] = &engine{run: crashed.run + 1, upAt: s.now + restartTime}
+	s.crashedAt = append(s.crashedAt, s.now)
+	for i, attempt := range interrupted {
+		record := mulberrybeam.CrashRecord{Fingerprint: mulberrybeam.Fingerprint{byte(len(s.crashedAt)), byte(i)}, Target: target, Parts: attempt.parts}
+		s.deliver(attempt.host, mulberrybeam.TargetCrashed{Crash: record})
+		s.write(platform.Encoder{}.Crash(record))
+	}
+	for _, attempt := range interrupted {
+		if !attempt.retried {
+			s.send(&run{host: attempt.host, parts: attempt.parts, retried: true})
+		}
+	}
+}
+
+// play sends requests for a time: with the deadly part, and with sound parts, all of
+// which share their first part.
+func (s *simulation) play(duration time.Duration, deadlyPerSecond, soundPerSecond float64, sound []mulberrybeam.SharedPart) {
+	for end := s.now + duration; s.now < end; s.advance() {
+		if s.random.Float64() < deadlyPerSecond*step.Seconds() {
+			s.send(&run{host: s.random.IntN(len(s.hosts)), parts: []mulberrybeam.SharedPart{"m/first", deadly}})
+		}
+		for range int(soundPerSecond * step.Seconds()) {
+			part := sound[s.random.IntN(len(sound))]
+			s.send(&run{host: s.random.IntN(len(s.hosts)), parts: []mulberrybeam.SharedPart{"m/first", part}})
+		}
+	}
+}
+
+// Guards against a prompt part that crashes engines again and again, sent by any
+// host, and against the refusal of requests that share their first part with it.
+func TestDeadlyPartStopsAndSoundPartsGoOn(t *testing.T) {
+	sound := []mulberrybeam.SharedPart{"m/a", "m/b", "m/c", "m/d"}
+	for seed := range uint64(50) {
+		for _, perSecond := range []float64{0.8, 8} {
+			s := newSimulation(9, 9, seed)
+			s.play(3*time.Second, 0, 40, sound)
+			s.play(30*time.Second, perSecond, 40, sound)
+			if len(s.crashedAt) > 5 {
+				late := 0
+				for _, at := range s.deadlyAt {
+					if at > s.crashedAt[4]+3*time.Second {
+						late++
+					}
+				}
+				if late > 3 {
+					t.Errorf("seed %d: %d requests with the deadly part reached engines after 5 crashes and 3 s", seed, late)
+				}
+			}
+			served, refused := 0, 0
+			for _, part := range sound {
+				served += s.served[part]
+				refused += s.refused[part]
+			}
+			if served < 10*refused {
+				t.Errorf("seed %d: %d requests with sound parts served and %d refused", seed, served, refused)
+			}
+		}
+	}
+}
+
+// Guards against a sound part that stays refused because it happened to be in flight
+// at several crashes.
+func TestConvictedSoundPartIsClearedByTrial(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(3, 3, 1)
+	for i := range 3 {
+		s.write(platform.Encoder{}.Crash(mulberrybeam.CrashRecord{Target: mulberrybeam.InstanceID(fmt.Sprint("e", i)), Parts: []mulberrybeam.SharedPart{"m/rare"}}))
+	}
+	s.play(2*time.Second, 0, 0, nil)
+	s.play(time.Second, 0, 20, []mulberrybeam.SharedPart{"m/rare"})
+	is.Equal(s.served["m/rare"], 0)
+	s.play(8*time.Second, 0, 20, []mulberrybeam.SharedPart{"m/rare"})
+	is.True(s.served["m/rare"] > 0)
+	refused := s.refused["m/rare"]
+	s.play(5*time.Second, 0, 20, []mulberrybeam.SharedPart{"m/rare"})
+	is.Equal(s.refused["m/rare"], refused)
+}
+
+// Guards against more state than the limit, however many parts are in flight at
+// crashes.
+func TestSuspectsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 0, 1)
+	for i := range 2000 {
+		parts := []mulberrybeam.SharedPart{mulberrybeam.SharedPart(fmt.Sprint("m/", i))}
+		for target := range 3 {
+			s.deliver(0, mulberrybeam.TargetCrashed{Crash: mulberrybeam.CrashRecord{Target: mulberrybeam.InstanceID(fmt.Sprint(target)), Parts: parts}})
+		}
+	}
+	snapshot := &mulberrybeam.Snapshot{Fleet: &mulberrybeam.Fleet{}}
+	s.hosts[0].FillSnapshot(snapshot)
+	is.Equal(len(snapshot.Fleet.Suspects), 512)
+	s.now += 3 * time.Minute
+	s.deliver(0, mulberrybeam.Tick{})
+	s.hosts[0].FillSnapshot(snapshot)
+	is.Equal(len(snapshot.Fleet.Suspects), 0)
+}
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -1,6 +1,6 @@
 // Package registrar is the control state machine that publishes records of this
 // process through the platform's object API: its registration as an entry host,
-// and the requests that crashed a target.
+// the requests that crashed a target, and the prompt parts that did not.
 package registrar
 
 import (
@@ -62,6 +62,10 @@
 		}
 		return append(r.sendNext(turn), addEntry(mulberrybeam.EntryCrash, string(event.Crash.Target), fmt.Sprintf(
 			"target crashed while running request %x, which shares the prompt parts %v", event.Crash.Fingerprint, event.Crash.Parts)))
+	case mulberrybeam.PartCleared:
+		if len(r.pending) < maxPending {
+			r.pending = append(r.pending, r.encoder.Clearance(event.Clearance))
+		}
 	case mulberrybeam.ObjectReplied:
 		if event.Ticket != r.ticket || r.ticket == 0 {
 			return nil
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -22,6 +22,7 @@
 	"mulberrybeam/process/controller"
 	"mulberrybeam/process/logger"
 	"mulberrybeam/process/monitor"
+	"mulberrybeam/process/parttracker"
 	"mulberrybeam/process/recorder"
 	"mulberrybeam/process/registrar"
 	"mulberrybeam/process/tracker"
@@ -118,6 +119,7 @@
 	engines := platform.NewEngines(client)
 	machines := []mulberrybeam.StateMachine{
 		tracker.New(settings.ID, settings.Regions),
+		parttracker.New(),
 		upgrader.New(settings.ID, settings.Bounds, platform.Encoder{}),
 		registrar.New(mulberrybeam.EntryHost{ID: settings.ID, Zone: settings.Zone, Address: settings.PeerAddress}, platform.Encoder{}),
 	}
--- a/request/quarantiner/part.go
+++ b/request/quarantiner/part.go
@@ -3,9 +3,12 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
+	"time"
 	"unicode/utf8"
 
 	"mulberrybeam"
+	"mulberrybeam/version/ranker"
 )
 
 const (
@@ -35,3 +38,126 @@
 	}
 	return shared
 }
+
+const (
+	// SuspicionThreshold is the number of crashed targets from which an
+	// interrupted request with the part is not sent again at once.
+	SuspicionThreshold = 2
+	// ConvictionThreshold is the number of crashed targets from which requests
+	// with the part are refused.
+	ConvictionThreshold = 3
+	// ConvictionDelay is the time between the last of these crashes and the
+	// refusals. In it, completed requests clear parts that many requests share
+	// and that were in flight at each crash by chance.
+	ConvictionDelay = 800 * time.Millisecond
+	// CompletionWindow is how long before a crash a completed request with the
+	// part shows that the part did not cause it.
+	CompletionWindow = 2 * time.Second
+
+	// StragglerWindow is the time from a conviction until which requests that were
+	// sent before it may crash targets.
+	StragglerWindow = 3 * time.Second
+
+	// firstTrialDelay is the time from the last crash to the first trial of a
+	// convicted part. It is multiplied by trialDelayFactor with each failed trial,
+	// up to maxTrialDelay.
+	firstTrialDelay  = 6 * time.Second
+	trialDelayFactor = 3
+	maxTrialDelay    = time.Minute
+	// From then on the hosts take turns of trialTurn, in each of which one of
+	// them may send one request. The rest of a turn after trialWindow is left
+	// out, since hosts learn of a crash at different times.
+	trialTurn   = 3 * time.Second
+	trialWindow = 1500 * time.Millisecond
+)
+
+// PartQuery describes a request before an attempt.
+type PartQuery struct {
+	Parts    []mulberrybeam.SharedPart
+	Suspects map[mulberrybeam.SharedPart]mulberrybeam.PartSuspicion
+	// Hosts are all hosts that may make a trial, including Self.
+	Hosts []mulberrybeam.ProcessID
+	Self  mulberrybeam.ProcessID
+	Now   time.Duration
+	// Interrupted reports that an earlier attempt of the request may have run.
+	Interrupted bool
+}
+
+// PartDecision is the decision on a request because of its prompt parts.
+type PartDecision struct {
+	// Verdict is RunIsolated for a trial and Wait until the part is either
+	// cleared or convicted.
+	Verdict Verdict
+	// Part and Crashes are the evidence, unless the verdict is RunNormally.
+	Part    mulberrybeam.SharedPart
+	Crashes int
+	// TrialEnd is when the host's turn for a trial ends.
+	TrialEnd time.Duration
+	// RetryAfter is the time to the next trial.
+	RetryAfter time.Duration
+}
+
+// Convicted reports whether requests with a part are refused.
+func Convicted(suspicion mulberrybeam.PartSuspicion, now time.Duration) bool {
+	return suspicion.Crashes >= ConvictionThreshold && now >= suspicion.Since+ConvictionDelay
+}
+
+// DecideParts returns the strictest decision over the parts of a request.
+func DecideParts(query PartQuery) PartDecision {
+	strictest := PartDecision{Verdict: RunNormally}
+	for _, part := range query.Parts {
+		suspicion, suspected := query.Suspects[part]
+		if !suspected {
+			continue
+		}
+		decision := decidePart(query, part, suspicion)
+		if strictness[decision.Verdict] > strictness[strictest.Verdict] {
+			strictest = decision
+		}
+	}
+	return strictest
+}
+
+var strictness = map[Verdict]int{RunNormally: 0, RunIsolated: 1, Wait: 2, Refuse: 3}
+
+func decidePart(query PartQuery, part mulberrybeam.SharedPart, suspicion mulberrybeam.PartSuspicion) PartDecision {
+	decision := PartDecision{Verdict: RunNormally, Part: part, Crashes: suspicion.Crashes}
+	if !Convicted(suspicion, query.Now) {
+		undecided := suspicion.Crashes >= ConvictionThreshold ||
+			query.Interrupted && suspicion.Crashes >= SuspicionThreshold && query.Now < suspicion.LastCrashAt+ConvictionDelay
+		if undecided {
+			decision.Verdict = Wait
+		}
+		return decision
+	}
+	decision.Verdict = Refuse
+	trialAt := suspicion.LastCrashAt + trialDelay(suspicion.FailedTrials)
+	decision.RetryAfter = max(trialAt-query.Now, trialTurn)
+	if query.Now < trialAt || query.Interrupted || len(query.Hosts) == 0 {
+		return decision
+	}
+	turn := (query.Now - trialAt) / trialTurn
+	inTurn := (query.Now - trialAt) % trialTurn
+	order := ranker.Top(string(part), query.Hosts, len(query.Hosts))
+	if order[int(turn)%len(order)] == query.Self && inTurn < trialWindow {
+		decision.Verdict = RunIsolated
+		decision.TrialEnd = query.Now - inTurn + trialTurn
+	}
+	return decision
+}
+
+func trialDelay(failedTrials int) time.Duration {
+	delay := firstTrialDelay
+	for range failedTrials {
+		delay = min(trialDelayFactor*delay, maxTrialDelay)
+	}
+	return delay
+}
+
+// PartRefusal returns the failure for a request that is refused because of a part.
+func PartRefusal(decision PartDecision, notRun bool) error {
+	return &mulberrybeam.Failure{
+		Code: mulberrybeam.CodeCrashesTargets, Step: mulberrybeam.StepAdmit, NotRun: notRun, RetryAfter: decision.RetryAfter,
+		Message: fmt.Sprintf("%d targets crashed while requests with prompt part %s were in flight", decision.Crashes, decision.Part),
+	}
+}
--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -139,6 +139,7 @@
 }
 
 func (a *attempt) recordCompletion(status int) {
+	a.reportCompletedParts(status)
 	duration := a.Now() - a.arrivedAt
 	attempts := len(a.history.Attempts) + 1
 	measure := &mulberrybeam.RequestStats{
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -167,6 +167,10 @@
 	for {
 		// Targets may have left since the previous attempt.
 		e.fleet = e.Fleet()
+		if err := e.checkParts(ctx); err != nil {
+			e.failSuspect(ctx, err)
+			return
+		}
 		err := e.runAttempt(ctx)
 		if err == nil {
 			return
--- a/request/relayer/part.go
+++ b/request/relayer/part.go
@@ -1,9 +1,15 @@
 package relayer
 
 import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"sync"
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/pauser"
 	"mulberrybeam/request/quarantiner"
 )
 
@@ -22,3 +28,72 @@
 func (e *exchange) sharedParts() []mulberrybeam.SharedPart {
 	return quarantiner.SharedParts(e.inbound.Model, e.inbound.Parts)
 }
+
+// reportCompletedParts reports the parts of a completed request to the control
+// loop. A stream without events may have been cut by a crash.
+func (a *attempt) reportCompletedParts(status int) {
+	parts := a.sharedParts()
+	if status != http.StatusOK || len(parts) == 0 || a.match.Rule.Streaming && a.requestInfo.Repeatable && a.splitter.Events == 0 {
+		return
+	}
+	a.Post(mulberrybeam.PartsCompleted{Parts: parts})
+}
+
+// checkParts returns a Failure if the prompt has a part that crashes targets. It
+// waits while that is being decided.
+func (e *exchange) checkParts(ctx context.Context) error {
+	for {
+		decision := quarantiner.DecideParts(quarantiner.PartQuery{
+			Parts: e.sharedParts(), Suspects: e.fleet.Suspects, Hosts: e.fleet.EntryHosts,
+			Self: e.settings.ID, Now: e.Now(), Interrupted: e.mayHaveRun,
+		})
+		switch decision.Verdict {
+		case quarantiner.Refuse:
+			return quarantiner.PartRefusal(decision, !e.mayHaveRun)
+		case quarantiner.RunIsolated:
+			if !e.trials.claim(decision.Part, e.Now(), decision.TrialEnd) {
+				return quarantiner.PartRefusal(decision, !e.mayHaveRun)
+			}
+			e.recordEntry(mulberrybeam.EntryTrial, string(decision.Part), fmt.Sprintf("request runs although %d targets crashed with the part", decision.Crashes))
+			return nil
+		case quarantiner.RunNormally:
+			return nil
+		}
+		if !pauser.Pause(ctx, waitInterval) {
+			return ctx.Err()
+		}
+		e.fleet = e.Fleet()
+	}
+}
+
+// failSuspect ends a request that may not be sent to a target because of a part.
+func (e *exchange) failSuspect(ctx context.Context, err error) {
+	if e.headerWritten || ctx.Err() != nil {
+		e.fail(ctx, err)
+		return
+	}
+	e.writeRefusal(err)
+}
+
+// trialClaims are the trials of this process, by part. It is safe for concurrent
+// use.
+type trialClaims struct {
+	mutex sync.Mutex
+	ends  map[mulberrybeam.SharedPart]time.Duration
+}
+
+// claim reports whether the caller may make the one trial of this process that is
+// allowed until end.
+func (c *trialClaims) claim(part mulberrybeam.SharedPart, now, end time.Duration) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	maps.DeleteFunc(c.ends, func(_ mulberrybeam.SharedPart, end time.Duration) bool { return end <= now })
+	if _, claimed := c.ends[part]; claimed {
+		return false
+	}
+	if c.ends == nil {
+		c.ends = map[mulberrybeam.SharedPart]time.Duration{}
+	}
+	c.ends[part] = end
+	return true
+}
--- a/request/relayer/part_test.go
+++ b/request/relayer/part_test.go
@@ -15,6 +15,7 @@
 
 	"mulberrybeam"
 	"mulberrybeam/platform"
+	"mulberrybeam/process/parttracker"
 	"mulberrybeam/process/tracker"
 )
 
@@ -94,7 +95,7 @@
 		defer func() { _ = engines[i].server.Close() }()
 	}
 	var run atomic.Int32
-	loop := &controlLoop{start: h.start, machines: []mulberrybeam.StateMachine{tracker.New("self", nil)}}
+	loop := &controlLoop{start: h.start, machines: []mulberrybeam.StateMachine{tracker.New("self", nil), parttracker.New()}}
 	loop.publish = func(published *mulberrybeam.Fleet) {
 		next := *published
 		next.Complete, next.Deployment, next.Hosts, next.Keys = true, fleet.Deployment, fleet.Hosts, fleet.Keys
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -42,6 +42,8 @@
 	Now func() time.Duration
 	// Draining reports whether the process is shutting down.
 	Draining func() bool
+
+	trials trialClaims
 }
 
 // ServeHTTP handles one request of a caller.
--- a/snapshot.go
+++ b/snapshot.go
@@ -71,6 +71,9 @@
 	EntryMember        EntryKind = "member"
 	EntryConfiguration EntryKind = "configuration"
 	EntryCrash         EntryKind = "crash"
+	EntryConviction    EntryKind = "conviction"
+	EntryAcquittal     EntryKind = "acquittal"
+	EntryTrial         EntryKind = "trial"
 	EntryPlatform      EntryKind = "platform"
 	EntryShutdown      EntryKind = "shutdown"
 )
