Do not convict a part whose crashes another part explains

A part is not convicted while another part was in flight at all its crashes and at more. A trial that finds no target at once keeps its claim. TestPartBesideDeadlyOneIsNotConvicted guards against it; it did not exist before.

--- a/process/parttracker/evidence.go
+++ b/process/parttracker/evidence.go
@@ -62,17 +62,12 @@
 }
 
 // reassess updates the suspicion from the crashes.
-func (e *evidence) reassess(turn mulberrybeam.Turn, part mulberrybeam.SharedPart) []mulberrybeam.Action {
+func (e *evidence) reassess(turn mulberrybeam.Turn) []mulberrybeam.Action {
 	before := e.Crashes
 	uncleared := e.uncleared()
 	e.Crashes = len(uncleared)
-	switch {
-	case e.Crashes >= quarantiner.ConvictionThreshold && before < quarantiner.ConvictionThreshold:
+	if e.Crashes >= quarantiner.ConvictionThreshold && before < quarantiner.ConvictionThreshold {
 		e.Since = turn.Now
-	case e.Crashes < quarantiner.ConvictionThreshold && e.convicted:
-		e.convicted = false
-		return []mulberrybeam.Action{mulberrybeam.PublishSnapshot{}, addEntry(mulberrybeam.EntryAcquittal, part,
-			"requests with the part are no longer refused: one of them got a complete answer")}
 	}
 	e.FailedTrials = 0
 	for _, target := range uncleared {
--- a/process/parttracker/parttracker.go
+++ b/process/parttracker/parttracker.go
@@ -10,7 +10,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -35,6 +34,9 @@
 	parts map[mulberrybeam.SharedPart]*evidence
 	// completedAt is when a request of this process with the part last completed.
 	completedAt map[mulberrybeam.SharedPart]time.Duration
+	// suspects is rebuilt by FillSnapshot if stale is set.
+	suspects map[mulberrybeam.SharedPart]mulberrybeam.PartSuspicion
+	stale    bool
 }
 
 var _ mulberrybeam.StateMachine = (*Tracker)(nil)
@@ -43,6 +45,8 @@
 type evidence struct {
 	crashes map[mulberrybeam.InstanceID]*crash
 	mulberrybeam.PartSuspicion
+	// convicted is set once the timeline says that requests with the part are
+	// refused.
 	convicted bool
 }
 
@@ -58,7 +62,7 @@
 func New() *Tracker {
 	return &Tracker{
 		parts:       map[mulberrybeam.SharedPart]*evidence{},
-		completedAt: map[mulberrybeam.SharedPart]time.Duration{},
+		completedAt: map[mulberrybeam.SharedPart]time.Duration{}, stale: true,
 	}
 }
 
@@ -68,17 +72,21 @@
 	if snapshot.Fleet == nil {
 		return
 	}
-	suspects := map[mulberrybeam.SharedPart]mulberrybeam.PartSuspicion{}
-	for part, known := range t.parts {
-		if known.Crashes >= quarantiner.SuspicionThreshold {
-			suspects[part] = known.PartSuspicion
-		}
+	if t.stale {
+		t.suspects = t.suspicions()
+		t.stale = false
 	}
-	snapshot.Fleet.Suspects = suspects
+	snapshot.Fleet.Suspects = t.suspects
 }
 
 // Step processes one event.
 func (t *Tracker) Step(turn mulberrybeam.Turn, event mulberrybeam.Event) []mulberrybeam.Action {
+	actions := t.apply(turn, event)
+	t.stale = t.stale || len(actions) > 0
+	return actions
+}
+
+func (t *Tracker) apply(turn mulberrybeam.Turn, event mulberrybeam.Event) []mulberrybeam.Action {
 	switch event := event.(type) {
 	case mulberrybeam.TargetCrashed:
 		return t.addCrash(turn, event.Crash)
@@ -125,7 +133,7 @@
 			known.clearAll()
 			actions = append(actions, known.shareClearance(part)...)
 		}
-		actions = append(actions, known.reassess(turn, part)...)
+		actions = append(actions, known.reassess(turn)...)
 	}
 	return actions
 }
@@ -141,6 +149,7 @@
 			return cmp.Or(cmp.Compare(t.parts[a].LastCrashAt, t.parts[b].LastCrashAt), cmp.Compare(a, b))
 		})
 		delete(t.parts, oldest)
+		t.stale = true
 	}
 	known := &evidence{crashes: map[mulberrybeam.InstanceID]*crash{}}
 	t.parts[part] = known
@@ -155,7 +164,7 @@
 		}
 		known.crashes[target].cleared, known.crashes[target].shared = true, true
 	}
-	return known.reassess(turn, clearance.Part)
+	return known.reassess(turn)
 }
 
 func (t *Tracker) addCompletion(turn mulberrybeam.Turn, parts []mulberrybeam.SharedPart) []mulberrybeam.Action {
@@ -167,7 +176,7 @@
 		if known, found := t.parts[part]; found && known.Crashes > 0 {
 			known.clearAll()
 			actions = append(actions, known.shareClearance(part)...)
-			actions = append(actions, known.reassess(turn, part)...)
+			actions = append(actions, known.reassess(turn)...)
 		}
 	}
 	return actions
@@ -183,18 +192,10 @@
 			actions = append(actions, mulberrybeam.PublishSnapshot{})
 			continue
 		}
-		if !known.convicted && quarantiner.Convicted(known.PartSuspicion, turn.Now) {
-			known.convicted = true
-			actions = append(actions, addEntry(mulberrybeam.EntryConviction, part, fmt.Sprintf(
-				"requests with the part are refused: it was in flight at the crashes of %v and has not completed", known.uncleared())))
-		}
+		actions = append(actions, t.recordVerdict(turn, part, known)...)
 	}
 	maps.DeleteFunc(t.completedAt, func(_ mulberrybeam.SharedPart, at time.Duration) bool {
 		return turn.Now-at >= quarantiner.CompletionWindow
 	})
 	return actions
 }
-
-func addEntry(kind mulberrybeam.EntryKind, part mulberrybeam.SharedPart, text string) mulberrybeam.Action {
-	return mulberrybeam.RecordEntry{Entry: mulberrybeam.Entry{Kind: kind, Subject: string(part), Text: text}}
-}
--- a/process/parttracker/parttracker_test.go
+++ b/process/parttracker/parttracker_test.go
@@ -246,6 +246,26 @@
 	is.Equal(s.refused["m/rare"], refused)
 }
 
+// Guards against the refusal of a sound part because it is often in the same prompts
+// as a part that crashes engines.
+func TestPartBesideDeadlyOneIsNotConvicted(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(2, 0, 1)
+	for i := range 4 {
+		parts := []mulberrybeam.SharedPart{"m/beside", deadly}
+		if i == 3 {
+			parts = []mulberrybeam.SharedPart{deadly}
+		}
+		s.write(platform.Encoder{}.Crash(mulberrybeam.CrashRecord{Target: mulberrybeam.InstanceID(fmt.Sprint("e", i)), Parts: parts}))
+	}
+	s.play(2*time.Second, 0, 0, nil)
+	s.engines = []*engine{{}}
+	s.send(&run{parts: []mulberrybeam.SharedPart{"m/beside"}})
+	s.send(&run{parts: []mulberrybeam.SharedPart{"m/beside", deadly}})
+	is.Equal(s.refused["m/beside"], 0)
+	is.Equal(s.refused[deadly], 1)
+}
+
 // Guards against more state than the limit, however many parts are in flight at
 // crashes.
 func TestSuspectsAreBounded(t *testing.T) {
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -66,6 +66,20 @@
 	is.Equal(len(d.step(mulberrybeam.Tick{})), 1)
 }
 
+// Guards against a part that other hosts go on refusing after a request with it has
+// completed.
+func TestClearancesAreWritten(t *testing.T) {
+	is := is.New(t)
+	d := newDriver()
+	d.reply(d.step(mulberrybeam.Tick{})[0], nil)
+	clearance := mulberrybeam.PartClearance{Part: "m/p", Targets: []mulberrybeam.InstanceID{"i"}}
+	calls := d.step(mulberrybeam.PartCleared{Clearance: clearance})
+	is.Equal(len(calls), 1)
+	record, err := platform.Decoder{}.Decode(calls[0].Object)
+	is.NoErr(err)
+	is.Equal(*record.Clearance, clearance)
+}
+
 // Guards against crash records that are never deleted.
 func TestCrashRecordsAreWrittenAndDeleted(t *testing.T) {
 	is := is.New(t)
--- a/request/quarantiner/part.go
+++ b/request/quarantiner/part.go
@@ -131,7 +131,7 @@
 		return decision
 	}
 	decision.Verdict = Refuse
-	trialAt := suspicion.LastCrashAt + trialDelay(suspicion.FailedTrials)
+	trialAt := suspicion.LastCrashAt + TrialDelay(suspicion.FailedTrials)
 	decision.RetryAfter = max(trialAt-query.Now, trialTurn)
 	if query.Now < trialAt || query.Interrupted || len(query.Hosts) == 0 {
 		return decision
@@ -146,7 +146,9 @@
 	return decision
 }
 
-func trialDelay(failedTrials int) time.Duration {
+// TrialDelay returns the time from the last crash of a convicted part to the next
+// trial.
+func TrialDelay(failedTrials int) time.Duration {
 	delay := firstTrialDelay
 	for range failedTrials {
 		delay = min(trialDelayFactor*delay, maxTrialDelay)
--- a/request/relayer/part.go
+++ b/request/relayer/part.go
@@ -51,9 +51,13 @@
 		case quarantiner.Refuse:
 			return quarantiner.PartRefusal(decision, !e.mayHaveRun)
 		case quarantiner.RunIsolated:
+			if e.trial == decision.Part {
+				return nil
+			}
 			if !e.trials.claim(decision.Part, e.Now(), decision.TrialEnd) {
 				return quarantiner.PartRefusal(decision, !e.mayHaveRun)
 			}
+			e.trial = decision.Part
 			e.recordEntry(mulberrybeam.EntryTrial, string(decision.Part), fmt.Sprintf("request runs although %d targets crashed with the part", decision.Crashes))
 			return nil
 		case quarantiner.RunNormally:
