--- a/request/relayer/part.go
+++ b/request/relayer/part.go
@@ -42,6 +42,7 @@
 // checkParts returns a Failure if the prompt has a part that crashes targets. It
 // waits while that is being decided.
 func (e *exchange) checkParts(ctx context.Context) error {
+	waitedFor := mulberrybeam.SharedPart("")
 	for {
 		decision := quarantiner.DecideParts(quarantiner.PartQuery{
 			Parts: e.sharedParts(), Suspects: e.fleet.Suspects, Hosts: e.fleet.EntryHosts,
@@ -63,6 +64,11 @@
 		case quarantiner.RunNormally:
 			return nil
 		}
+		if waitedFor != decision.Part {
+			waitedFor = decision.Part
+			e.recordEntry(mulberrybeam.EntryRetry, string(decision.Part), fmt.Sprintf(
+				"attempt waits for the decision on a part that was in flight at %d crashes", decision.Crashes))
+		}
 		if !pauser.Pause(ctx, waitInterval) {
 			return ctx.Err()
 		}
