Let more hosts try a convicted part with each turn

Each turn is now of one host more. A request with two convicted parts took two trials of one host; it now claims both, and runs only if both are due.

--- a/request/quarantiner/part.go
+++ b/request/quarantiner/part.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"time"
 	"unicode/utf8"
 
@@ -61,12 +62,14 @@
 	// firstTrialDelay is the time from the last crash to the first trial of a
 	// convicted part. It is multiplied by trialDelayFactor with each failed trial,
 	// up to maxTrialDelay.
-	firstTrialDelay  = 6 * time.Second
+	firstTrialDelay  = 8 * time.Second
 	trialDelayFactor = 3
 	maxTrialDelay    = time.Minute
-	// From then on the hosts take turns of trialTurn, in each of which one of
-	// them may send one request. The rest of a turn after trialWindow is left
-	// out, since hosts learn of a crash at different times.
+	// From then on the hosts take turns of trialTurn, in which each of them may send
+	// one request. The first turn is of one host, and each further one of one
+	// more, so that a part that is sent often is tried by few hosts and one that
+	// is sent seldom is tried at all. The rest of a turn after trialWindow
+	// is left out, since hosts learn of a crash at different times.
 	trialTurn   = 3 * time.Second
 	trialWindow = 1500 * time.Millisecond
 )
@@ -91,7 +94,9 @@
 	// Part and Crashes are the evidence, unless the verdict is RunNormally.
 	Part    mulberrybeam.SharedPart
 	Crashes int
-	// TrialEnd is when the host's turn for a trial ends.
+	// Trials are the convicted parts that the request tries, and TrialEnd is when
+	// the host's turn ends.
+	Trials   []mulberrybeam.SharedPart
 	TrialEnd time.Duration
 	// RetryAfter is the time to the next trial.
 	RetryAfter time.Duration
@@ -105,16 +110,23 @@
 // DecideParts returns the strictest decision over the parts of a request.
 func DecideParts(query PartQuery) PartDecision {
 	strictest := PartDecision{Verdict: RunNormally}
+	var trials []mulberrybeam.SharedPart
 	for _, part := range query.Parts {
 		suspicion, suspected := query.Suspects[part]
 		if !suspected {
 			continue
 		}
 		decision := decidePart(query, part, suspicion)
+		if decision.Verdict == RunIsolated {
+			trials = append(trials, part)
+		}
 		if strictness[decision.Verdict] > strictness[strictest.Verdict] {
 			strictest = decision
 		}
 	}
+	if strictest.Verdict == RunIsolated {
+		strictest.Trials = trials
+	}
 	return strictest
 }
 
@@ -136,16 +148,22 @@
 	if query.Now < trialAt || query.Interrupted || len(query.Hosts) == 0 {
 		return decision
 	}
-	turn := (query.Now - trialAt) / trialTurn
 	inTurn := (query.Now - trialAt) % trialTurn
-	order := ranker.Top(string(part), query.Hosts, len(query.Hosts))
-	if order[int(turn)%len(order)] == query.Self && inTurn < trialWindow {
+	if inTurn < trialWindow && hasTurn(query, part, int((query.Now-trialAt)/trialTurn)) {
 		decision.Verdict = RunIsolated
 		decision.TrialEnd = query.Now - inTurn + trialTurn
 	}
 	return decision
 }
 
+// hasTurn reports whether the host takes part in a turn.
+func hasTurn(query PartQuery, part mulberrybeam.SharedPart, turn int) bool {
+	count := len(query.Hosts)
+	first, size := turn*(turn+1)/2, turn+1
+	position := slices.Index(ranker.Top(string(part), query.Hosts, count), query.Self)
+	return position >= 0 && (position-first%count+count)%count < size
+}
+
 // TrialDelay returns the time from the last crash of a convicted part to the next
 // trial.
 func TrialDelay(failedTrials int) time.Duration {
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -56,8 +56,8 @@
 	tried       []mulberrybeam.InstanceID
 	waitCount   int
 	mayHaveRun  bool
-	// trial is the convicted prompt part that this request tries.
-	trial mulberrybeam.SharedPart
+	// trials are the convicted prompt parts that this request tries.
+	trials []mulberrybeam.SharedPart
 	// firstByteAt is when the response header of the last attempt arrived.
 	firstByteAt time.Duration
 	// headerWritten is set once the response header has been written to the
--- a/request/relayer/part.go
+++ b/request/relayer/part.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,15 +53,7 @@
 		case quarantiner.Refuse:
 			return quarantiner.PartRefusal(decision, !e.mayHaveRun)
 		case quarantiner.RunIsolated:
-			if e.trial == decision.Part {
-				return nil
-			}
-			if !e.trials.claim(decision.Part, e.Now(), decision.TrialEnd) {
-				return quarantiner.PartRefusal(decision, !e.mayHaveRun)
-			}
-			e.trial = decision.Part
-			e.recordEntry(mulberrybeam.EntryTrial, string(decision.Part), fmt.Sprintf("request runs although %d targets crashed with the part", decision.Crashes))
-			return nil
+			return e.claimTrials(decision)
 		case quarantiner.RunNormally:
 			return nil
 		}
@@ -76,6 +69,23 @@
 	}
 }
 
+// claimTrials returns a Failure if this process has made its trial of a part in this
+// turn.
+func (e *exchange) claimTrials(decision quarantiner.PartDecision) error {
+	if slices.Equal(e.trials, decision.Trials) {
+		return nil
+	}
+	if !e.claims.claim(decision.Trials, e.Now(), decision.TrialEnd) {
+		return quarantiner.PartRefusal(decision, !e.mayHaveRun)
+	}
+	e.trials = decision.Trials
+	for _, part := range decision.Trials {
+		e.recordEntry(mulberrybeam.EntryTrial, string(part), fmt.Sprintf(
+			"request runs although targets crashed with the part, %d with part %s", decision.Crashes, decision.Part))
+	}
+	return nil
+}
+
 // failSuspect ends a request that may not be sent to a target because of a part.
 func (e *exchange) failSuspect(ctx context.Context, err error) {
 	if e.headerWritten || ctx.Err() != nil {
@@ -92,18 +102,22 @@
 	ends  map[mulberrybeam.SharedPart]time.Duration
 }
 
-// claim reports whether the caller may make the one trial of this process that is
-// allowed until end.
-func (c *trialClaims) claim(part mulberrybeam.SharedPart, now, end time.Duration) bool {
+// claim reports whether the caller may make the one trial of each of the parts that
+// is allowed to this process until end.
+func (c *trialClaims) claim(parts []mulberrybeam.SharedPart, now, end time.Duration) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	maps.DeleteFunc(c.ends, func(_ mulberrybeam.SharedPart, end time.Duration) bool { return end <= now })
-	if _, claimed := c.ends[part]; claimed {
-		return false
+	for _, part := range parts {
+		if _, claimed := c.ends[part]; claimed {
+			return false
+		}
 	}
 	if c.ends == nil {
 		c.ends = map[mulberrybeam.SharedPart]time.Duration{}
 	}
-	c.ends[part] = end
+	for _, part := range parts {
+		c.ends[part] = end
+	}
 	return true
 }
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -43,7 +43,7 @@
 	// Draining reports whether the process is shutting down.
 	Draining func() bool
 
-	trials trialClaims
+	claims trialClaims
 }
 
 // ServeHTTP handles one request of a caller.
