--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -1,9 +1,10 @@
 // Package registrar is the control state machine that publishes records of this
 // process through the platform's object API: its registration as an entry host,
-// and the requests that crashed a target.
+// the requests that crashed a target, and the prompt parts that did not.
 package registrar
 
 import (
+	"fmt"
 	"time"
 
 	"mulberrybeam"
@@ -59,6 +60,12 @@
 		if len(r.pending) < maxPending {
 			r.pending = append(r.pending, r.encoder.Crash(event.Crash))
 		}
+		return append(r.sendNext(turn), addEntry(mulberrybeam.EntryCrash, string(event.Crash.Target), fmt.Sprintf(
+			"target crashed while running request %x, which shares the prompt parts %v", event.Crash.Fingerprint, event.Crash.Parts)))
+	case mulberrybeam.PartCleared:
+		if len(r.pending) < maxPending {
+			r.pending = append(r.pending, r.encoder.Clearance(event.Clearance))
+		}
 	case mulberrybeam.ObjectReplied:
 		if event.Ticket != r.ticket || r.ticket == 0 {
 			return nil
@@ -119,7 +126,7 @@
 		return nil
 	}
 	r.writtenCrashes = append(r.writtenCrashes, writtenCrash{r.inFlight, turn.Now + crashRetention})
-	return []mulberrybeam.Action{addEntry(mulberrybeam.EntryCrash, r.inFlight.Name, "target crashed while running a request")}
+	return nil
 }
 
 // addEntry returns the action that adds an entry to the timeline.
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -56,6 +56,8 @@
 	tried       []mulberrybeam.InstanceID
 	waitCount   int
 	mayHaveRun  bool
+	// trials are the convicted prompt parts that this request tries.
+	trials []mulberrybeam.SharedPart
 	// firstByteAt is when the response header of the last attempt arrived.
 	firstByteAt time.Duration
 	// headerWritten is set once the response header has been written to the
@@ -167,6 +169,10 @@
 	for {
 		// Targets may have left since the previous attempt.
 		e.fleet = e.Fleet()
+		if err := e.checkParts(ctx); err != nil {
+			e.failSuspect(ctx, err)
+			return
+		}
 		err := e.runAttempt(ctx)
 		if err == nil {
 			return
--- /dev/null
+++ b/request/relayer/part.go
@@ -0,0 +1,129 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/pauser"
+	"mulberrybeam/request/quarantiner"
+)
+
+// answerBeginWindow is how long after the first byte of the response a crash may
+// still have been caused by a prompt part of the request.
+const answerBeginWindow = 2 * time.Second
+
+// crashParts returns the prompt parts that may have crashed the target.
+func (a *attempt) crashParts() []mulberrybeam.SharedPart {
+	if a.firstByteAt > a.sentAt && a.Now()-a.firstByteAt > answerBeginWindow {
+		return nil
+	}
+	return a.sharedParts()
+}
+
+func (e *exchange) sharedParts() []mulberrybeam.SharedPart {
+	return quarantiner.SharedParts(e.inbound.Model, e.inbound.Parts)
+}
+
+// reportCompletedParts reports the parts of a completed request to the control
+// loop. A stream without events may have been cut by a crash.
+func (a *attempt) reportCompletedParts(status int) {
+	parts := a.sharedParts()
+	if status != http.StatusOK || len(parts) == 0 || a.match.Rule.Streaming && a.requestInfo.Repeatable && a.splitter.Events == 0 {
+		return
+	}
+	a.Post(mulberrybeam.PartsCompleted{Parts: parts})
+}
+
+// decideParts decides whether the prompt's parts may run. interrupted is set for
+// a request that may have run on a target.
+func (e *exchange) decideParts(interrupted bool) quarantiner.PartDecision {
+	return quarantiner.DecideParts(quarantiner.PartQuery{
+		Parts: e.sharedParts(), Suspects: e.fleet.Suspects, Hosts: e.fleet.EntryHosts,
+		Self: e.settings.ID, Now: e.Now(), Interrupted: interrupted,
+	})
+}
+
+// checkParts returns a Failure if the prompt has a part that crashes targets. It
+// waits while that is being decided.
+func (e *exchange) checkParts(ctx context.Context) error {
+	waitedFor := mulberrybeam.SharedPart("")
+	for {
+		decision := e.decideParts(e.mayHaveRun)
+		switch decision.Verdict {
+		case quarantiner.Refuse:
+			return quarantiner.PartRefusal(decision, !e.mayHaveRun)
+		case quarantiner.RunIsolated:
+			return e.claimTrials(decision)
+		case quarantiner.RunNormally:
+			return nil
+		}
+		if waitedFor != decision.Part {
+			waitedFor = decision.Part
+			e.recordEntry(mulberrybeam.EntryRetry, string(decision.Part), fmt.Sprintf(
+				"attempt waits for the decision on a part that was in flight at %d crashes", decision.Crashes))
+		}
+		if !pauser.Pause(ctx, waitInterval) {
+			return ctx.Err()
+		}
+		e.fleet = e.Fleet()
+	}
+}
+
+// claimTrials returns a Failure if this process has made its trial of a part in this
+// turn.
+func (e *exchange) claimTrials(decision quarantiner.PartDecision) error {
+	if slices.Equal(e.trials, decision.Trials) {
+		return nil
+	}
+	if !e.claims.claim(decision.Trials, e.Now(), decision.TrialEnd) {
+		return quarantiner.PartRefusal(decision, !e.mayHaveRun)
+	}
+	e.trials = decision.Trials
+	for _, part := range decision.Trials {
+		e.recordEntry(mulberrybeam.EntryTrial, string(part), fmt.Sprintf(
+			"request runs although targets crashed with the part, %d with part %s", decision.Crashes, decision.Part))
+	}
+	return nil
+}
+
+// failSuspect ends a request that may not be sent to a target because of a part.
+func (e *exchange) failSuspect(ctx context.Context, err error) {
+	if e.headerWritten || ctx.Err() != nil {
+		e.fail(ctx, err)
+		return
+	}
+	e.writeRefusal(err)
+}
+
+// trialClaims are the trials of this process, by part. It is safe for concurrent
+// use.
+type trialClaims struct {
+	mutex sync.Mutex
+	ends  map[mulberrybeam.SharedPart]time.Duration
+}
+
+// claim reports whether the caller may make the one trial of each of the parts that
+// is allowed to this process until end.
+func (c *trialClaims) claim(parts []mulberrybeam.SharedPart, now, end time.Duration) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	maps.DeleteFunc(c.ends, func(_ mulberrybeam.SharedPart, end time.Duration) bool { return end <= now })
+	for _, part := range parts {
+		if _, claimed := c.ends[part]; claimed {
+			return false
+		}
+	}
+	if c.ends == nil {
+		c.ends = map[mulberrybeam.SharedPart]time.Duration{}
+	}
+	for _, part := range parts {
+		c.ends[part] = end
+	}
+	return true
+}
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -43,6 +43,8 @@
 	Now func() time.Duration
 	// Draining reports whether the process is shutting down.
 	Draining func() bool
+
+	claims trialClaims
 }
 
 // ServeHTTP handles one request of a caller.
--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -43,6 +43,10 @@
 	mutex    sync.Mutex
 	requests []*http.Request
 	crashes  chan mulberrybeam.TargetCrashed
+	start    time.Time
+	prompts  int
+	// control gets the events that the Relayer posts, if it is set.
+	control atomic.Pointer[controlLoop]
 }
 
 // newHarness starts a Relayer and one target per handler. The first target is
@@ -87,8 +91,8 @@
 }
 
 func (h *harness) startRelayer(budgets *monitor.Budgets) {
-	start := time.Now()
-	now := func() time.Duration { return time.Since(start) }
+	h.start = time.Now()
+	now := func() time.Duration { return time.Since(h.start) }
 	connections, closeIdle := requester.New(platform.Codec{}, (&net.Dialer{}).DialContext, now)
 	settings := &mulberrybeam.HostSettings{ID: "self", Zone: "z0", Bounds: mulberrybeam.HostBounds{VersionWithin: 8 * time.Second}}
 	server := httptest.NewServer(&relayer.Relayer{
@@ -96,6 +100,10 @@
 		Codec:    platform.Codec{}, Sender: connections, Monitor: monitor.New(now), Budgets: budgets,
 		Catalog: emptyCatalog{}, Recorder: discardRecorder{}, Fleet: h.fleet.Load, Now: now,
 		Post: func(event mulberrybeam.Event) {
+			if control := h.control.Load(); control != nil {
+				control.post(event)
+				return
+			}
 			if crash, ok := event.(mulberrybeam.TargetCrashed); ok {
 				h.crashes <- crash
 			}
