Keep running when an upgraded engine's entry names no weight versions

The weights lease lists the engines that were upgraded, by name. When the entry of such an engine was then written without `models` (by another writer, or by a service that got the name), building the fleet wrote to a nil map: the control goroutine panicked and the process ended. The entry and the lease stay in the store, so that every process ended again after each restart.

The lease now changes the version of a model only if the entry names that model. An engine that does not name it does not serve it.

TestUpgradedEngineWithoutVersions failed before with "panic: assignment to entry in nil map" in usableTargets.

--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -44,7 +44,8 @@
 			continue
 		}
 		target := mulberrybeam.FleetTarget{LiveTarget: tracked.target, ColdUntil: tracked.coldUntil}
-		if upgraded, found := t.upgradedEngines[id]; found && upgraded.Version > target.Versions[upgraded.Model] {
+		upgraded := t.upgradedEngines[id]
+		if version, serves := target.Versions[upgraded.Model]; serves && upgraded.Version > version {
 			target.Versions = maps.Clone(target.Versions)
 			target.Versions[upgraded.Model] = upgraded.Version
 		}
--- a/process/tracker/tracker_test.go
+++ b/process/tracker/tracker_test.go
@@ -169,3 +169,23 @@
 	f.step(mulberrybeam.Tick{})
 	is.Equal(f.fleet().Crashes[fingerprint], 0)
 }
+
+// Guards against a panic when the entry of an upgraded engine names no weight
+// versions any more, or none of the model.
+func TestUpgradedEngineWithoutVersions(t *testing.T) {
+	for name, versions := range map[string]map[mulberrybeam.ModelName]int{
+		"no versions": nil, "another model": {"other": 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			lease := &mulberrybeam.LeaderLease{Upgraded: []mulberrybeam.UpgradedEngine{{Engine: "t1", Model: "m", Version: 2}}}
+			f.sendChange(mulberrybeam.ObjectLease, "weights", mulberrybeam.Record{Lease: lease}, false)
+			changed := target("t1")
+			changed.Target.Versions = versions
+			f.sendChange(mulberrybeam.ObjectTarget, "t1", changed, false)
+			is.Equal(f.targetCount(), 2)
+			is.Equal(f.fleet().Targets["s"][0].Versions, versions)
+		})
+	}
+}
