Believe no response without a request ID on a connection used before

A target that writes an earlier refusal once more on a kept connection, without its request ID, made this process tell the caller of the next request that it did not run while the target ran it, or send it to a second target: a response without an ID was taken for that to the last request on the connection.

On a new connection such a response can only belong to the one request sent on it and is still accepted. On a connection that carried another request it is skipped like one with another ID: targets echo the ID, so that the real response follows. If the connection ends instead, the attempt fails as one that may have run.

--- a/connection/requester/pool.go
+++ b/connection/requester/pool.go
@@ -96,6 +96,13 @@
 	pc.requests = append(pc.requests, request)
 }
 
+// answers reports whether a response with the given request ID, or with none, is
+// the response to the last request on the connection. One without an ID may be an
+// extra response to an earlier request.
+func (pc *pooledConn) answers(received, request mulberrybeam.RequestID) bool {
+	return received == request || received == "" && len(pc.requests) == 1
+}
+
 // putIdle returns a connection to its pool, or closes it if the pool has enough.
 func (c *Requester) putIdle(pc *pooledConn) {
 	c.mutex.Lock()
--- a/connection/requester/requester.go
+++ b/connection/requester/requester.go
@@ -148,7 +148,7 @@
 			return nil, newFailure(mulberrybeam.StepAnswer, pc.target, "no response received", false, err)
 		}
 		head := c.codec.Answer(response.StatusCode, response.Header)
-		if head.Request == message.ID || head.Request == "" {
+		if pc.answers(head.Request, message.ID) {
 			pc.source.unlimit()
 			answer := &Answer{Status: response.StatusCode, Header: response.Header, Head: head, body: response.Body}
 			pc.reuseUntil = c.now() + idleTimeout(response)
--- a/connection/requester/trouble_test.go
+++ b/connection/requester/trouble_test.go
@@ -127,3 +127,65 @@
 		})
 	}
 }
+
+// Guards against a copy of an earlier refusal that is taken for the response to
+// the next request on the connection because it has no request ID.
+func TestResponseWithoutIDOnAKeptConnection(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Busy\r\nMulberrybeam-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy"
+	cases := []struct {
+		name, id, copied, body string
+		failed                 bool
+	}{
+		{"refusal before the response", "r2", refusal, "right", false},
+		{"two refusals before the response", "r2", refusal + refusal, "right", false},
+		{"other response before the response", "r2", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "right", false},
+		{"refusal that closes the connection", "r2", strings.Replace(refusal, "\r\n", "\r\nConnection: close\r\n", 1) + closeSuffix, "", true},
+		{"refusal without length", "r2", strings.Replace(refusal, "Content-Length: 4\r\n", "", 1) + closeSuffix, "", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScriptedServer(t, func(conn, request int, id string) string {
+				is.Equal(conn, 1)
+				if request == 1 {
+					return httpResponse(id, "first")
+				}
+				if copied, closes := strings.CutSuffix(c.copied, closeSuffix); closes {
+					return copied + closeSuffix
+				}
+				return c.copied + httpResponse(id, "right")
+			})
+			client := newRequester(t)
+			body, err := sendAndRead(client, s, "r1")
+			is.NoErr(err)
+			is.Equal(body, "first")
+			body, err = sendAndRead(client, s, c.id)
+			is.Equal(err != nil, c.failed)
+			is.Equal(body, c.body)
+			if c.failed {
+				is.Equal(mulberrybeam.CodeOf(err), mulberrybeam.CodeTargetFailed)
+			}
+		})
+	}
+}
+
+// Guards against skipping the only response on a new connection because it has no
+// request ID, as that to a request without one.
+func TestResponseWithoutIDOnANewConnection(t *testing.T) {
+	for _, id := range []string{"r1", ""} {
+		t.Run("request "+id, func(t *testing.T) {
+			is := is.New(t)
+			s := newScriptedServer(t, func(int, int, string) string {
+				return "HTTP/1.1 503 Busy\r\nMulberrybeam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+			})
+			client := newRequester(t)
+			for range 2 {
+				answer, err := client.Send(t.Context(), s.target(), 0, newMessage(id))
+				is.NoErr(err)
+				is.True(answer.Head.NotRun)
+				_, _ = io.Copy(io.Discard, answer)
+				answer.Close()
+			}
+		})
+	}
+}
