Do not send a request again on a connection that carried it long before

A request that a target refused may be sent to it again within its latency goal, on a connection that has carried other requests since. After the fifth the connection had forgotten the first, so that a late copy of the refusal, which bears the same request ID, was taken for the response to the retry: the caller was told that a request did not run that the target ran. The last 64 requests are remembered, more than short requests fit into a latency goal.

TestRetryDoesNotGetTheCopyOfAnEarlierRefusal failed before with 20 requests between, which is a new case of it.

--- a/connection/requester/requester.go
+++ b/connection/requester/requester.go
@@ -46,7 +46,7 @@
 	maxHeadBytes = 64 << 10
 	// rememberedRequests is the number of earlier requests of a connection that
 	// are not sent on it again.
-	rememberedRequests = 4
+	rememberedRequests = 64
 )
 
 // Message is a request to a target. Content-Length is sent only with HasBody.
--- a/connection/requester/trouble_test.go
+++ b/connection/requester/trouble_test.go
@@ -98,7 +98,7 @@
 	refusal := func(id string) string {
 		return fmt.Sprintf("HTTP/1.1 503 Busy\r\nMulberrybeam-Request-Id: %s\r\nMulberrybeam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 	}
-	for _, between := range []int{0, 1, 2} {
+	for _, between := range []int{0, 1, 2, 20} {
 		t.Run(fmt.Sprint(between, " requests between"), func(t *testing.T) {
 			is := is.New(t)
 			s := newScriptedServer(t, func(conn, request int, id string) string {
