Check the request ID of an engine's refusal too

The client of mulberrybeamd compared the request ID of a stream with that of the call, but not the ID of an error response. A copy of an earlier refusal on a kept connection then counted as "not run" for a prompt that the engine ran, and the prompt was sent to a second engine.

The refusal of another request is now a failure without NotRun.

The new case of TestNotRunOfFailedCalls failed before: the code was "overloaded" and NotRun was set.

--- a/connection/enginecaller/caller.go
+++ b/connection/enginecaller/caller.go
@@ -106,11 +106,12 @@
 	streamCtx, cancel := context.WithCancel(ctx)
 	idle := newIdleTimer(c.settings.IdleTimeout, cancel)
 	response, err := encoder.Send(streamCtx, c.client, call)
-	if err == nil && response.StatusCode != http.StatusOK {
-		err = encoder.ReadRefusal(response, call)
-		_ = response.Body.Close()
-	} else if err == nil {
-		if err = encoder.CheckRequestID(response, call); err != nil {
+	if err == nil {
+		err = encoder.CheckRequestID(response, call)
+		if err == nil && response.StatusCode != http.StatusOK {
+			err = encoder.ReadRefusal(response, call)
+		}
+		if err != nil {
 			_ = response.Body.Close()
 		}
 	}
--- a/connection/enginecaller/caller_test.go
+++ b/connection/enginecaller/caller_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"maps"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
 	"strings"
 	"testing"
@@ -237,8 +239,8 @@
 }
 
 // Guards against a wrong NotRun if no connection could be opened, if the
-// connection was closed before the response, and if the engine refused the
-// weight version.
+// connection was closed before the response, if the engine refused another
+// request, and if it refused the weight version.
 func TestNotRunOfFailedCalls(t *testing.T) {
 	t.Run("connection refused", func(t *testing.T) {
 		fake, caller, target := setUp(t)
@@ -264,6 +266,22 @@
 		_, err = caller.Generate(t.Context(), newCall(target, "r1"))
 		checkFailure(t, err, mulberrybeam.CodeTargetFailed, false)
 	})
+	t.Run("refusal of another request", func(t *testing.T) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				_, _ = io.WriteString(w, `{"instance": "i1"}`)
+				return
+			}
+			w.Header().Set("X-Request-Id", "r0")
+			w.WriteHeader(http.StatusTooManyRequests)
+			_, _ = io.WriteString(w, `{"error":{"code":"overloaded","not-run":true}}`)
+		}))
+		defer server.Close()
+		_, caller, target := setUp(t)
+		target.Address = strings.TrimPrefix(server.URL, "http://")
+		_, err := caller.Generate(t.Context(), newCall(target, "r1"))
+		checkFailure(t, err, mulberrybeam.CodeTargetFailed, false)
+	})
 	t.Run("wrong version", func(t *testing.T) {
 		_, caller, target := setUp(t)
 		call := newCall(target, "r1")
