Resume a stream only with a stream of the same content type

When a stream had begun and broke off, the next target's response with status 200 and the stamp was forwarded as the rest of it, whatever it was: callers found the text of a JSON error, or of a whole head, in the middle of their stream, which then ended as if it were complete.

A response whose content type differs from that of the header the caller has now counts as an interruption: the stream resumes on another target or the caller's connection is aborted. Parameters and case are not compared.

Ruled out, now guarded: every other status, refusals, and responses without the stamp. In mulberrybeamd a stream consists of decoded tokens that the assembler numbers, and an error status never becomes one.

--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -256,8 +256,9 @@
 		return a.recordInterruption(ctx, "response lacks the target's stamp", nil)
 	case response.Status >= http.StatusInternalServerError && a.requestInfo.Repeatable && !a.headerWritten:
 		return a.handleErrorStatus(response)
-	case a.headerWritten && response.Status != http.StatusOK:
-		return a.recordInterruption(ctx, fmt.Sprintf("stream cannot be resumed, target returned status %d", response.Status), nil)
+	case a.headerWritten && !a.continuesStream(response):
+		return a.recordInterruption(ctx, fmt.Sprintf("stream cannot be resumed, target returned status %d with content type %q",
+			response.Status, response.Header.Get("Content-Type")), nil)
 	case impliesNotRun(response.Status) && !response.Head.NotRun:
 		return a.recordInterruption(ctx, fmt.Sprintf("target returned status %d without confirming that the request did not run", response.Status), nil)
 	case a.match.Rule.Streaming && response.Status == http.StatusOK:
