Count a stream that ends inside an event as broken off

A stream may come with neither a length nor chunks and end with its connection. When such a stream ended inside an event, the rest of the event was written and the caller's response was completed; of streams that may not be repeated the events were not looked at. Callers took the stream for complete.

Such a stream now counts as interrupted: it resumes on another target, or the caller's connection is aborted. The splitter tells it from the line ends alone, without buffering the streams that are forwarded as they arrive. Comments after the last event are complete; a body of another content type is not judged.

--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -71,6 +71,9 @@
 			}
 		}
 		if err == io.EOF {
+			if a.splitter.InsideEvent() && isEventStream(response) {
+				return a.recordInterruption(ctx, fmt.Sprintf("stream ended inside the event after event %q", a.splitter.LastID), io.ErrUnexpectedEOF)
+			}
 			return a.finishStream(flusher, response)
 		}
 		if err != nil {
@@ -88,6 +91,8 @@
 		if len(chunk) == 0 {
 			return nil
 		}
+	} else {
+		a.splitter.Observe(chunk)
 	}
 	a.ensureHeader(response)
 	if _, err := a.writer.Write(chunk); err != nil {
--- a/request/relayer/resume.go
+++ b/request/relayer/resume.go
@@ -15,6 +15,13 @@
 		mediaType(response.Header) == mediaType(a.writer.Header())
 }
 
+// isEventStream reports whether a response consists of events. One without a
+// content type on a streaming route does.
+func isEventStream(response *requester.Answer) bool {
+	kind := mediaType(response.Header)
+	return kind == "" || kind == "text/event-stream"
+}
+
 // mediaType returns the content type of a header without its parameters.
 func mediaType(header http.Header) string {
 	value := header.Get("Content-Type")
--- a/request/resumer/resumer.go
+++ b/request/resumer/resumer.go
@@ -16,11 +16,13 @@
 	Events    int
 	pending   []byte
 	oversized bool
+	boundary  boundary
 }
 
 // Feed takes the next bytes of the stream and returns the events that are now
 // complete. The result is valid until the next call.
 func (s *Splitter) Feed(chunk []byte) []byte {
+	s.Observe(chunk)
 	s.pending = append(s.pending, chunk...)
 	end := 0
 	for {
@@ -40,12 +42,23 @@
 	return complete
 }
 
+// Observe takes the next bytes of a stream that is forwarded as it arrives. In
+// contrast to Feed it only serves InsideEvent.
+func (s *Splitter) Observe(chunk []byte) { s.boundary.feed(chunk) }
+
+// InsideEvent reports whether the last event is incomplete. A stream that ends
+// inside an event has been broken off. Comments are not events.
+func (s *Splitter) InsideEvent() bool { return s.boundary.insideEvent() }
+
 // Rest returns the bytes of the incomplete event at the end.
 func (s *Splitter) Rest() []byte { return s.pending }
 
 // Drop discards the incomplete event at the end, before the stream continues at
 // another target.
-func (s *Splitter) Drop() { s.pending = s.pending[:0] }
+func (s *Splitter) Drop() {
+	s.pending = s.pending[:0]
+	s.boundary = boundary{}
+}
 
 // Resumable reports whether the stream can continue after the last complete event.
 func (s *Splitter) Resumable() bool {
--- a/request/resumer/resumer_test.go
+++ b/request/resumer/resumer_test.go
@@ -31,6 +31,9 @@
 			complete.Write(splitter.Feed([]byte(rest[:n])))
 			rest = rest[n:]
 		}
+		if splitter.InsideEvent() != (incomplete != "") {
+			t.Fatalf("inside an event: %t", splitter.InsideEvent())
+		}
 		if complete.String() != stream.String() || string(splitter.Rest()) != incomplete || splitter.Events != count {
 			t.Fatalf("got %q and %q", complete.String(), splitter.Rest())
 		}
@@ -61,3 +64,40 @@
 	splitter.Feed([]byte("data: x\n\n"))
 	is.True(!splitter.Resumable())
 }
+
+// Guards against a stream that was broken off inside an event and counts as
+// complete, and against a complete one that does not.
+func TestInsideEvent(t *testing.T) {
+	for text, want := range map[string]bool{
+		"":                                false,
+		"data: x\n\n":                     false,
+		"data: x\r\n\r\n":                 false,
+		"data: x\r\r":                     false,
+		"data: x\n\r\n":                   false,
+		"data: x\n\n\n":                   false,
+		"data: x\n\n: comment\n":          false,
+		": comment\ndata: x\n\n":          false,
+		"d":                               true,
+		"data: x":                         true,
+		"data: x\n":                       true,
+		"data: x\r\n":                     true,
+		"data: x\r\n\r\nd":                true,
+		"data: x\n\ndata: y\n":            true,
+		"data: x\n\n: comm":               true,
+		"data: x\n\ndata: y\n: comment\n": true,
+		"data: x\n:":                      true,
+	} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			var whole, single resumer.Splitter
+			whole.Observe([]byte(text))
+			is.Equal(whole.InsideEvent(), want)
+			for i := range len(text) {
+				single.Observe([]byte(text[i : i+1]))
+			}
+			is.Equal(single.InsideEvent(), want)
+			whole.Drop()
+			is.True(!whole.InsideEvent())
+		})
+	}
+}
