Do not repeat events of a stream that is resumed

A target that began a resumed stream anew, without regard to Last-Event-Id, had its events forwarded: the caller got those it had once more, out of order and of another run.

The ids of events increase. A stream with an event whose number is not above the last one is given up before that event, and resumes on another target or ends the caller's connection. Ids that are no numbers are not compared, and streams that may not be repeated have a single target.

TestResumedStreamThatBeginsAnew failed before with "not true: got.err != nil".

--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -66,6 +66,9 @@
 			if writeErr := a.forwardChunk(flusher, response, buffer[:n]); writeErr != nil {
 				return a.callerDisconnected(writeErr)
 			}
+			if a.splitter.Repeated() {
+				return a.recordInterruption(ctx, fmt.Sprintf("target repeated an event, stream was given up after event %q", a.splitter.LastID), nil)
+			}
 			if !a.requestInfo.Repeatable || a.splitter.Events > events {
 				idle.recordActivity()
 			}
--- a/request/relayer/resume_test.go
+++ b/request/relayer/resume_test.go
@@ -82,3 +82,22 @@
 	is.NoErr(got.err)
 	is.Equal(got.body, eventText(6))
 }
+
+// Guards against events that the caller already has in a stream that is resumed at
+// a target which begins it anew.
+func TestResumedStreamThatBeginsAnew(t *testing.T) {
+	stream := func(handler http.HandlerFunc) http.HandlerFunc { return withContentType("text/event-stream", handler) }
+	anew := func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Mulberrybeam-Response-Stamp", "second")
+		writeEvents(writer, 1, 6)
+	}
+	three := streamRule
+	three.MaxAttempts = 3
+	is := is.New(t)
+	got := newHarness(t, streamRule, stream(abortsAfter(2)), stream(anew)).call(nil)
+	is.True(got.err != nil)
+	is.Equal(got.body, eventText(2))
+	got = newHarness(t, three, stream(abortsAfter(2)), stream(anew), stream(resumesStream)).call(nil)
+	is.NoErr(got.err)
+	is.Equal(got.body, eventText(6))
+}
--- a/request/resumer/resumer.go
+++ b/request/resumer/resumer.go
@@ -2,7 +2,10 @@
 // that a broken stream can continue at another target without a gap.
 package resumer
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // maxPending is the maximum size in bytes of an incomplete event. A longer one is
 // forwarded as it is, after which the stream cannot be resumed.
@@ -16,6 +19,7 @@
 	Events    int
 	pending   []byte
 	oversized bool
+	repeated  bool
 	boundary  boundary
 }
 
@@ -30,10 +34,13 @@
 		if size == 0 {
 			break
 		}
+		if s.repeated = s.repeated || s.repeats(s.pending[end:end+size]); s.repeated {
+			break
+		}
 		s.record(s.pending[end : end+size])
 		end += size
 	}
-	if end == 0 && len(s.pending) > maxPending {
+	if end == 0 && len(s.pending) > maxPending && !s.repeated {
 		s.oversized = true
 		end = len(s.pending)
 	}
@@ -50,6 +57,10 @@
 // inside an event has been broken off. Comments are not events.
 func (s *Splitter) InsideEvent() bool { return s.boundary.insideEvent() }
 
+// Repeated reports whether an event came whose id is not above that of the event
+// before it. It and what follows are not returned by Feed.
+func (s *Splitter) Repeated() bool { return s.repeated }
+
 // Rest returns the bytes of the incomplete event at the end.
 func (s *Splitter) Rest() []byte { return s.pending }
 
@@ -58,6 +69,7 @@
 func (s *Splitter) Drop() {
 	s.pending = s.pending[:0]
 	s.boundary = boundary{}
+	s.repeated = false
 }
 
 // Resumable reports whether the stream can continue after the last complete event.
@@ -67,11 +79,28 @@
 
 func (s *Splitter) record(event []byte) {
 	s.Events++
+	if id, found := eventID(event); found {
+		s.LastID = id
+	}
+}
+
+// repeats reports whether an event has a number as its id that is not above the
+// last one.
+func (s *Splitter) repeats(event []byte) bool {
+	id, found := eventID(event)
+	number, err := strconv.ParseUint(id, 10, 64)
+	last, lastErr := strconv.ParseUint(s.LastID, 10, 64)
+	return found && err == nil && lastErr == nil && number <= last
+}
+
+// eventID returns the last id in an event.
+func eventID(event []byte) (id string, found bool) {
 	for line := range bytes.Lines(event) {
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			s.LastID = string(bytes.TrimSpace(value))
+		if value, isID := bytes.CutPrefix(line, []byte("id:")); isID {
+			id, found = string(bytes.TrimSpace(value)), true
 		}
 	}
+	return id, found
 }
 
 // eventSize returns the length of the first event including the empty line that
--- a/request/resumer/resumer_test.go
+++ b/request/resumer/resumer_test.go
@@ -101,3 +101,27 @@
 		})
 	}
 }
+
+// Guards against an event that is returned twice, and against events without a
+// number that count as repeated.
+func TestRepeatedEvents(t *testing.T) {
+	for _, c := range []struct {
+		stream, want string
+		repeated     bool
+	}{
+		{"id: 1\n\nid: 2\n\nid: 2\n\nid: 3\n\n", "id: 1\n\nid: 2\n\n", true},
+		{"id: 9\n\nid: 10\n\nid: 1\n\n", "id: 9\n\nid: 10\n\n", true},
+		{"id: 9\n\ndata: x\n\nid: 10\n\n", "id: 9\n\ndata: x\n\nid: 10\n\n", false},
+		{"id: b\n\nid: a\n\n", "id: b\n\nid: a\n\n", false},
+	} {
+		t.Run(c.stream, func(t *testing.T) {
+			is := is.New(t)
+			var splitter resumer.Splitter
+			is.Equal(string(splitter.Feed([]byte(c.stream))), c.want)
+			is.Equal(splitter.Repeated(), c.repeated)
+			is.Equal(len(splitter.Feed([]byte("id: 11\n\n"))) == 0, c.repeated)
+			splitter.Drop()
+			is.True(!splitter.Repeated())
+		})
+	}
+}
