--- a/connection/requester/requester.go
+++ b/connection/requester/requester.go
@@ -46,7 +46,7 @@
 	maxHeadBytes = 64 << 10
 	// rememberedRequests is the number of earlier requests of a connection that
 	// are not sent on it again.
-	rememberedRequests = 4
+	rememberedRequests = 64
 )
 
 // Message is a request to a target. Content-Length is sent only with HasBody.
@@ -148,7 +148,7 @@
 			return nil, newFailure(mulberrybeam.StepAnswer, pc.target, "no response received", false, err)
 		}
 		head := c.codec.Answer(response.StatusCode, response.Header)
-		if head.Request == message.ID || head.Request == "" {
+		if pc.answers(head.Request, message.ID) {
 			pc.source.unlimit()
 			answer := &Answer{Status: response.StatusCode, Header: response.Header, Head: head, body: response.Body}
 			pc.reuseUntil = c.now() + idleTimeout(response)
--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -97,14 +97,20 @@
 			w.dropStandby()
 			return false, a.callerDisconnected(err)
 		}
+		if a.splitter.Repeated() {
+			return false, a.recordInterruption(ctx, fmt.Sprintf("target repeated an event, stream was given up after event %q", a.splitter.LastID), nil)
+		}
 		if !a.requestInfo.Repeatable || a.splitter.Events > events {
 			w.recordActivity()
 		}
 	}
-	switch received.err {
-	case nil:
+	switch {
+	case received.err == nil:
 		return false, nil
-	case io.EOF:
+	case received.err != io.EOF:
+	case a.splitter.InsideEvent() && isEventStream(response):
+		return false, a.recordInterruption(ctx, fmt.Sprintf("stream ended inside the event after event %q", a.splitter.LastID), io.ErrUnexpectedEOF)
+	default:
 		w.dropStandby()
 		return true, a.finishStream(flusher, response)
 	}
@@ -117,6 +123,8 @@
 		if len(chunk) == 0 {
 			return nil
 		}
+	} else {
+		a.splitter.Observe(chunk)
 	}
 	a.ensureHeader(response)
 	if _, err := a.writer.Write(chunk); err != nil {
--- a/request/relayer/outcome.go
+++ b/request/relayer/outcome.go
@@ -21,8 +21,9 @@
 		return nil, a.recordInterruption(ctx, "response lacks the target's stamp", nil)
 	case response.Status >= http.StatusInternalServerError && a.requestInfo.Repeatable && !a.headerWritten:
 		return nil, a.handleErrorStatus(response)
-	case a.headerWritten && response.Status != http.StatusOK:
-		return nil, a.recordInterruption(ctx, fmt.Sprintf("stream cannot be resumed, target returned status %d", response.Status), nil)
+	case a.headerWritten && !a.continuesStream(response):
+		return nil, a.recordInterruption(ctx, fmt.Sprintf("stream cannot be resumed, target returned status %d with content type %q",
+			response.Status, response.Header.Get("Content-Type")), nil)
 	case impliesNotRun(response.Status) && !response.Head.NotRun:
 		return nil, a.recordInterruption(ctx, fmt.Sprintf("target returned status %d without confirming that the request did not run", response.Status), nil)
 	case a.match.Rule.Streaming && response.Status == http.StatusOK:
--- a/request/resumer/resumer_test.go
+++ b/request/resumer/resumer_test.go
@@ -31,6 +31,9 @@
 			complete.Write(splitter.Feed([]byte(rest[:n])))
 			rest = rest[n:]
 		}
+		if splitter.InsideEvent() != (incomplete != "") {
+			t.Fatalf("inside an event: %t", splitter.InsideEvent())
+		}
 		if complete.String() != stream.String() || string(splitter.Rest()) != incomplete || splitter.Events != count {
 			t.Fatalf("got %q and %q", complete.String(), splitter.Rest())
 		}
@@ -61,3 +64,64 @@
 	splitter.Feed([]byte("data: x\n\n"))
 	is.True(!splitter.Resumable())
 }
+
+// Guards against a stream that was broken off inside an event and counts as
+// complete, and against a complete one that does not.
+func TestInsideEvent(t *testing.T) {
+	for text, want := range map[string]bool{
+		"":                                false,
+		"data: x\n\n":                     false,
+		"data: x\r\n\r\n":                 false,
+		"data: x\r\r":                     false,
+		"data: x\n\r\n":                   false,
+		"data: x\n\n\n":                   false,
+		"data: x\n\n: comment\n":          false,
+		": comment\ndata: x\n\n":          false,
+		"d":                               true,
+		"data: x":                         true,
+		"data: x\n":                       true,
+		"data: x\r\n":                     true,
+		"data: x\r\n\r\nd":                true,
+		"data: x\n\ndata: y\n":            true,
+		"data: x\n\n: comm":               true,
+		"data: x\n\ndata: y\n: comment\n": true,
+		"data: x\n:":                      true,
+	} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			var whole, single resumer.Splitter
+			whole.Observe([]byte(text))
+			is.Equal(whole.InsideEvent(), want)
+			for i := range len(text) {
+				single.Observe([]byte(text[i : i+1]))
+			}
+			is.Equal(single.InsideEvent(), want)
+			whole.Drop()
+			is.True(!whole.InsideEvent())
+		})
+	}
+}
+
+// Guards against an event that is returned twice, and against events without a
+// number that count as repeated.
+func TestRepeatedEvents(t *testing.T) {
+	for _, c := range []struct {
+		stream, want string
+		repeated     bool
+	}{
+		{"id: 1\n\nid: 2\n\nid: 2\n\nid: 3\n\n", "id: 1\n\nid: 2\n\n", true},
+		{"id: 9\n\nid: 10\n\nid: 1\n\n", "id: 9\n\nid: 10\n\n", true},
+		{"id: 9\n\ndata: x\n\nid: 10\n\n", "id: 9\n\ndata: x\n\nid: 10\n\n", false},
+		{"id: b\n\nid: a\n\n", "id: b\n\nid: a\n\n", false},
+	} {
+		t.Run(c.stream, func(t *testing.T) {
+			is := is.New(t)
+			var splitter resumer.Splitter
+			is.Equal(string(splitter.Feed([]byte(c.stream))), c.want)
+			is.Equal(splitter.Repeated(), c.repeated)
+			is.Equal(len(splitter.Feed([]byte("id: 11\n\n"))) == 0, c.repeated)
+			splitter.Drop()
+			is.True(!splitter.Repeated())
+		})
+	}
+}
