Let targets of the soak test fall silent and check for cut responses

The soak test did not bring about what callers had reported: a sound target sends nothing for a second or two, before the head or in the middle of a response, and the response ends without being complete. Targets, often several, are now silent for 0.5 to 2.5 s beside the other faults and changes of the configuration, from a random plan of their own, so that the plans of earlier seeds stay the same. Half of the requests have a deadline of 5 s, which exceeds the silences.

The new check "cut" finds responses with status 502 or 504, or cut midway, well before the deadline, if no target that ran the request had an outage and the host was neither killed nor frozen. Silence is no outage. The case "not recovered" of the check's test used status 502, which is now a violation of its own, and uses status 500 instead; it still expects the same rule.

--- a/process/soaker/caller.go
+++ b/process/soaker/caller.go
@@ -17,10 +17,14 @@
 	// callPause between two requests.
 	callers   = 12
 	callPause = 60 * time.Millisecond
-	// requestTimeout limits each request.
-	requestTimeout = 2 * time.Second
+	// maxTimeout is the timeout of the routes.
+	maxTimeout = 5 * time.Second
 )
 
+// timeouts lists the deadlines of requests. The longer one exceeds all silences of
+// targets.
+var timeouts = []time.Duration{2 * time.Second, maxTimeout}
+
 // requestKinds lists the request kinds, one of which is chosen at random for each
 // request. The path selects the route.
 var requestKinds = []struct {
@@ -42,6 +46,7 @@
 		result := Result{
 			Request: fmt.Sprintf("%x-%d-%d", r.seed, number, i), Kind: kind.kind,
 			Key: keys[random.IntN(len(keys))], Host: r.hosts[random.IntN(len(r.hosts))].name,
+			Timeout: timeouts[random.IntN(len(timeouts))],
 		}
 		sendRequest(ctx, client, r.hostByName(result.Host).callerAddress+kind.path, &result)
 		r.withLock(func() { r.history.Results = append(r.history.Results, result) })
@@ -51,7 +56,7 @@
 
 // sendRequest sends one request and records its response in result.
 func sendRequest(ctx context.Context, client *http.Client, url string, result *Result) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout+time.Second)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), result.Timeout+time.Second)
 	defer cancel()
 	defer func() { result.EndedAt = time.Now() }()
 	result.SentAt = time.Now()
@@ -64,7 +69,7 @@
 	request.Host = routeHost
 	request.Header.Set(backend.HeaderRequestID, result.Request)
 	request.Header.Set(backend.HeaderAPIKey, result.Key)
-	request.Header.Set(backend.HeaderDeadline, fmt.Sprint(requestTimeout.Milliseconds()))
+	request.Header.Set(backend.HeaderDeadline, fmt.Sprint(result.Timeout.Milliseconds()))
 	response, err := client.Do(request)
 	if err != nil {
 		return
--- a/process/soaker/check.go
+++ b/process/soaker/check.go
@@ -18,6 +18,9 @@
 	// reconnectTime is how long a host has to reconnect after a disruption before
 	// the checks consider it connected again.
 	reconnectTime = 3 * time.Second
+	// deadlineMargin is how long before its deadline a request may fail for lack
+	// of time.
+	deadlineMargin = 250 * time.Millisecond
 	// maxAttempts is the attempt limit of the routes that allow retries.
 	maxAttempts = 2
 	// minSuccessShare is the minimum share of requests that must succeed after
@@ -44,6 +47,7 @@
 		c.checkRuns(result)
 		c.checkAnswer(result)
 		c.checkAnswered(result)
+		c.checkNotCut(result)
 	}
 	for _, arrival := range history.Arrivals {
 		c.checkArrival(arrival)
@@ -93,16 +97,41 @@
 	if result.Status != 0 || len(c.runs[result.Request]) == 0 {
 		return
 	}
-	interrupted := func(t Disruption) bool {
-		return t.Host == result.Host && (t.Kind == disruptionKill || t.Kind == disruptionFreeze) &&
-			t.From.Before(result.EndedAt) && t.To.After(result.SentAt)
-	}
-	if !slices.ContainsFunc(c.Disruptions, interrupted) {
+	if !c.wasHostInterrupted(result) {
 		c.addViolation("lost", "request %s ran on target %s, but its caller got no response from %s within %s",
 			result.Request, c.runs[result.Request][0].Target, result.Host, result.EndedAt.Sub(result.SentAt))
 	}
 }
 
+// checkNotCut checks that the response to a request that ran is not cut off
+// before its deadline unless a target that ran it had an outage. The silence of a
+// target is no reason to end a response.
+func (c *checker) checkNotCut(result Result) {
+	cut := result.Status == http.StatusBadGateway || result.Status == http.StatusGatewayTimeout ||
+		result.Status == http.StatusOK && !result.Complete
+	runs := c.runs[result.Request]
+	if !cut || len(runs) == 0 || result.EndedAt.Sub(result.SentAt) >= result.Timeout-deadlineMargin || c.wasHostInterrupted(result) {
+		return
+	}
+	failed := func(o Outage) bool {
+		return slices.ContainsFunc(runs, func(run backend.Arrival) bool { return run.Target == o.Target }) &&
+			o.From.Before(result.EndedAt) && (o.To.IsZero() || o.To.After(result.SentAt))
+	}
+	if !slices.ContainsFunc(c.Outages, failed) {
+		c.addViolation("cut", "request %s ran on sound target %s, but its response from %s with status %d ended after %s and %d events",
+			result.Request, runs[0].Target, result.Host, result.Status, result.EndedAt.Sub(result.SentAt), len(result.Events))
+	}
+}
+
+// wasHostInterrupted reports whether the host was killed or frozen during the
+// request.
+func (c *checker) wasHostInterrupted(result Result) bool {
+	return slices.ContainsFunc(c.Disruptions, func(t Disruption) bool {
+		return t.Host == result.Host && (t.Kind == disruptionKill || t.Kind == disruptionFreeze) &&
+			t.From.Before(result.EndedAt) && t.To.After(result.SentAt)
+	})
+}
+
 // checkAnswer checks that the response belongs to the request, and that the
 // events of a stream are complete and in order.
 func (c *checker) checkAnswer(result Result) {
--- a/process/soaker/check_test.go
+++ b/process/soaker/check_test.go
@@ -22,7 +22,7 @@
 	history := soaker.History{RecoveredAt: startTime}
 	for _, kind := range []soaker.RequestKind{soaker.KindAtMostOnce, soaker.KindRepeatable, soaker.KindStream} {
 		result := soaker.Result{
-			Request: string(kind), Kind: kind, Key: "k0", Host: "h", SentAt: at(10), EndedAt: at(10.1), Status: 200, Complete: true,
+			Request: string(kind), Kind: kind, Key: "k0", Host: "h", SentAt: at(10), EndedAt: at(10.1), Timeout: 5 * time.Second, Status: 200, Complete: true,
 		}
 		if kind == soaker.KindStream {
 			for number := 1; number <= backend.EventsPerStream; number++ {
@@ -78,6 +78,23 @@
 		h.Results = append(h.Results, lateResult())
 		h.Disruptions = []soaker.Disruption{{Host: "h", Kind: "kill", From: at(10.05), To: at(11)}}
 	}},
+	"stream cut during a silence": {"cut", cutStream},
+	"cut by an outage": {"", func(h *soaker.History) {
+		cutStream(h)
+		h.Outages = []soaker.Outage{{Target: "t", From: at(9)}}
+	}},
+	"cut after an outage": {"cut", func(h *soaker.History) {
+		cutStream(h)
+		h.Outages = []soaker.Outage{{Target: "t", From: at(8), To: at(9)}, {Target: "other", From: at(9)}}
+	}},
+	"cut at the deadline": {"", func(h *soaker.History) {
+		cutStream(h)
+		h.Results[2].EndedAt = at(15)
+	}},
+	"bad gateway of a sound target": {"cut", func(h *soaker.History) {
+		h.Results[0].Status, h.RecoveredAt = 502, at(20)
+		h.Results = append(h.Results, lateResult())
+	}},
 	"API key at the target": {"key", func(h *soaker.History) { h.Arrivals[0].APIKey = "k0" }},
 	"other workspace":       {"tenant", func(h *soaker.History) { h.Arrivals[0].Tenant = "w-k1" }},
 	"revoked key": {"revoke", func(h *soaker.History) {
@@ -102,7 +119,7 @@
 		h.Changes = []soaker.Change{{Kind: soaker.ChangeDrain, Subject: "t", At: at(7)}}
 	}},
 	"slow stop":                      {"stop", func(h *soaker.History) { h.Stops = []soaker.Stop{{Host: "h", Duration: 9 * time.Second}} }},
-	"not recovered":                  {"recover", func(h *soaker.History) { h.Results[0].Status = 502 }},
+	"not recovered":                  {"recover", func(h *soaker.History) { h.Results[0].Status = 500 }},
 	"no requests after the recovery": {"recover", func(h *soaker.History) { h.RecoveredAt = at(20) }},
 }
 
@@ -134,3 +151,9 @@
 		Body: backend.Answer("late"),
 	}
 }
+
+// cutStream cuts the stream of the history after five events.
+func cutStream(h *soaker.History) {
+	h.Results[2].Events, h.Results[2].Complete, h.RecoveredAt = h.Results[2].Events[:5], false, at(20)
+	h.Results = append(h.Results, lateResult())
+}
--- a/process/soaker/deployment.go
+++ b/process/soaker/deployment.go
@@ -46,7 +46,7 @@
 	newRoute := func(path, kind string, attempts int) route {
 		return route{
 			"name": "r" + strings.Trim(path, "/"), "host": routeHost, "path_prefix": path, "kind": kind, "service": "s",
-			"timeout_ms": requestTimeout.Milliseconds(), "target_latency_ms": 200, "max_attempts": attempts,
+			"timeout_ms": maxTimeout.Milliseconds(), "target_latency_ms": 200, "max_attempts": attempts,
 			"resumable": kind == "streaming",
 		}
 	}
--- a/process/soaker/fault.go
+++ b/process/soaker/fault.go
@@ -35,6 +35,33 @@
 	{"revoke", revokeKey},
 }
 
+// trafficFaults lists the faults that depend on the traffic. A run chooses from
+// them independently of the other faults, which they overlap.
+var trafficFaults = []fault{
+	{FaultSilence, silenceTargets},
+}
+
+// FaultSilence is the name of the fault in which targets send nothing for a time
+// and then continue.
+const FaultSilence = "silence"
+
+// Limits of the silence of a target.
+const (
+	minSilence = 500 * time.Millisecond
+	maxSilence = 2500 * time.Millisecond
+)
+
+// silenceTargets silences one or several targets.
+func silenceTargets(r *run, random *rand.Rand) {
+	var longest time.Duration
+	for range 1 + random.IntN(targetsPerZone*len(zones)) {
+		silence := minSilence + time.Duration(random.Int64N(int64(maxSilence-minSilence)))
+		r.randomTarget(random).Silence(silence)
+		longest = max(longest, silence)
+	}
+	r.pause(longest)
+}
+
 // randomDuration returns a random duration for a fault.
 func randomDuration(random *rand.Rand) time.Duration {
 	return 200*time.Millisecond + time.Duration(random.IntN(3500))*time.Millisecond
@@ -82,6 +109,7 @@
 
 func disturbTargetLink(r *run, random *rand.Rand) {
 	target, mode := r.randomTarget(random), faultyModes[random.IntN(len(faultyModes))]
+	defer r.startOutage(target.ID)()
 	target.link.Set(mode)
 	r.pause(randomDuration(random))
 	target.link.Set(ModePass)
@@ -105,6 +133,7 @@
 func failTarget(r *run, random *rand.Rand) {
 	target := r.randomTarget(random)
 	kinds := []backend.Faults{{LoseAnswerShare: 0.2}, {BreakAnswerShare: 0.2}, {FailShare: 0.3}, {Delay: 150 * time.Millisecond}}
+	defer r.startOutage(target.ID)()
 	target.SetFaults(kinds[random.IntN(len(kinds))])
 	r.pause(randomDuration(random))
 	target.SetFaults(backend.Faults{})
@@ -112,6 +141,7 @@
 
 func crashTarget(r *run, random *rand.Rand) {
 	target := r.randomTarget(random)
+	r.startOutage(target.ID)
 	target.Crash()
 	r.pause(randomDuration(random) / 2)
 	r.store.Remove("servers", target.ID)
--- a/process/soaker/history.go
+++ b/process/soaker/history.go
@@ -24,6 +24,7 @@
 	Changes     []Change
 	Disruptions []Disruption
 	Stops       []Stop
+	Outages     []Outage
 	// RecoveredAt is the end of the recovery period that follows the last fault.
 	RecoveredAt time.Time
 }
@@ -36,6 +37,8 @@
 	// Host is the entry host that the request was sent to.
 	Host            string
 	SentAt, EndedAt time.Time
+	// Timeout is the deadline of the request, counted from SentAt.
+	Timeout time.Duration
 	// Status is the HTTP status, or 0 if there was no response.
 	Status int
 	// Complete reports whether the body was read to its end without an error.
@@ -86,3 +89,11 @@
 	// Duration is the time from the signal to the exit of the process.
 	Duration time.Duration
 }
+
+// Outage is a period in which a target or its link may break off responses. A
+// target that is silent and then continues has no outage. A zero To stands for
+// the end of the run.
+type Outage struct {
+	Target   string
+	From, To time.Time
+}
--- a/process/soaker/soaker.go
+++ b/process/soaker/soaker.go
@@ -33,6 +33,9 @@
 	routeHost    = "soak.example"
 	// targetsPerZone is the number of targets in each zone.
 	targetsPerZone = 3
+	// trafficGapFactor is the maximum time between two faults that depend on
+	// the traffic, as a multiple of that of the other faults.
+	trafficGapFactor = 3
 	// firstVersion is the version of the first configuration.
 	firstVersion = 3
 )
@@ -57,6 +60,9 @@
 	Dir string
 	// Hosts is the number of entry hosts.
 	Hosts int
+	// TrafficFaults lists the names of the faults that depend on the traffic
+	// and may be injected.
+	TrafficFaults []string
 	// FaultPhase is the length of the phase in which faults are started, and MaxFaultGap
 	// the maximum time between two starts.
 	FaultPhase, MaxFaultGap time.Duration
@@ -169,12 +175,12 @@
 		group.Go(func() { r.sendRequests(callerCtx, number) })
 	}
 	r.pause(warmUpTime)
-	random := r.random("plan")
-	for begin := time.Now(); time.Since(begin) < r.options.FaultPhase && r.ctx.Err() == nil; {
-		fault, faultRandom := faults[random.IntN(len(faults))], r.random(fmt.Sprint("fault ", random.Uint64()))
-		r.activeFaults.Go(func() { fault.inject(r, faultRandom) })
-		r.pause(time.Duration(random.Int64N(int64(r.options.MaxFaultGap))))
+	var plans sync.WaitGroup
+	plans.Go(func() { r.injectFaults("plan", faults, r.options.MaxFaultGap) })
+	if selected := r.selectedTrafficFaults(); len(selected) > 0 {
+		plans.Go(func() { r.injectFaults("traffic plan", selected, trafficGapFactor*r.options.MaxFaultGap) })
 	}
+	plans.Wait()
 	r.activeFaults.Wait()
 	r.pause(recoveryTime)
 	r.withLock(func() { r.history.RecoveredAt = time.Now() })
@@ -183,6 +189,22 @@
 	group.Wait()
 }
 
+// injectFaults starts random faults at random times during the fault phase.
+func (r *run) injectFaults(plan string, faults []fault, maxGap time.Duration) {
+	random := r.random(plan)
+	for begin := time.Now(); time.Since(begin) < r.options.FaultPhase && r.ctx.Err() == nil; {
+		fault, faultRandom := faults[random.IntN(len(faults))], r.random(fmt.Sprint("fault ", random.Uint64()))
+		r.activeFaults.Go(func() { fault.inject(r, faultRandom) })
+		r.pause(time.Duration(random.Int64N(int64(maxGap))))
+	}
+}
+
+func (r *run) selectedTrafficFaults() []fault {
+	return slices.DeleteFunc(slices.Clone(trafficFaults), func(f fault) bool {
+		return !slices.Contains(r.options.TrafficFaults, f.name)
+	})
+}
+
 // close stops all hosts, targets and links of the run.
 func (r *run) close() {
 	for _, h := range r.hosts {
@@ -226,6 +248,17 @@
 	}
 }
 
+// startOutage starts an outage of a target and returns the function that ends
+// it.
+func (r *run) startOutage(target string) func() {
+	index := 0
+	r.withLock(func() {
+		index = len(r.history.Outages)
+		r.history.Outages = append(r.history.Outages, Outage{Target: target, From: time.Now()})
+	})
+	return func() { r.withLock(func() { r.history.Outages[index].To = time.Now() }) }
+}
+
 // recordError records an error of the test itself. Only the first one is kept.
 func (r *run) recordError(err error) {
 	r.withLock(func() {
--- a/process/soaker/soaker_test.go
+++ b/process/soaker/soaker_test.go
@@ -13,14 +13,18 @@
 	_ "mulberrybeam/process/starter"
 )
 
+// soakTest is the soak test of one seed.
+type soakTest struct {
+	seed    uint64
+	hosts   int
+	faults  time.Duration
+	traffic []string
+	cause   string
+}
+
 // seeds lists the soak tests that always run: a short one, and seeds that once
 // found a violation, with its cause.
-var seeds = []struct {
-	seed   uint64
-	hosts  int
-	faults time.Duration
-	cause  string
-}{
+var seeds = []soakTest{
 	{seed: 1, hosts: 3, faults: 5 * time.Second},
 	{
 		seed: 14, hosts: 4, faults: 12 * time.Second,
@@ -31,22 +35,44 @@
 // Guards against violations of the guarantees while real processes are frozen,
 // killed, stopped and disconnected by overlapping faults.
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "mulberryentry")
-	if output, err := exec.Command("go", "build", "-o", program, "mulberrybeam/cmd/mulberryentry").CombinedOutput(); err != nil {
-		t.Fatalf("build the entry program: %v\n%s", err, output)
-	}
+	program := buildEntry(t)
 	for _, test := range seeds {
 		t.Run(fmt.Sprint(test.seed), func(t *testing.T) {
 			t.Parallel()
-			options := soaker.Options{Entry: program, Dir: t.TempDir(), Hosts: test.hosts, FaultPhase: test.faults, MaxFaultGap: 800 * time.Millisecond}
-			report, err := soaker.Run(t.Context(), options, test.seed)
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%d requests, %d arrivals", len(report.History.Results), len(report.History.Arrivals))
-			for _, violation := range report.Violations {
-				t.Errorf("%s: %s %s", violation.Rule, violation.Text, test.cause)
-			}
+			test.run(t, program)
 		})
 	}
 }
+
+// Guards against responses that are cut because sound targets send nothing for
+// 0.5 to 2.5 seconds.
+func TestSoakSilence(t *testing.T) {
+	soakTest{
+		seed: 4, hosts: 4, faults: 8 * time.Second, traffic: []string{soaker.FaultSilence},
+		cause: "a silent target was given up although no other one took the request on",
+	}.run(t, buildEntry(t))
+}
+
+func buildEntry(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "mulberryentry")
+	if output, err := exec.Command("go", "build", "-o", program, "mulberrybeam/cmd/mulberryentry").CombinedOutput(); err != nil {
+		t.Fatalf("build the entry program: %v\n%s", err, output)
+	}
+	return program
+}
+
+func (s soakTest) run(t *testing.T, program string) {
+	t.Helper()
+	options := soaker.Options{
+		Entry: program, Dir: t.TempDir(), Hosts: s.hosts, TrafficFaults: s.traffic, FaultPhase: s.faults, MaxFaultGap: 800 * time.Millisecond,
+	}
+	report, err := soaker.Run(t.Context(), options, s.seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d requests, %d arrivals", len(report.History.Results), len(report.History.Arrivals))
+	for _, violation := range report.Violations {
+		t.Errorf("%s: %s %s", violation.Rule, violation.Text, s.cause)
+	}
+}
--- a/process/standin/backend/backend.go
+++ b/process/standin/backend/backend.go
@@ -70,8 +70,9 @@
 	listener  *fixture.Listener
 	onArrival func(Arrival)
 
-	mutex  sync.Mutex
-	faults Faults
+	mutex       sync.Mutex
+	faults      Faults
+	silentUntil time.Time
 }
 
 // Start starts a target on a free loopback port. It calls onArrival for each
@@ -96,6 +97,27 @@
 	t.faults = faults
 }
 
+// Silence makes the target send nothing for the duration. It still reads, and
+// afterwards continues all responses.
+func (t *Target) Silence(duration time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.silentUntil = time.Now().Add(duration)
+}
+
+// awaitSilenceEnd waits while the target is silent.
+func (t *Target) awaitSilenceEnd() {
+	for {
+		t.mutex.Lock()
+		wait := time.Until(t.silentUntil)
+		t.mutex.Unlock()
+		if wait <= 0 {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
+
 // ServeHTTP records a request and answers it, subject to the configured faults.
 func (t *Target) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	arrival := Arrival{
@@ -126,16 +148,26 @@
 	}
 	breaks := rand.Float64() < faults.BreakAnswerShare
 	if strings.HasPrefix(request.URL.Path, StreamPath) {
-		stream(writer, request, breaks)
+		t.stream(writer, request, breaks)
 		return
 	}
-	body := Answer(arrival.Request)
+	t.answer(writer, Answer(arrival.Request), breaks)
+}
+
+// answer sends a plain response. A silent target stops before the head or in
+// the middle of the body.
+func (t *Target) answer(writer http.ResponseWriter, body string, breaks bool) {
 	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if rand.IntN(2) == 0 {
+		t.awaitSilenceEnd()
+	}
+	_, _ = io.WriteString(writer, body[:len(body)/2])
 	if breaks {
-		_, _ = io.WriteString(writer, body[:len(body)/2])
 		fixture.AbortConnection()
 	}
-	_, _ = io.WriteString(writer, body)
+	_ = http.NewResponseController(writer).Flush()
+	t.awaitSilenceEnd()
+	_, _ = io.WriteString(writer, body[len(body)/2:])
 }
 
 // Answer returns the expected response body for a request ID.
@@ -148,7 +180,7 @@
 
 // stream sends the events after the one named by Last-Event-Id. If breaks is
 // set, it cuts the last event that it sends in half and closes the connection.
-func stream(writer http.ResponseWriter, request *http.Request, breaks bool) {
+func (t *Target) stream(writer http.ResponseWriter, request *http.Request, breaks bool) {
 	last, _ := strconv.Atoi(request.Header.Get(HeaderLastEventID))
 	writer.Header().Set("Content-Type", "text/event-stream")
 	end := EventsPerStream
@@ -159,6 +191,7 @@
 		if request.Context().Err() != nil {
 			return
 		}
+		t.awaitSilenceEnd()
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", number, EventData(request.Header.Get(HeaderRequestID), number))
 		if breaks && number == end {
 			event = event[:len(event)/2]
