Send request heads in two parts in the soak test while a host stops

All callers of the soak test sent a head at once, on connections that are never idle for long, so that no request was arriving when a stopping host closed its idle connections.

The new check "arriving" finds kept connections that are closed without a response more than 200 ms after the first part of a head was sent, before the request has run, unless the host was killed or frozen. Requests that ran are covered by the check "lost".

--- a/process/soaker/caller.go
+++ b/process/soaker/caller.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -26,12 +27,27 @@
 var timeouts = []time.Duration{2 * time.Second, maxTimeout}
 
 // requestKinds lists the request kinds, one of which is chosen at random for each
-// request. The path selects the route.
-var requestKinds = []struct {
-	kind RequestKind
-	path string
-}{
-	{KindAtMostOnce, "/once/"}, {KindRepeatable, "/again/"}, {KindStream, backend.StreamPath},
+// request.
+var requestKinds = []RequestKind{KindAtMostOnce, KindRepeatable, KindStream}
+
+// path returns the path of the request, which selects the route.
+func (r *Result) path() string {
+	switch r.Kind {
+	case KindAtMostOnce:
+		return "/once/"
+	case KindRepeatable:
+		return "/again/"
+	}
+	return backend.StreamPath
+}
+
+// newResult returns a request of a random kind to a random host.
+func (r *run) newResult(random *rand.Rand, id string) Result {
+	return Result{
+		Request: id, Kind: requestKinds[random.IntN(len(requestKinds))],
+		Key: keys[random.IntN(len(keys))], Host: r.hosts[random.IntN(len(r.hosts))].name,
+		Timeout: timeouts[random.IntN(len(timeouts))],
+	}
 }
 
 // sendRequests sends requests to random hosts over keep-alive connections until
@@ -42,27 +58,22 @@
 	client := &http.Client{Transport: transport}
 	random := r.random(fmt.Sprint("caller ", number))
 	for i := 0; ctx.Err() == nil; i++ {
-		kind := requestKinds[random.IntN(len(requestKinds))]
-		result := Result{
-			Request: fmt.Sprintf("%x-%d-%d", r.seed, number, i), Kind: kind.kind,
-			Key: keys[random.IntN(len(keys))], Host: r.hosts[random.IntN(len(r.hosts))].name,
-			Timeout: timeouts[random.IntN(len(timeouts))],
-		}
-		sendRequest(ctx, client, r.hostByName(result.Host).callerAddress+kind.path, &result)
+		result := r.newResult(random, fmt.Sprintf("%x-%d-%d", r.seed, number, i))
+		sendRequest(ctx, client, r.hostByName(result.Host).callerAddress, &result)
 		r.withLock(func() { r.history.Results = append(r.history.Results, result) })
 		r.pause(time.Duration(random.Int64N(int64(callPause))))
 	}
 }
 
 // sendRequest sends one request and records its response in result.
-func sendRequest(ctx context.Context, client *http.Client, url string, result *Result) {
+func sendRequest(ctx context.Context, client *http.Client, address string, result *Result) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), result.Timeout+time.Second)
 	defer cancel()
 	defer func() { result.EndedAt = time.Now() }()
 	result.SentAt = time.Now()
 	// Every request has its own body, because a body that was in flight during
 	// several target crashes is refused permanently.
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+url, strings.NewReader(result.Request))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+result.path(), strings.NewReader(result.Request))
 	if err != nil {
 		return
 	}
@@ -75,13 +86,18 @@
 		return
 	}
 	defer response.Body.Close()
-	result.Status = response.StatusCode
-	if result.Kind == KindStream && response.StatusCode == http.StatusOK {
-		result.Events, result.Complete = readEvents(response.Body)
+	result.readResponse(response)
+}
+
+// readResponse records a response.
+func (r *Result) readResponse(response *http.Response) {
+	r.Status = response.StatusCode
+	if r.Kind == KindStream && response.StatusCode == http.StatusOK {
+		r.Events, r.Complete = readEvents(response.Body)
 		return
 	}
 	body, err := io.ReadAll(response.Body)
-	result.Body, result.Complete = string(body), err == nil
+	r.Body, r.Complete = string(body), err == nil
 }
 
 // readEvents returns the data of all complete server-sent events, and whether
--- a/process/soaker/check.go
+++ b/process/soaker/check.go
@@ -21,6 +21,9 @@
 	// deadlineMargin is how long before its deadline a request may fail for lack
 	// of time.
 	deadlineMargin = 250 * time.Millisecond
+	// closeMargin is the time for which a request and the closing of its
+	// connection may cross.
+	closeMargin = 200 * time.Millisecond
 	// maxAttempts is the attempt limit of the routes that allow retries.
 	maxAttempts = 2
 	// minSuccessShare is the minimum share of requests that must succeed after
@@ -48,6 +51,7 @@
 		c.checkAnswer(result)
 		c.checkAnswered(result)
 		c.checkNotCut(result)
+		c.checkArrived(result)
 	}
 	for _, arrival := range history.Arrivals {
 		c.checkArrival(arrival)
@@ -123,6 +127,15 @@
 	}
 }
 
+// checkArrived checks that a host does not close a kept connection on which a
+// request is arriving, for example because it is shutting down.
+func (c *checker) checkArrived(result Result) {
+	delay := result.EndedAt.Sub(result.SentAt)
+	if result.Kept && result.Status == 0 && len(c.runs[result.Request]) == 0 && delay > closeMargin && !c.wasHostInterrupted(result) {
+		c.addViolation("arriving", "%s closed the kept connection of request %s without a response %s after the first part of its head", result.Host, result.Request, delay)
+	}
+}
+
 // wasHostInterrupted reports whether the host was killed or frozen during the
 // request.
 func (c *checker) wasHostInterrupted(result Result) bool {
--- a/process/soaker/check_test.go
+++ b/process/soaker/check_test.go
@@ -95,6 +95,15 @@
 		h.Results[0].Status, h.RecoveredAt = 502, at(20)
 		h.Results = append(h.Results, lateResult())
 	}},
+	"kept connection closed": {"arriving", closeConnection},
+	"kept connection closed by a crash of the host": {"", func(h *soaker.History) {
+		closeConnection(h)
+		h.Disruptions = []soaker.Disruption{{Host: "h", Kind: "kill", From: at(10.2), To: at(11)}}
+	}},
+	"request crossed the closing of its connection": {"", func(h *soaker.History) {
+		closeConnection(h)
+		h.Results[0].EndedAt = at(10.1)
+	}},
 	"API key at the target": {"key", func(h *soaker.History) { h.Arrivals[0].APIKey = "k0" }},
 	"other workspace":       {"tenant", func(h *soaker.History) { h.Arrivals[0].Tenant = "w-k1" }},
 	"revoked key": {"revoke", func(h *soaker.History) {
@@ -157,3 +166,11 @@
 	h.Results[2].Events, h.Results[2].Complete, h.RecoveredAt = h.Results[2].Events[:5], false, at(20)
 	h.Results = append(h.Results, lateResult())
 }
+
+// closeConnection closes the kept connection of the first request of the history before
+// it has run.
+func closeConnection(h *soaker.History) {
+	h.Results[0].Kept, h.Results[0].Status, h.Results[0].EndedAt = true, 0, at(10.3)
+	h.Arrivals, h.RecoveredAt = h.Arrivals[1:], at(20)
+	h.Results = append(h.Results, lateResult())
+}
--- a/process/soaker/fault.go
+++ b/process/soaker/fault.go
@@ -39,6 +39,7 @@
 // them independently of the other faults, which they overlap.
 var trafficFaults = []fault{
 	{FaultSilence, silenceTargets},
+	{FaultSplitHeads, splitHeads},
 }
 
 // FaultSilence is the name of the fault in which targets send nothing for a time
@@ -84,8 +85,10 @@
 	r.recordError(h.start())
 }
 
-func stopHost(r *run, random *rand.Rand) {
-	h := r.randomHost(random)
+func stopHost(r *run, random *rand.Rand) { r.stop(r.randomHost(random)) }
+
+// stop stops a host and starts it again.
+func (r *run) stop(h *host) {
 	defer r.acquireRestart(h)()
 	stop := Stop{Host: h.name, At: time.Now()}
 	stop.Duration = h.stop()
--- a/process/soaker/history.go
+++ b/process/soaker/history.go
@@ -39,6 +39,9 @@
 	SentAt, EndedAt time.Time
 	// Timeout is the deadline of the request, counted from SentAt.
 	Timeout time.Duration
+	// Kept reports that the head was sent in two parts on a connection that had
+	// served a request before.
+	Kept bool
 	// Status is the HTTP status, or 0 if there was no response.
 	Status int
 	// Complete reports whether the body was read to its end without an error.
--- a/process/soaker/soaker_test.go
+++ b/process/soaker/soaker_test.go
@@ -53,6 +53,15 @@
 	}.run(t, buildEntry(t))
 }
 
+// Guards against planned stops that close kept connections on which a request is
+// arriving.
+func TestSoakSplitHeads(t *testing.T) {
+	soakTest{
+		seed: 3, hosts: 3, faults: 6 * time.Second, traffic: []string{soaker.FaultSplitHeads},
+		cause: "a planned stop closed the connection of a request whose head had begun to arrive",
+	}.run(t, buildEntry(t))
+}
+
 func buildEntry(t *testing.T) string {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "mulberryentry")
