Crash targets by one prompt part in the soak test

No request of the soak test carried a prompt, so that it could not bring about what callers had reported: prompts that have one shared part in common, but different other parts, bodies, callers and hosts, crash each target that begins to answer them, and the targets are back after some seconds. A fault now does this for 12 s, one at a time, beside sound prompts that share the other parts. Half of the targets crash before the head and half after it; their address refuses connections first, and they come back as new instances after 1 to 3 s.

The new checks: at most three prompts with the part reach targets later than 3 s after its fifth crash, counted over all hosts in touch, and at least half of the sound prompts are served from then on.

--- a/cmd/mulberryload/soak/soak.go
+++ b/cmd/mulberryload/soak/soak.go
@@ -24,7 +24,7 @@
 	Hosts   int           `default:"4" help:"Number of entry processes per seed."`
 	Faults  time.Duration `default:"12s" help:"Length of the phase in which faults are injected."`
 	Gap     time.Duration `default:"800ms" help:"Maximum time between the starts of two faults."`
-	Traffic []string      `default:"silence,split-heads" enum:"silence,split-heads" placeholder:"NAME" help:"Faults that depend on the traffic (${enum})."`
+	Traffic []string      `default:"silence,split-heads,crashing-part" enum:"silence,split-heads,crashing-part" placeholder:"NAME" help:"Faults that depend on the traffic (${enum})."`
 	Dir     string        `placeholder:"DIR" help:"Directory for settings and logs. The default is a new temporary directory." type:"path"`
 }
 
--- a/process/soaker/caller.go
+++ b/process/soaker/caller.go
@@ -30,13 +30,25 @@
 // request.
 var requestKinds = []RequestKind{KindAtMostOnce, KindRepeatable, KindStream}
 
+// promptPath is the path of streams that answer a prompt.
+const promptPath = backend.StreamPath + "prompt/"
+
+// partTokens and outputTokens are the stated lengths of each part of a prompt and
+// of its response.
+const (
+	partTokens   = 100
+	outputTokens = backend.EventsPerStream
+)
+
 // path returns the path of the request, which selects the route.
 func (r *Result) path() string {
-	switch r.Kind {
-	case KindAtMostOnce:
+	switch {
+	case r.Kind == KindAtMostOnce:
 		return "/once/"
-	case KindRepeatable:
+	case r.Kind == KindRepeatable:
 		return "/again/"
+	case len(r.Parts) > 0:
+		return promptPath
 	}
 	return backend.StreamPath
 }
@@ -81,6 +93,11 @@
 	request.Header.Set(backend.HeaderRequestID, result.Request)
 	request.Header.Set(backend.HeaderAPIKey, result.Key)
 	request.Header.Set(backend.HeaderDeadline, fmt.Sprint(result.Timeout.Milliseconds()))
+	if len(result.Parts) > 0 {
+		request.Header.Set(backend.HeaderModel, "m")
+		request.Header.Set(backend.HeaderTokenUsage, fmt.Sprintf("%d,%d", partTokens*len(result.Parts), outputTokens))
+		request.Header.Set(backend.HeaderPromptParts, strings.Join(result.Parts, fmt.Sprintf(":%d,", partTokens))+fmt.Sprintf(":%d", partTokens))
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return
--- a/process/soaker/check.go
+++ b/process/soaker/check.go
@@ -61,6 +61,9 @@
 			c.addViolation("stop", "%s ran for %s after SIGTERM", stop.Host, stop.Duration)
 		}
 	}
+	for _, fault := range history.PartFaults {
+		c.checkCrashingPart(fault)
+	}
 	c.checkRecovery()
 	return c.violations
 }
--- a/process/soaker/check_test.go
+++ b/process/soaker/check_test.go
@@ -1,6 +1,7 @@
 package soaker_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -104,6 +105,29 @@
 		closeConnection(h)
 		h.Results[0].EndedAt = at(10.1)
 	}},
+	"crashing part that is not stopped":      {"crashing part", func(h *soaker.History) { addPartFault(h, 4, 30) }},
+	"crashing part that reaches few targets": {"", func(h *soaker.History) { addPartFault(h, 3, 30) }},
+	"crashing part through a disconnected host": {"", func(h *soaker.History) {
+		addPartFault(h, 4, 30)
+		h.Disruptions = []soaker.Disruption{{Host: "h", Kind: "store link", From: at(20), To: at(35)}}
+	}},
+	"crashing part before the limit": {"", func(h *soaker.History) { addPartFault(h, 10, 22) }},
+	"sound prompts fail beside a crashing part": {"sound prompts", func(h *soaker.History) {
+		addPartFault(h, 0, 30)
+		for i := range 20 {
+			prompt := soaker.Result{
+				Request: fmt.Sprint("sound", i), Kind: soaker.KindStream, Key: "k0", Host: "h", Parts: []string{"a0", "own"},
+				SentAt: at(30), EndedAt: at(30.1), Timeout: time.Second, Status: 400,
+			}
+			if i < 9 {
+				prompt.Status, prompt.Complete = 200, true
+				for number := 1; number <= backend.EventsPerStream; number++ {
+					prompt.Events = append(prompt.Events, backend.EventData(prompt.Request, number))
+				}
+			}
+			h.Results = append(h.Results, prompt)
+		}
+	}},
 	"API key at the target": {"key", func(h *soaker.History) { h.Arrivals[0].APIKey = "k0" }},
 	"other workspace":       {"tenant", func(h *soaker.History) { h.Arrivals[0].Tenant = "w-k1" }},
 	"revoked key": {"revoke", func(h *soaker.History) {
@@ -174,3 +198,26 @@
 	h.Arrivals, h.RecoveredAt = h.Arrivals[1:], at(20)
 	h.Results = append(h.Results, lateResult())
 }
+
+// addPartFault adds a prompt part that crashed five targets, the last one at 20 s,
+// and prompts with the part that reach targets at the given time.
+func addPartFault(h *soaker.History, prompts int, seconds float64) {
+	h.RecoveredAt = at(50)
+	h.Results = append(h.Results, soaker.Result{
+		Request: "recovered", Kind: soaker.KindAtMostOnce, Key: "k0", Host: "h", SentAt: at(51), EndedAt: at(51.1), Status: 200, Complete: true,
+		Body: backend.Answer("recovered"),
+	})
+	h.PartFaults = []soaker.PartFault{{Part: "bad", From: at(15), To: at(40)}}
+	for i := range 5 {
+		h.Crashes = append(h.Crashes, soaker.Crash{At: at(16 + float64(i)), Request: "r", Target: "t", Part: "bad"})
+	}
+	for i := range prompts {
+		id := fmt.Sprint("bad", i)
+		h.Results = append(h.Results, soaker.Result{
+			Request: id, Kind: soaker.KindStream, Key: "k0", Host: "h", Parts: []string{"bad", id}, SentAt: at(seconds), EndedAt: at(seconds + 1), Status: 400,
+		})
+		h.Arrivals = append(h.Arrivals, backend.Arrival{
+			At: at(seconds), Request: id, Target: "t", Tenant: "w-k0", Parts: []string{"bad", id}, Ran: true,
+		})
+	}
+}
--- a/process/soaker/deployment.go
+++ b/process/soaker/deployment.go
@@ -16,8 +16,15 @@
 		r.targetCount++
 		id = fmt.Sprintf("i-%d", r.targetCount)
 	})
-	running, err := backend.Start(id, zone, func(arrival backend.Arrival) {
-		r.withLock(func() { r.history.Arrivals = append(r.history.Arrivals, arrival) })
+	var added *target
+	running, err := backend.Start(id, zone, func(arrival backend.Arrival) (crash func()) {
+		r.withLock(func() {
+			r.history.Arrivals = append(r.history.Arrivals, arrival)
+			if arrival.Ran {
+				crash = r.crashOn(added, arrival.Request, arrival.Parts)
+			}
+		})
+		return crash
 	})
 	if err != nil {
 		return err
@@ -26,8 +33,10 @@
 	if err != nil {
 		return err
 	}
-	added := &target{running, link}
-	r.withLock(func() { r.targets = append(r.targets, added) })
+	r.withLock(func() {
+		added = &target{running, link}
+		r.targets = append(r.targets, added)
+	})
 	r.register(added, "ready")
 	return nil
 }
@@ -45,9 +54,9 @@
 	type route map[string]any
 	newRoute := func(path, kind string, attempts int) route {
 		return route{
-			"name": "r" + strings.Trim(path, "/"), "host": routeHost, "path_prefix": path, "kind": kind, "service": "s",
+			"name": "r" + strings.ReplaceAll(strings.Trim(path, "/"), "/", "-"), "host": routeHost, "path_prefix": path, "kind": kind, "service": "s",
 			"timeout_ms": maxTimeout.Milliseconds(), "target_latency_ms": 200, "max_attempts": attempts,
-			"resumable": kind == "streaming",
+			"resumable": kind == "streaming", "sticky": path == promptPath,
 		}
 	}
 	r.withLock(func() {
@@ -65,6 +74,7 @@
 			"services": []map[string]any{{"name": "s", "max_connections": 400}},
 			"routes": []route{
 				newRoute("/once/", "unsafe", 1), newRoute("/again/", "safe", maxAttempts), newRoute(backend.StreamPath, "streaming", maxAttempts),
+				newRoute(promptPath, "streaming", maxAttempts),
 			},
 		})
 		r.nextVersion += 2
--- a/process/soaker/fault.go
+++ b/process/soaker/fault.go
@@ -40,6 +40,7 @@
 var trafficFaults = []fault{
 	{FaultSilence, silenceTargets},
 	{FaultSplitHeads, splitHeads},
+	{FaultCrashingPart, sendCrashingPart},
 }
 
 // FaultSilence is the name of the fault in which targets send nothing for a time
--- a/process/soaker/history.go
+++ b/process/soaker/history.go
@@ -25,6 +25,8 @@
 	Disruptions []Disruption
 	Stops       []Stop
 	Outages     []Outage
+	Crashes     []Crash
+	PartFaults  []PartFault
 	// RecoveredAt is the end of the recovery period that follows the last fault.
 	RecoveredAt time.Time
 }
@@ -39,6 +41,9 @@
 	SentAt, EndedAt time.Time
 	// Timeout is the deadline of the request, counted from SentAt.
 	Timeout time.Duration
+	// Parts lists the IDs of the parts of a prompt. All but the last are shared
+	// with other prompts.
+	Parts []string
 	// Kept reports that the head was sent in two parts on a connection that had
 	// served a request before.
 	Kept bool
@@ -100,3 +105,17 @@
 	Target   string
 	From, To time.Time
 }
+
+// PartFault is a period in which prompts with a part crashed targets.
+type PartFault struct {
+	Part     string
+	From, To time.Time
+}
+
+// Crash is the crash of a target that had begun to answer a prompt.
+type Crash struct {
+	At              time.Time
+	Request, Target string
+	// Part is the part of the prompt that caused the crash.
+	Part string
+}
--- a/process/soaker/soaker.go
+++ b/process/soaker/soaker.go
@@ -92,6 +92,7 @@
 	validKeys   []string
 	restarting  map[*host]bool
 	evacuating  bool
+	partFault   *partFault
 	firstError  error
 }
 
--- a/process/soaker/soaker_test.go
+++ b/process/soaker/soaker_test.go
@@ -1,6 +1,7 @@
 package soaker_test
 
 import (
+	"cmp"
 	"fmt"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +19,7 @@
 	seed    uint64
 	hosts   int
 	faults  time.Duration
+	gap     time.Duration
 	traffic []string
 	cause   string
 }
@@ -62,6 +64,16 @@
 	}.run(t, buildEntry(t))
 }
 
+// Guards against a shared prompt part that goes on crashing targets, and against
+// refusing the other prompts because of it. The other faults are far apart, because
+// the bound holds for hosts that are connected to the store.
+func TestSoakCrashingPart(t *testing.T) {
+	soakTest{
+		seed: 1, hosts: 3, faults: 5 * time.Second, gap: 5 * time.Second, traffic: []string{soaker.FaultCrashingPart},
+		cause: "hosts knew crashes only of whole requests, not of their parts",
+	}.run(t, buildEntry(t))
+}
+
 func buildEntry(t *testing.T) string {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "mulberryentry")
@@ -74,7 +86,7 @@
 func (s soakTest) run(t *testing.T, program string) {
 	t.Helper()
 	options := soaker.Options{
-		Entry: program, Dir: t.TempDir(), Hosts: s.hosts, TrafficFaults: s.traffic, FaultPhase: s.faults, MaxFaultGap: 800 * time.Millisecond,
+		Entry: program, Dir: t.TempDir(), Hosts: s.hosts, TrafficFaults: s.traffic, FaultPhase: s.faults, MaxFaultGap: cmp.Or(s.gap, 800*time.Millisecond),
 	}
 	report, err := soaker.Run(t.Context(), options, s.seed)
 	if err != nil {
--- a/process/standin/backend/backend.go
+++ b/process/standin/backend/backend.go
@@ -22,6 +22,9 @@
 	HeaderDeadline    = "Mulberrybeam-Request-Deadline"
 	HeaderStamp       = "Mulberrybeam-Response-Stamp"
 	HeaderLastEventID = "Last-Event-Id"
+	HeaderModel       = "Mulberrybeam-Model"
+	HeaderTokenUsage  = "Mulberrybeam-Token-Usage"
+	HeaderPromptParts = "Mulberrybeam-Prompt-Prefix"
 
 	headerInstance = "Mulberrybeam-Expect-Instance"
 	headerTenant   = "Mulberrybeam-Tenant-Id"
@@ -59,6 +62,8 @@
 	Tenant  string
 	// APIKey is the API key of the caller, which must never reach a target.
 	APIKey string
+	// Parts lists the IDs of the parts of a prompt.
+	Parts []string
 	// Ran is false if the request was refused without running: its body
 	// could not be read, or it was meant for another instance.
 	Ran bool
@@ -68,7 +73,7 @@
 type Target struct {
 	ID, Zone  string
 	listener  *fixture.Listener
-	onArrival func(Arrival)
+	onArrival func(Arrival) (crash func())
 
 	mutex       sync.Mutex
 	faults      Faults
@@ -76,8 +81,9 @@
 }
 
 // Start starts a target on a free loopback port. It calls onArrival for each
-// request that reaches the target.
-func Start(id, zone string, onArrival func(Arrival)) (*Target, error) {
+// request that reaches the target. If the result is not nil, the target calls it
+// after it has begun to answer, and does not complete the response.
+func Start(id, zone string, onArrival func(Arrival) (crash func())) (*Target, error) {
 	t := &Target{ID: id, Zone: zone, onArrival: onArrival}
 	var err error
 	t.listener, _, err = fixture.Listen("", t)
@@ -123,11 +129,12 @@
 	arrival := Arrival{
 		At: time.Now(), Request: request.Header.Get(HeaderRequestID), Target: t.ID, Zone: t.Zone,
 		Tenant: request.Header.Get(headerTenant), APIKey: request.Header.Get(HeaderAPIKey),
+		Parts: promptParts(request.Header.Get(HeaderPromptParts)),
 	}
 	_, err := io.Copy(io.Discard, request.Body)
 	instance := request.Header.Get(headerInstance)
 	arrival.Ran = err == nil && (instance == "" || instance == t.ID)
-	t.onArrival(arrival)
+	crash := t.onArrival(arrival)
 	writer.Header().Set(HeaderRequestID, arrival.Request)
 	if !arrival.Ran {
 		writer.Header().Set(headerNotRun, "1")
@@ -140,6 +147,10 @@
 	time.Sleep(faults.Delay + 2*time.Millisecond + rand.N(20*time.Millisecond))
 	writer.Header().Set(HeaderStamp, "stamp-"+arrival.Request)
 	switch {
+	case crash != nil:
+		beginAnswer(writer)
+		crash()
+		fixture.AbortConnection()
 	case rand.Float64() < faults.LoseAnswerShare:
 		fixture.AbortConnection()
 	case rand.Float64() < faults.FailShare:
@@ -154,6 +165,25 @@
 	t.answer(writer, Answer(arrival.Request), breaks)
 }
 
+// promptParts returns the IDs in a list of prompt parts.
+func promptParts(list string) []string {
+	var ids []string
+	for entry := range strings.SplitSeq(list, ",") {
+		if id, _, found := strings.Cut(strings.TrimSpace(entry), ":"); found {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// beginAnswer sends the head of a response to every other request.
+func beginAnswer(writer http.ResponseWriter) {
+	if rand.IntN(2) == 0 {
+		writer.Header().Set("Content-Type", "text/event-stream")
+		_ = http.NewResponseController(writer).Flush()
+	}
+}
+
 // answer sends a plain response. A silent target stops before the head or in
 // the middle of the body.
 func (t *Target) answer(writer http.ResponseWriter, body string, breaks bool) {
