Exhaust the retry budget in the soak test of silent targets

With 100 retries in 10 s at least, almost every stream of a silent target went on at another one, and only responses before their head were cut. Where targets fall silent, the hosts now have a retry budget of 2% and at least 5 in 10 s. Seed 5 then also showed streams cut midway: "response from host-2 with status 200 ended after 3.431817825s and 1 events". It replaces seed 4 in TestSoakSilence, which fails with this budget as well (10 cut responses by hand).

--- a/process/soaker/host.go
+++ b/process/soaker/host.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -42,6 +43,12 @@
 		settingsFile: filepath.Join(dir, name+".toml"), logFile: filepath.Join(dir, name+".log"),
 		callerAddress: fmt.Sprint("127.0.0.1:", caller), readyAddress: fmt.Sprint("127.0.0.1:", ready),
 	}
+	ratio, retries := 0.2, 100
+	if slices.Contains(options.TrafficFaults, FaultSilence) {
+		// Silent targets exhaust this budget, so that no other target may take
+		// their requests on.
+		ratio, retries = 0.02, 5
+	}
 	text := fmt.Sprintf(`node = %q
 ip = "127.0.0.1"
 zone = %q
@@ -58,9 +65,9 @@
 grace_s = %.1f
 fail_closed = true
 revoke_ms = %d
-retry_budget_ratio = 0.2
+retry_budget_ratio = %g
 budget_window_s = 10
-budget_min_retries = 100
+budget_min_retries = %d
 cold_overshoot = 1.5
 cold_slack = 5
 require_fencing = true
@@ -68,7 +75,7 @@
 version_ms = 8000
 [platform]
 address = %q
-`, name, zone, peer, peer, h.callerAddress, h.readyAddress, stopLimit.Seconds(), revokeLimit.Milliseconds(), link.Address())
+`, name, zone, peer, peer, h.callerAddress, h.readyAddress, stopLimit.Seconds(), revokeLimit.Milliseconds(), ratio, retries, link.Address())
 	return h, os.WriteFile(h.settingsFile, []byte(text), 0o600)
 }
 
--- a/process/soaker/soaker_test.go
+++ b/process/soaker/soaker_test.go
@@ -50,7 +50,7 @@
 // 0.5 to 2.5 seconds.
 func TestSoakSilence(t *testing.T) {
 	soakTest{
-		seed: 4, hosts: 4, faults: 8 * time.Second, traffic: []string{soaker.FaultSilence},
+		seed: 5, hosts: 4, faults: 12 * time.Second, traffic: []string{soaker.FaultSilence},
 		cause: "a silent target was given up although no other one took the request on",
 	}.run(t, buildEntry(t))
 }
