--- a/process/soaker/history.go
+++ b/process/soaker/history.go
@@ -24,6 +24,9 @@
 	Changes     []Change
 	Disruptions []Disruption
 	Stops       []Stop
+	Outages     []Outage
+	Crashes     []Crash
+	PartFaults  []PartFault
 	// RecoveredAt is the end of the recovery period that follows the last fault.
 	RecoveredAt time.Time
 }
@@ -36,6 +39,14 @@
 	// Host is the entry host that the request was sent to.
 	Host            string
 	SentAt, EndedAt time.Time
+	// Timeout is the deadline of the request, counted from SentAt.
+	Timeout time.Duration
+	// Parts lists the IDs of the parts of a prompt. All but the last are shared
+	// with other prompts.
+	Parts []string
+	// Kept reports that the head was sent in two parts on a connection that had
+	// served a request before.
+	Kept bool
 	// Status is the HTTP status, or 0 if there was no response.
 	Status int
 	// Complete reports whether the body was read to its end without an error.
@@ -86,3 +97,25 @@
 	// Duration is the time from the signal to the exit of the process.
 	Duration time.Duration
 }
+
+// Outage is a period in which a target or its link may break off responses. A
+// target that is silent and then continues has no outage. A zero To stands for
+// the end of the run.
+type Outage struct {
+	Target   string
+	From, To time.Time
+}
+
+// PartFault is a period in which prompts with a part crashed targets.
+type PartFault struct {
+	Part     string
+	From, To time.Time
+}
+
+// Crash is the crash of a target that had begun to answer a prompt.
+type Crash struct {
+	At              time.Time
+	Request, Target string
+	// Part is the part of the prompt that caused the crash.
+	Part string
+}
