Start no standby for a prompt with a suspect part

A silent target may just be about to crash. The standby of a prompt whose part is suspected or convicted would take the part to a second target, past the check before each attempt. TestSuspectPartGetsNoStandby failed (2 requests sent instead of 1) and passes.

--- a/request/relayer/part_test.go
+++ b/request/relayer/part_test.go
@@ -17,6 +17,7 @@
 	"mulberrybeam/platform"
 	"mulberrybeam/process/parttracker"
 	"mulberrybeam/process/tracker"
+	"mulberrybeam/request/quarantiner"
 )
 
 // controlLoop passes events to the state machines of one host, and publishes the
@@ -157,3 +158,24 @@
 	_, _ = io.Copy(io.Discard, response.Body)
 	return response.StatusCode
 }
+
+// Guards against a prompt with a part that crashes targets which is sent to a
+// second target because the first one is silent.
+func TestSuspectPartGetsNoStandby(t *testing.T) {
+	is := is.New(t)
+	var h *harness
+	h = newHarness(t, patientStreamRule(), func(writer http.ResponseWriter, request *http.Request) {
+		fleet := *h.fleet.Load()
+		part := quarantiner.SharedParts("m", []mulberrybeam.PromptPart{{ID: deadlyPart}, {ID: "own"}})[0]
+		fleet.Suspects = map[mulberrybeam.SharedPart]mulberrybeam.PartSuspicion{part: {Crashes: quarantiner.ConvictionThreshold}}
+		h.fleet.Store(&fleet)
+		pausesAfter(2)(writer, request)
+	}, resumesStream)
+	got := h.call(func(header http.Header) {
+		header.Set("Mulberrybeam-Model", "m")
+		header.Set("Mulberrybeam-Prompt-Prefix", deadlyPart+":10,own:10")
+	})
+	is.NoErr(got.err)
+	is.Equal(got.header.Get("Mulberrybeam-Response-Stamp"), "first")
+	is.Equal(h.requestCount(), 1)
+}
--- a/request/relayer/watch.go
+++ b/request/relayer/watch.go
@@ -10,6 +10,7 @@
 	"mulberrybeam"
 	"mulberrybeam/connection/requester"
 	"mulberrybeam/request/chooser"
+	"mulberrybeam/request/quarantiner"
 	"mulberrybeam/request/retrier"
 )
 
@@ -152,6 +153,9 @@
 		return nil
 	}
 	a.fleet = a.Fleet()
+	if a.decideParts(true).Verdict != quarantiner.RunNormally {
+		return nil
+	}
 	query := a.chooserQuery()
 	query.Tried = append(slices.Clone(a.tried), a.target.ID)
 	query.MayWait = true
