Do not send a request that has ended

The connection was closed by a callback of the context, which races with the write: with an idle connection and a context that had ended, the request still reached the target, although its caller had left or a stop had closed its connection. TestEndedRequestIsNotSent failed and passes.

--- a/connection/requester/requester.go
+++ b/connection/requester/requester.go
@@ -97,6 +97,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil {
+		c.putIdle(pc)
+		return nil, newFailure(mulberrybeam.StepSend, target.ID, "request ended before it was sent", true, ctx.Err())
+	}
 	stop := context.AfterFunc(ctx, func() { _ = pc.conn.Close() })
 	answer, err := c.exchange(pc, message)
 	if err != nil {
