End the contexts of requests in the step that closes their connection

A stop marked a connection as closed, and ended the contexts of its requests only after two further locks, so that a request just read could still be passed on. Found by review; no test shows it.

--- a/connection/drainer/conn.go
+++ b/connection/drainer/conn.go
@@ -93,15 +93,20 @@
 func (c *Conn) Close() error {
 	c.drainer.forget(c)
 	c.mutex.Lock()
-	c.closed = true
-	cancel := c.cancel
+	c.markClosed()
 	c.mutex.Unlock()
-	if cancel != nil {
-		cancel()
-	}
 	return c.TCPConn.Close()
 }
 
+// markClosed ends the contexts of the connection's requests. The caller holds the
+// mutex and closes the connection afterwards.
+func (c *Conn) markClosed() {
+	c.closed = true
+	if c.cancel != nil {
+		c.cancel()
+	}
+}
+
 func (c *Conn) withCancel(ctx context.Context) context.Context {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -121,7 +126,7 @@
 	if c.closed || c.arriving || time.Since(c.quietSince) < wait || c.hasUnread() {
 		return false
 	}
-	c.closed = true
+	c.markClosed()
 	return true
 }
 
@@ -130,7 +135,7 @@
 func (c *Conn) interrupt() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.closed = true
+	c.markClosed()
 	return c.state == http.StateActive
 }
 
