Let a standby take over only when it can, and keep it while it may be needed

Found by review of the silent targets:

- A standby took over after 250 ms, before a connection that cannot be opened had failed (300 ms).
It now has 350 ms.
- Any stamped 2xx counted as acceptance, also one that cannot continue the stream, such as 204.
One function now decides what can be forwarded.
- The body of a standby's refusal was read by the request's goroutine.
If it stalled, nothing of the sound target was forwarded meanwhile.
- A standby was dropped with the head of the first response, also if that was a refusal or an error.
- It was dropped after the write to the caller, which a slow caller may block, so that two targets worked on the request for long.
- The response of a target given up in the same moment was never closed, which kept its place among the connections to the target.
- A large body that broke off kept its load on the target for good.
- A stream that has begun waits for a target until its deadline, since it cannot be refused any more.

Two new cases of TestSilentTargetIsKeptUntilAnotherTakesOver (the other is unreachable, its refusal stalls) and TestStandbyOutlivesARefusal failed before (unexpected EOF, 8 s, 502).

--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -92,17 +92,12 @@
 // last one.
 func (a *attempt) forwardReceived(ctx context.Context, w *watch, flusher *http.ResponseController, response *requester.Answer, received chunk) (bool, error) {
 	if len(received.data) > 0 {
-		events := a.splitter.Events
-		if err := a.forwardChunk(flusher, response, received.data); err != nil {
-			w.dropStandby()
+		if err := a.forwardChunk(w, flusher, response, received.data); err != nil {
 			return false, a.callerDisconnected(err)
 		}
 		if a.splitter.Repeated() {
 			return false, a.recordInterruption(ctx, fmt.Sprintf("target repeated an event, stream was given up after event %q", a.splitter.LastID), nil)
 		}
-		if !a.requestInfo.Repeatable || a.splitter.Events > events {
-			w.recordActivity()
-		}
 	}
 	switch {
 	case received.err == nil:
@@ -117,7 +112,7 @@
 	return false, a.recordInterruption(ctx, fmt.Sprintf("stream was interrupted after event %q", a.splitter.LastID), received.err)
 }
 
-func (a *attempt) forwardChunk(flusher *http.ResponseController, response *requester.Answer, chunk []byte) error {
+func (a *attempt) forwardChunk(w *watch, flusher *http.ResponseController, response *requester.Answer, chunk []byte) error {
 	if a.requestInfo.Repeatable {
 		chunk = a.splitter.Feed(chunk)
 		if len(chunk) == 0 {
@@ -126,6 +121,8 @@
 	} else {
 		a.splitter.Observe(chunk)
 	}
+	// Before the write, since a slow caller may block it while the standby runs.
+	w.recordActivity()
 	a.ensureHeader(response)
 	if _, err := a.writer.Write(chunk); err != nil {
 		return err
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -55,8 +55,7 @@
 		return err
 	}
 	for {
-		successor, err := current.run(ctx)
-		current.end(ctx, err)
+		successor, err := current.runToEnd(ctx)
 		if successor == nil {
 			return err
 		}
@@ -87,6 +86,13 @@
 	return a, nil
 }
 
+// runToEnd runs the attempt and removes its load from the target, also if the
+// caller's connection is aborted by a panic.
+func (a *attempt) runToEnd(ctx context.Context) (successor *attempt, err error) {
+	defer func() { a.end(ctx, err) }()
+	return a.run(ctx)
+}
+
 // end removes the attempt's load from its target.
 func (a *attempt) end(ctx context.Context, err error) {
 	a.Monitor.RecordEnd(a.target.ID, a.load, err != nil && ctx.Err() == nil && !isRefusal(err))
@@ -178,8 +184,8 @@
 		var successor *attempt
 		select {
 		case result := <-a.sent:
-			if result.err != nil {
-				return nil, w.takeStandby(), a.classifySendError(ctx, result.err)
+			if result.err != nil || w.standby != nil && !a.canForward(result.response) {
+				return nil, w.takeStandby(), a.reject(ctx, result)
 			}
 			return result.response, nil, nil
 		case <-w.expired():
@@ -188,6 +194,7 @@
 			successor = w.handleStandby(ctx, result)
 		}
 		if successor != nil {
+			a.abandon()
 			return nil, successor, a.recordSilence()
 		}
 	}
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -214,8 +214,12 @@
 	resetTriedAfter = 2
 )
 
-// waitDeadline returns the time until which the request may wait for a target.
+// waitDeadline returns the time until which the request may wait for a target. A
+// stream that has begun cannot be refused any more.
 func (e *exchange) waitDeadline() time.Duration {
+	if e.headerWritten {
+		return e.requestInfo.Deadline
+	}
 	return e.arrivedAt + time.Duration(waitFraction*float64(e.match.Rule.LatencyGoal))
 }
 
--- a/request/relayer/outcome.go
+++ b/request/relayer/outcome.go
@@ -32,6 +32,19 @@
 	return nil, a.forwardBody(ctx, response)
 }
 
+// canForward reports whether a response is a success that the caller can get.
+func (a *attempt) canForward(response *requester.Answer) bool {
+	switch {
+	case !response.Head.Stamped || response.Head.NotRun:
+		return false
+	case a.headerWritten:
+		return a.continuesStream(response)
+	case a.match.Rule.Streaming:
+		return response.Status == http.StatusOK
+	}
+	return response.Status < http.StatusMultipleChoices
+}
+
 // impliesNotRun reports whether callers may conclude from the status that the
 // request did not run.
 func impliesNotRun(status int) bool {
@@ -46,9 +59,14 @@
 // run the request.
 func (a *attempt) handleRefusal(response *requester.Answer) error {
 	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxDiscardedBody))
+	return a.recordRefusal(response.Status)
+}
+
+// recordRefusal records that the target refused the request.
+func (a *attempt) recordRefusal(status int) error {
 	avoidFor := avoidAfterServiceRefusal
 	switch {
-	case response.Status == http.StatusMisdirectedRequest:
+	case status == http.StatusMisdirectedRequest:
 		avoidFor = avoidAfterUnreachable
 	case a.inbound.Model != "":
 		avoidFor = avoidAfterEngineRefusal
@@ -57,7 +75,7 @@
 	a.recordAttempt(true, true)
 	return &mulberrybeam.Failure{
 		Code: mulberrybeam.CodeTargetRefused, Step: mulberrybeam.StepAnswer, Peer: string(a.target.ID),
-		Message: fmt.Sprintf("target refused the request with status %d", response.Status), NotRun: true,
+		Message: fmt.Sprintf("target refused the request with status %d", status), NotRun: true,
 	}
 }
 
--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -50,7 +50,8 @@
 }
 
 // newHarness starts a Relayer and one target per handler. The first target is
-// preferred because it is in the Relayer's zone.
+// preferred because it is in the Relayer's zone. Connections to a target without
+// a handler are never established.
 func newHarness(t *testing.T, rule mulberrybeam.Rule, handlers ...http.HandlerFunc) *harness {
 	return newHarnessWithBudgets(t, rule, monitor.NewBudgets(0.2, 100), handlers...)
 }
@@ -79,10 +80,14 @@
 			handler(writer, request)
 		}))
 		t.Cleanup(server.Close)
+		address := strings.TrimPrefix(server.URL, "http://")
+		if handler == nil {
+			address = unreachable
+		}
 		zone := mulberrybeam.ZoneName(fmt.Sprint("z", i))
 		fleet.Targets["s"] = append(fleet.Targets["s"], mulberrybeam.FleetTarget{LiveTarget: mulberrybeam.LiveTarget{
 			ID: mulberrybeam.InstanceID(fmt.Sprint("t", i)), Service: "s", Zone: zone, Slots: 4,
-			Address: strings.TrimPrefix(server.URL, "http://"),
+			Address: address,
 		}})
 	}
 	h.fleet.Store(fleet)
@@ -90,10 +95,21 @@
 	return h
 }
 
+// unreachable is the address of a target to which no connection is established.
+const unreachable = "unreachable"
+
+func dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
+	if address == unreachable {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
 func (h *harness) startRelayer(budgets *monitor.Budgets) {
 	h.start = time.Now()
 	now := func() time.Duration { return time.Since(h.start) }
-	connections, closeIdle := requester.New(platform.Codec{}, (&net.Dialer{}).DialContext, now)
+	connections, closeIdle := requester.New(platform.Codec{}, dialTarget, now)
 	settings := &mulberrybeam.HostSettings{ID: "self", Zone: "z0", Bounds: mulberrybeam.HostBounds{VersionWithin: 8 * time.Second}}
 	server := httptest.NewServer(&relayer.Relayer{
 		Settings: func() *mulberrybeam.HostSettings { return settings },
--- a/request/relayer/silence_test.go
+++ b/request/relayer/silence_test.go
@@ -54,6 +54,9 @@
 		{"no other target, within the stream", 100, []http.HandlerFunc{pausesAfter(2)}},
 		{"others refuse, before the first event", 100, []http.HandlerFunc{pausesAfter(0), refuses, refuses}},
 		{"others refuse, within the stream", 100, []http.HandlerFunc{pausesAfter(2), refuses, refuses}},
+		{"the other is unreachable", 100, []http.HandlerFunc{pausesAfter(2), nil}},
+		{"the other sends no stream", 100, []http.HandlerFunc{pausesAfter(2), respondsWith(http.StatusNoContent, "", "Mulberrybeam-Response-Stamp", "second")}},
+		{"the other's refusal stalls", 100, []http.HandlerFunc{pausesAfter(2), stallsRefusal}},
 		{"retry budget exhausted, before the first event", 0, []http.HandlerFunc{pausesAfter(0), resumesStream}},
 		{"retry budget exhausted, within the stream", 0, []http.HandlerFunc{pausesAfter(2), resumesStream}},
 	}
@@ -66,8 +69,10 @@
 				takeFirstRetry(budgets)
 			}
 			h := newHarnessWithBudgets(t, patientStreamRule(), budgets, c.targets...)
+			begin := time.Now()
 			got := h.call(nil)
 			is.NoErr(got.err)
+			is.True(time.Since(begin) < 2*silence)
 			is.Equal(got.status, http.StatusOK)
 			is.Equal(got.header.Get("Mulberrybeam-Response-Stamp"), "first")
 			is.Equal(eventIDs(got.body), "1 2 3 4 5 6")
@@ -75,6 +80,16 @@
 	}
 }
 
+// stallsRefusal refuses a request and does not end the body of the refusal.
+func stallsRefusal(writer http.ResponseWriter, request *http.Request) {
+	_, _ = io.Copy(io.Discard, request.Body)
+	writer.Header().Set("Mulberrybeam-Not-Executed", "1")
+	writer.Header().Set("Content-Length", "100")
+	writer.WriteHeader(http.StatusServiceUnavailable)
+	_ = http.NewResponseController(writer).Flush()
+	<-request.Context().Done()
+}
+
 // takeFirstRetry takes the retry that a new budget allows at any rate.
 func takeFirstRetry(budgets *monitor.Budgets) {
 	request := &mulberrybeam.Request{Repeatable: true, Deadline: time.Hour}
@@ -142,3 +157,20 @@
 		t.Fatal("the other target is still running the request")
 	}
 }
+
+// Guards against a standby that is dropped because the silent target refuses the
+// request in the end.
+func TestStandbyOutlivesARefusal(t *testing.T) {
+	is := is.New(t)
+	h := newHarnessWithBudgets(t, patientStreamRule(), monitor.NewBudgets(0, 0), func(writer http.ResponseWriter, request *http.Request) {
+		time.Sleep(1650 * time.Millisecond)
+		refuses(writer, request)
+	}, func(writer http.ResponseWriter, request *http.Request) {
+		time.Sleep(300 * time.Millisecond)
+		resumesStream(writer, request)
+	})
+	got := h.call(nil)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(eventIDs(got.body), "1 2 3 4 5 6")
+}
--- a/request/relayer/watch.go
+++ b/request/relayer/watch.go
@@ -22,16 +22,16 @@
 	// busyIdleExtra is added to idleTimeout while the target sends data to
 	// other requests, which shows that it is busy rather than down.
 	busyIdleExtra = 1300 * time.Millisecond
-	// standbyGrace is the time after which the target of a standby has accepted
-	// the request, because a target refuses at once. It also limits how long
-	// both targets work on the request.
-	standbyGrace = 250 * time.Millisecond
+	// standbyGrace is the time after which a standby takes over that has neither
+	// failed nor been refused. It is longer than the time to open a connection,
+	// and limits how long both targets work on the request.
+	standbyGrace = 350 * time.Millisecond
 	// standbyInterval is the time between two searches for a standby.
 	standbyInterval = 500 * time.Millisecond
 )
 
 var errSilent = &mulberrybeam.Failure{
-	Code: mulberrybeam.CodeTimeout, Step: mulberrybeam.StepAnswer, Message: "target was silent, another one took over",
+	Code: mulberrybeam.CodeTimeout, Step: mulberrybeam.StepAnswer, Message: "target was silent",
 }
 
 // watch notices that the target of an attempt is silent, and looks for another
@@ -112,13 +112,14 @@
 // handleStandby handles the response to the standby. It returns the standby if
 // it takes over, and nil if its target failed or refused the request.
 func (w *watch) handleStandby(ctx context.Context, result sendResult) *attempt {
-	if result.err == nil && result.response.Head.Stamped && result.response.Status < 300 {
+	if result.err == nil && w.standby.canForward(result.response) {
+		// The standby receives its response once more when it runs.
 		w.standby.sent <- result
 		return w.takeStandby()
 	}
 	standby := w.standby
 	w.standby = nil
-	standby.end(ctx, standby.rejectStandby(ctx, result))
+	standby.end(ctx, standby.reject(ctx, result))
 	w.timer.Reset(standbyInterval)
 	return nil
 }
@@ -180,16 +181,18 @@
 	return standby
 }
 
-// rejectStandby records that the target of a standby did not take over, and
-// returns why.
-func (a *attempt) rejectStandby(ctx context.Context, result sendResult) error {
+// reject ends an attempt whose response is not forwarded because another attempt
+// is running, and returns what was wrong with it. It does not read the body, which
+// may take long.
+func (a *attempt) reject(ctx context.Context, result sendResult) error {
 	defer a.cancel()
 	if result.err != nil {
 		return a.classifySendError(ctx, result.err)
 	}
-	defer result.response.Close()
+	a.cancel()
+	result.response.Close()
 	if result.response.Head.NotRun {
-		return a.handleRefusal(result.response)
+		return a.recordRefusal(result.response.Status)
 	}
 	return a.recordInterruption(ctx, fmt.Sprintf("target returned status %d", result.response.Status), nil)
 }
@@ -197,9 +200,15 @@
 // discard ends an attempt that is not needed any more. Its target may have run
 // the request.
 func (a *attempt) discard() {
-	a.cancel()
 	a.recordAttempt(true, false)
 	a.Monitor.RecordEnd(a.target.ID, a.load, false)
+	a.abandon()
+}
+
+// abandon closes the connection of an attempt whose response is not awaited any
+// more.
+func (a *attempt) abandon() {
+	a.cancel()
 	go func() {
 		if result := <-a.sent; result.err == nil {
 			result.response.Close()
