Clear prompt parts only by responses that a crash cannot have cut

Found by review. A response with neither a length nor chunks ends with its connection, as it does when its engine crashes: a stream without events, a cut body, or a resumed stream whose second engine sent nothing cleared a part that crashes engines at all hosts, so that three more were lost each time. Such a response now counts only with several events of its own attempt. TestResponseThatMayBeCutClearsNoPart fails in three of its cases without the check of the framing.

--- a/connection/requester/requester.go
+++ b/connection/requester/requester.go
@@ -63,9 +63,12 @@
 // Answer is a response of a target. Read returns its body, and Close must be
 // called.
 type Answer struct {
-	Status   int
-	Header   http.Header
-	Head     mulberrybeam.AnswerHead
+	Status int
+	Header http.Header
+	Head   mulberrybeam.AnswerHead
+	// Framed is false if the body ends with its connection, so that a body that
+	// was cut may look complete.
+	Framed   bool
 	body     io.ReadCloser
 	conn     *pooledConn
 	complete bool
@@ -155,6 +158,7 @@
 		if pc.answers(head.Request, message.ID) {
 			pc.source.unlimit()
 			answer := &Answer{Status: response.StatusCode, Header: response.Header, Head: head, body: response.Body}
+			answer.Framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 			pc.reuseUntil = c.now() + idleTimeout(response)
 			if response.Close {
 				pc.reuseUntil = 0
--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -43,7 +43,7 @@
 		a.recordEntry(mulberrybeam.EntryInterruption, string(a.target.ID), "response interrupted: "+err.Error())
 		panic(http.ErrAbortHandler)
 	}
-	a.recordCompletion(response.Status)
+	a.recordCompletion(response)
 	return nil
 }
 
@@ -54,6 +54,7 @@
 // refused with a status of its own.
 func (a *attempt) forwardStream(ctx context.Context, response *requester.Answer) (*attempt, error) {
 	a.splitter.Drop()
+	a.eventsBefore = a.splitter.Events
 	flusher := http.NewResponseController(a.writer)
 	chunks, stopReading := readChunks(response)
 	bodyEnded := false
@@ -138,7 +139,7 @@
 		}
 	}
 	_ = flusher.Flush()
-	a.recordCompletion(response.Status)
+	a.recordCompletion(response)
 	return nil
 }
 
@@ -172,8 +173,8 @@
 	a.headerWritten = true
 }
 
-func (a *attempt) recordCompletion(status int) {
-	a.reportCompletedParts(status)
+func (a *attempt) recordCompletion(response *requester.Answer) {
+	a.reportCompletedParts(response)
 	duration := a.Now() - a.arrivedAt
 	attempts := len(a.history.Attempts) + 1
 	measure := &mulberrybeam.RequestStats{
@@ -185,7 +186,7 @@
 	}
 	a.Recorder.Record(mulberrybeam.Entry{
 		Kind: mulberrybeam.EntryCompletion, Request: a.inbound.ID, Subject: string(a.target.ID), Stats: measure,
-		Text: fmt.Sprintf("status %d after %d attempts in %s, first byte after %s", status, attempts,
+		Text: fmt.Sprintf("status %d after %d attempts in %s, first byte after %s", response.Status, attempts,
 			duration.Round(time.Millisecond), measure.FirstToken.Round(time.Millisecond)),
 	})
 }
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -149,6 +149,8 @@
 	sentAt time.Duration
 	// requireGoal requires the target to run the current weight goal.
 	requireGoal bool
+	// eventsBefore is the number of events of the stream from earlier attempts.
+	eventsBefore int
 	// cancel closes the connection to the target, and sent receives the head of
 	// the response.
 	cancel context.CancelFunc
--- a/request/relayer/part.go
+++ b/request/relayer/part.go
@@ -11,6 +11,7 @@
 
 	"mulberrybeam"
 	"mulberrybeam/connection/pauser"
+	"mulberrybeam/connection/requester"
 	"mulberrybeam/request/quarantiner"
 )
 
@@ -18,6 +19,10 @@
 // still have been caused by a prompt part of the request.
 const answerBeginWindow = 2 * time.Second
 
+// minUnframedEvents is the number of events after which a stream without length
+// has got past the beginning, at which a prompt part crashes its target.
+const minUnframedEvents = 3
+
 // crashParts returns the prompt parts that may have crashed the target.
 func (a *attempt) crashParts() []mulberrybeam.SharedPart {
 	if a.firstByteAt > a.sentAt && a.Now()-a.firstByteAt > answerBeginWindow {
@@ -31,15 +36,26 @@
 }
 
 // reportCompletedParts reports the parts of a completed request to the control
-// loop. A stream without events may have been cut by a crash.
-func (a *attempt) reportCompletedParts(status int) {
+// loop.
+func (a *attempt) reportCompletedParts(response *requester.Answer) {
 	parts := a.sharedParts()
-	if status != http.StatusOK || len(parts) == 0 || a.match.Rule.Streaming && a.requestInfo.Repeatable && a.splitter.Events == 0 {
+	if response.Status != http.StatusOK || len(parts) == 0 || !a.provesCompletion(response) {
 		return
 	}
 	a.Post(mulberrybeam.PartsCompleted{Parts: parts})
 }
 
+// provesCompletion reports whether the target cannot have crashed instead of
+// completing the response. One without length that ends with its connection may
+// have been cut, unless several events of it arrived.
+func (a *attempt) provesCompletion(response *requester.Answer) bool {
+	if !a.match.Rule.Streaming || !a.requestInfo.Repeatable {
+		return response.Framed
+	}
+	events := a.splitter.Events - a.eventsBefore
+	return events >= minUnframedEvents || response.Framed && events > 0
+}
+
 // decideParts decides whether the prompt's parts may run. interrupted is set for
 // a request that may have run on a target.
 func (e *exchange) decideParts(interrupted bool) quarantiner.PartDecision {
--- a/request/relayer/part_test.go
+++ b/request/relayer/part_test.go
@@ -179,3 +179,38 @@
 	is.Equal(got.header.Get("Mulberrybeam-Response-Stamp"), "first")
 	is.Equal(h.requestCount(), 1)
 }
+
+// Guards against a prompt part that is cleared by a response which its crashing
+// target may have cut, and against one that is not cleared by a complete one.
+func TestResponseThatMayBeCutClearsNoPart(t *testing.T) {
+	const eventStream = "text/event-stream"
+	onceStream := streamRule
+	onceStream.Guarantee, onceStream.Resumable = mulberrybeam.GuaranteeAtMostOnce, false
+	cases := []struct {
+		name    string
+		rule    mulberrybeam.Rule
+		target  http.HandlerFunc
+		cleared bool
+	}{
+		{"unframed without events", onceStream, respondsUnframed(eventStream, "", false), false},
+		{"unframed with one event", streamRule, respondsUnframed(eventStream, eventText(1), false), false},
+		{"unframed, at most once", onceStream, respondsUnframed(eventStream, eventText(1), false), false},
+		{"unframed with several events", streamRule, respondsUnframed(eventStream, eventText(4), false), true},
+		{"unframed body", repeatableRule, respondsUnframed("text/plain", "x", false), false},
+		{"chunked", streamRule, withContentType(eventStream, resumesStream), true},
+		{"chunked, at most once", onceStream, withContentType(eventStream, resumesStream), true},
+		{"body with a length", repeatableRule, respondsStamped("x"), true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, c.rule, c.target)
+			got := h.call(func(header http.Header) {
+				header.Set("Mulberrybeam-Model", "m")
+				header.Set("Mulberrybeam-Prompt-Prefix", deadlyPart+":10,own:10")
+			})
+			is.NoErr(got.err)
+			is.Equal(h.completions.Load() > 0, c.cleared)
+		})
+	}
+}
--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -43,8 +43,10 @@
 	mutex    sync.Mutex
 	requests []*http.Request
 	crashes  chan mulberrybeam.TargetCrashed
-	start    time.Time
-	prompts  int
+	// completions counts the reports of completed prompt parts.
+	completions atomic.Int32
+	start       time.Time
+	prompts     int
 	// control gets the events that the Relayer posts, if it is set.
 	control atomic.Pointer[controlLoop]
 }
@@ -120,8 +122,11 @@
 				control.post(event)
 				return
 			}
-			if crash, ok := event.(mulberrybeam.TargetCrashed); ok {
-				h.crashes <- crash
+			switch event := event.(type) {
+			case mulberrybeam.TargetCrashed:
+				h.crashes <- event
+			case mulberrybeam.PartsCompleted:
+				h.completions.Add(1)
 			}
 		},
 		Draining: func() bool { return false },
