Count the crashes of a target that starts again under its ID

Found by review. A crash record now names the incarnation, ID and start time. TestCrashingRequestIsReportedAndRefused checks it and fails without.

--- a/fleet.go
+++ b/fleet.go
@@ -1,6 +1,9 @@
 package mulberrybeam
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Guarantee limits how often a call may run.
 type Guarantee string
@@ -134,6 +137,15 @@
 	Versions map[ModelName]int
 }
 
+// Incarnation identifies one start of the target, which may start again under the
+// same ID.
+func (t LiveTarget) Incarnation() InstanceID {
+	if t.StartedAt == 0 {
+		return t.ID
+	}
+	return InstanceID(fmt.Sprintf("%s.%d", t.ID, t.StartedAt))
+}
+
 // DesiredWeights is the weight version that a model's engines should have.
 type DesiredWeights struct {
 	Model   ModelName
@@ -176,7 +188,8 @@
 // CrashRecord identifies a request during which a target crashed.
 type CrashRecord struct {
 	Fingerprint Fingerprint
-	Target      InstanceID
+	// Target is the incarnation that crashed.
+	Target InstanceID
 	// Parts are the shared parts of the request's prompt. They are empty if the
 	// answer had begun long before the crash.
 	Parts []SharedPart
--- a/request/relayer/outcome.go
+++ b/request/relayer/outcome.go
@@ -142,7 +142,7 @@
 // crashed. If the target still accepts connections, only the response was
 // lost.
 func (a *attempt) reportCrash() {
-	crash := mulberrybeam.CrashRecord{Fingerprint: a.requestInfo.Fingerprint, Target: a.target.ID, Parts: a.crashParts()}
+	crash := mulberrybeam.CrashRecord{Fingerprint: a.requestInfo.Fingerprint, Target: a.target.Incarnation(), Parts: a.crashParts()}
 	address, post, sender := a.target.Address, a.Post, a.Sender
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -351,13 +351,14 @@
 		_ = listener.Close()
 		_ = conn.Close()
 	}()
-	target.Address = listener.Addr().String()
+	target.Address, target.StartedAt = listener.Addr().String(), 7
 	fleet := *h.fleet.Load()
 	fleet.Targets = map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget{"s": {target}}
 	h.fleet.Store(&fleet)
 	is.Equal(h.call(nil).status, http.StatusBadGateway)
 	crash := <-h.crashes
-	is.Equal(crash.Crash.Target, target.ID)
+	// A target may start again under the same ID and crash again.
+	is.Equal(crash.Crash.Target, target.ID+".7")
 	fleet.Crashes = map[mulberrybeam.Fingerprint]int{crash.Crash.Fingerprint: 2}
 	h.fleet.Store(&fleet)
 	is.Equal(h.call(nil).status, http.StatusServiceUnavailable)
