Clear the parts of a long stream before it ends

Found by review. An engine crashes when it begins to answer, so that three events of an attempt clear its parts now, as the crash reports assume already. TestLongStreamClearsItsPartsBeforeItEnds fails without.

--- a/event.go
+++ b/event.go
@@ -145,7 +145,8 @@
 }
 
 // PartsCompleted reports that a request of this process with these shared prompt
-// parts got a complete answer.
+// parts got a complete answer, or so much of one that its target had got past the
+// beginning, at which a part crashes it.
 type PartsCompleted struct {
 	Parts []SharedPart
 }
--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -116,6 +116,7 @@
 func (a *attempt) forwardChunk(w *watch, flusher *http.ResponseController, response *requester.Answer, chunk []byte) error {
 	if a.requestInfo.Repeatable {
 		chunk = a.splitter.Feed(chunk)
+		a.reportStreamedParts()
 		if len(chunk) == 0 {
 			return nil
 		}
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -151,6 +151,9 @@
 	requireGoal bool
 	// eventsBefore is the number of events of the stream from earlier attempts.
 	eventsBefore int
+	// partsReported is set once the attempt's prompt parts were reported as
+	// completed.
+	partsReported bool
 	// cancel closes the connection to the target, and sent receives the head of
 	// the response.
 	cancel context.CancelFunc
--- a/request/relayer/part.go
+++ b/request/relayer/part.go
@@ -19,9 +19,9 @@
 // still have been caused by a prompt part of the request.
 const answerBeginWindow = 2 * time.Second
 
-// minUnframedEvents is the number of events after which a stream without length
-// has got past the beginning, at which a prompt part crashes its target.
-const minUnframedEvents = 3
+// minStreamEvents is the number of events after which a stream has got past its
+// beginning, at which a prompt part crashes its target.
+const minStreamEvents = 3
 
 // crashParts returns the prompt parts that may have crashed the target.
 func (a *attempt) crashParts() []mulberrybeam.SharedPart {
@@ -38,10 +38,25 @@
 // reportCompletedParts reports the parts of a completed request to the control
 // loop.
 func (a *attempt) reportCompletedParts(response *requester.Answer) {
+	if response.Status == http.StatusOK && a.provesCompletion(response) {
+		a.postCompletedParts()
+	}
+}
+
+// reportStreamedParts reports the parts of a stream as soon as it is past its
+// beginning, since a long answer may take several seconds more.
+func (a *attempt) reportStreamedParts() {
+	if a.splitter.Events-a.eventsBefore >= minStreamEvents {
+		a.postCompletedParts()
+	}
+}
+
+func (a *attempt) postCompletedParts() {
 	parts := a.sharedParts()
-	if response.Status != http.StatusOK || len(parts) == 0 || !a.provesCompletion(response) {
+	if len(parts) == 0 || a.partsReported {
 		return
 	}
+	a.partsReported = true
 	a.Post(mulberrybeam.PartsCompleted{Parts: parts})
 }
 
@@ -53,7 +68,7 @@
 		return response.Framed
 	}
 	events := a.splitter.Events - a.eventsBefore
-	return events >= minUnframedEvents || response.Framed && events > 0
+	return events >= minStreamEvents || response.Framed && events > 0
 }
 
 // decideParts decides whether the prompt's parts may run. interrupted is set for
--- a/request/relayer/part_test.go
+++ b/request/relayer/part_test.go
@@ -214,3 +214,27 @@
 		})
 	}
 }
+
+// Guards against sound parts that are convicted because their answers take long.
+func TestLongStreamClearsItsPartsBeforeItEnds(t *testing.T) {
+	is := is.New(t)
+	var h *harness
+	h = newHarness(t, patientStreamRule(), func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Mulberrybeam-Response-Stamp", "first")
+		writeEvents(writer, 1, 4)
+		for range 100 {
+			if h.completions.Load() > 0 {
+				writeEvents(writer, 5, 6)
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	got := h.call(func(header http.Header) {
+		header.Set("Mulberrybeam-Model", "m")
+		header.Set("Mulberrybeam-Prompt-Prefix", deadlyPart+":10,own:10")
+	})
+	is.NoErr(got.err)
+	is.Equal(eventIDs(got.body), "1 2 3 4 5 6")
+	is.Equal(h.completions.Load(), int32(1))
+}
