--- a/connection/drainer/drain.go
+++ b/connection/drainer/drain.go
@@ -17,8 +17,8 @@
 	// closed. A connection is closed at the earliest that long after it became
 	// idle, so that the server can take up a request it has read already.
 	pollInterval = 50 * time.Millisecond
-	// settleTime is the pause between the end of a wait and a search, in which a
-	// process that was suspended takes up what arrived meanwhile.
+	// settleTime is a short pause before each search. A process that had no
+	// processor time during pollInterval receives in it what arrived meanwhile.
 	settleTime = 10 * time.Millisecond
 	// firstByteTimeout is how long a new connection may stay silent. Callers send
 	// a request as soon as they are connected.
--- a/process/parttracker/verdict.go
+++ b/process/parttracker/verdict.go
@@ -30,7 +30,7 @@
 }
 
 // explained reports whether another part was in flight at all these crashes and at
-// more. A sound part that is often in the same prompts as one that crashes targets
+// more. An innocent part that is often in the same prompts as one that crashes targets
 // is then not held responsible for it.
 func (t *Tracker) explained(known *evidence) bool {
 	if known.Crashes < quarantiner.ConvictionThreshold {
--- a/request/quarantiner/part.go
+++ b/request/quarantiner/part.go
@@ -65,11 +65,11 @@
 	firstTrialDelay  = 8 * time.Second
 	trialDelayFactor = 3
 	maxTrialDelay    = time.Minute
-	// From then on the hosts take turns of trialTurn, in which each of them may send
-	// one request. The first turn is of one host, and each further one of one
-	// more, so that a part that is sent often is tried by few hosts and one that
-	// is sent seldom is tried at all. The rest of a turn after trialWindow
-	// is left out, since hosts learn of a crash at different times.
+	// trialTurn is the length of a turn in which some hosts may send one request
+	// each as a trial. The first turn is of one host, and each further one of one
+	// more, so that a part that is sent often is tried by few hosts, and one that
+	// is sent seldom is tried at all. No trial begins later than trialWindow after
+	// the start of a turn, since hosts learn of a crash at different times.
 	trialTurn   = 3 * time.Second
 	trialWindow = 1500 * time.Millisecond
 )
--- a/request/quarantiner/quarantiner.go
+++ b/request/quarantiner/quarantiner.go
@@ -12,6 +12,9 @@
 // crashes targets and is sent again to other hosts within that time may run at
 // each of them, and concurrent copies of it may each run. Each process stops it
 // after two crashes of its own, and all processes do once the facts have spread.
+//
+// Different requests may crash targets because they share a part of their prompts.
+// DecideParts refuses requests with such a part, other than a few trials.
 package quarantiner
 
 import (
--- a/request/relayer/watch.go
+++ b/request/relayer/watch.go
@@ -80,8 +80,8 @@
 	w.dropStandby()
 }
 
-// check looks for a standby if the target has been silent for too long. It
-// returns the standby once it takes over.
+// check is called when the timer expires. It looks for a standby if the target has
+// been silent for too long, and returns the standby once it takes over.
 func (w *watch) check(ctx context.Context) *attempt {
 	if w.standby != nil {
 		return w.takeStandby()
