--- a/request/relayer/watch.go
+++ b/request/relayer/watch.go
@@ -35,8 +35,8 @@
 }
 
 // watch notices that the target of an attempt is silent, and looks for another
-// one. A silent target may be sound, so its attempt ends only when the standby's
-// target has accepted the request. Only the request's goroutine uses it.
+// one. A silent target may be healthy, so its attempt ends only when another attempt
+// at a second target, the standby, takes over. Only the request's goroutine uses it.
 type watch struct {
 	attempt *attempt
 	// limit is how long the target may be silent, or 0 for any time.
