Remove a second check of stream events and a second cancel

Several events of a stream clear its prompt parts while it is forwarded, so that the check at its end could not decide anything more; the end of a rejected attempt cancelled it twice. No behaviour changes: the tests of request/relayer pass unchanged with the race detector.

--- a/request/relayer/part.go
+++ b/request/relayer/part.go
@@ -62,13 +62,10 @@
 
 // provesCompletion reports whether the target cannot have crashed instead of
 // completing the response. One without length that ends with its connection may
-// have been cut, unless several events of it arrived.
+// have been cut. Events are counted for repeatable streams only.
 func (a *attempt) provesCompletion(response *requester.Answer) bool {
-	if !a.match.Rule.Streaming || !a.requestInfo.Repeatable {
-		return response.Framed
-	}
-	events := a.splitter.Events - a.eventsBefore
-	return events >= minStreamEvents || response.Framed && events > 0
+	counted := a.match.Rule.Streaming && a.requestInfo.Repeatable
+	return response.Framed && (!counted || a.splitter.Events > a.eventsBefore)
 }
 
 // decideParts decides whether the prompt's parts may run. interrupted is set for
--- a/request/relayer/watch.go
+++ b/request/relayer/watch.go
@@ -185,11 +185,10 @@
 // is running, and returns what was wrong with it. It does not read the body, which
 // may take long.
 func (a *attempt) reject(ctx context.Context, result sendResult) error {
-	defer a.cancel()
+	a.cancel()
 	if result.err != nil {
 		return a.classifySendError(ctx, result.err)
 	}
-	a.cancel()
 	result.response.Close()
 	if result.response.Head.NotRun {
 		return a.recordRefusal(result.response.Status)
