review: case 2, streams taken during a planned stop and cut

A connection whose answer began before SIGTERM stays open and takes requests until the stop interrupts them.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,179 +1,161 @@
 //go:build review
 
-// Command 2 shows that context stores in trouble end all entry processes, again and
-// again.
+// Command 2 shows streams that are taken during a planned stop and cut at its end.
 package main
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"mulberrybeam/review/harness"
 )
 
 const (
-	key = "nu6wsjnbanfqasnmgkcu"
-	// troubledStores are the copies of the smaller context store, which are in
-	// trouble for troubleTime.
-	troubledStores = 3
-	soundStores    = 2
-	troubleTime    = 25 * time.Second
-	// orderInterval is the time between two orders to a host.
-	orderInterval = 100 * time.Millisecond
-	// restartTime is the time in which the platform starts an ended process again.
-	restartTime = time.Second
-	// Processes that end so often on so many hosts are a fault.
-	endsPerHost = 3
-	minHosts    = 2
+	service = "huvo11a"
+	model   = "daka510000"
+	key     = "nu6wsjnbanfqasnmgkcu"
+	callers = 12
+	// eventTime is well within the pause of 400 ms that the route allows.
+	eventTime = 250 * time.Millisecond
+	// A stream has minTokens to maxTokens tokens, 6 in an event: 3 to 8 s.
+	minTokens, maxTokens = 75, 187
+	calmTime             = 6 * time.Second
+	grace                = 8 * time.Second
+	// lateAfter is how long after SIGTERM a request may be sent that the end of the
+	// grace period may cut.
+	lateAfter = 3 * time.Second
 )
 
 func main() { harness.Main(play) }
 
-func configuration(stores []*harness.ContextStore) map[string]any {
-	services := []map[string]any{{
-		"name": "kafi81c", "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
-	}}
-	for i, store := range stores {
-		service := map[string]any{
-			"name": fmt.Sprintf("daje%df", i), "kv_store_address": store.Address, "zone": "devin", "kv_capacity": 127715,
-			"link_mbps": 890000.0, "max_inflight": 12, "managed": true, "first_ms": 0.5,
-		}
-		if i >= troubledStores {
-			service["kv_capacity"], service["link_mbps"], service["first_ms"] = 957869, 360000.0, 6.0
-		}
-		services = append(services, service)
-	}
+func configuration() map[string]any {
 	return map[string]any{
 		"version": 3,
 		"routes": []map[string]any{{
-			"name": "r-order", "host": harness.RouteHost, "path_prefix": "/defi252/", "kind": "unsafe", "timeout_ms": 600,
-			"target_latency_ms": 100, "priority": 2, "service": "kafi81c", "max_attempts": 1, "public": false, "sticky": false, "resumable": false,
+			"name": "r-advice", "host": harness.RouteHost, "path_prefix": "/puxa400/", "kind": "streaming", "timeout_ms": 15000,
+			"target_latency_ms": 800, "priority": 1, "service": service, "max_attempts": 2, "public": false, "sticky": true,
+			"resumable": true, "gap_aim_ms": 400,
+		}},
+		"services": []map[string]any{{
+			"name": service, "health_path": "/health", "max_connections": 370, "protocol": "h1", "tls": false, "cold_start_s": 3.0, "cold_per_s": 14.0,
+			"engine": map[string]any{
+				"slots": 64, "kv_capacity": 95853, "kv_token_bytes": 163840, "link_mbps": 180000.0, "moves": true, "backups": true, "managed": true,
+				"stride": 6, "max_inflight": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []map[string]any{{"name": model}},
+			},
 		}},
-		"services": services,
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []map[string]any{{"name": "jeye930", "api_keys": []string{key}, "priority": 1}},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": "jeye930", "api_keys": []string{key}, "priority": 1}},
 	}
 }
 
+// sent is a request with the host that took it.
+type sent struct {
+	host  *harness.Host
+	reply harness.Reply
+}
+
+// history collects the requests of all callers.
+type history struct {
+	mutex sync.Mutex
+	list  []sent
+}
+
+func (h *history) add(entry sent) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.list = append(h.list, entry)
+}
+
 func play(c *harness.Case) ([]string, error) {
 	platform := harness.NewPlatform()
-	var stores []*harness.ContextStore
-	for range troubledStores + soundStores {
-		store, err := c.StartContextStore()
+	platform.Write("config", "main", configuration())
+	platform.Write("versions", model, map[string]any{"model": model, "version": 1})
+	zones := []string{"smolyan", "devin", "chepelare"}
+	var engines []*harness.Engine
+	for i, zone := range zones {
+		engine, err := c.StartEngine(platform, harness.EngineOptions{
+			Service: service, ID: fmt.Sprintf("i-%d", i+1), Zone: zone, Model: model, Slots: 64, EventTime: eventTime,
+		})
 		if err != nil {
 			return nil, err
 		}
-		stores = append(stores, store)
+		engines = append(engines, engine)
 	}
-	platform.Write("config", "main", configuration(stores))
 	var hosts []*harness.Host
-	for i, zone := range []string{"smolyan", "devin", "chepelare"} {
-		_, err := c.StartPlainService(platform, "kafi81c", fmt.Sprintf("i-%d", i+1), zone, 6, func() time.Duration { return 15 * time.Millisecond })
-		if err != nil {
-			return nil, err
-		}
-	}
-	for i, zone := range []string{"smolyan", "devin", "chepelare"} {
+	for i, zone := range zones {
 		host, err := c.StartHost(fmt.Sprintf("front-%s-%d", zone, i+1), zone, platform)
 		if err != nil {
 			return nil, err
 		}
 		hosts = append(hosts, host)
 	}
+	seen := &history{}
 	stop := make(chan struct{})
-	ends := make([]int, len(hosts))
-	answers := make([]answerCount, len(hosts))
 	var workers sync.WaitGroup
-	for i, host := range hosts {
-		workers.Go(func() { ends[i] = enforceMemory(c, host, stop) })
-		workers.Go(func() { answers[i] = sendOrders(c, host, stop) })
+	for range callers {
+		workers.Go(func() { ask(c, hosts, seen, stop) })
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(calmTime)
+	stoppedAt := c.Since()
 	if c.Trouble {
-		c.Log("%d of %d context stores begin to send bytes that are no answer, without end", troubledStores, len(stores))
-	}
-	for _, store := range stores[:troubledStores] {
-		store.Endless.Store(c.Trouble)
+		c.Log("%s gets SIGTERM", hosts[0].Name)
+		hosts[0].Signal(syscall.SIGTERM)
 	}
-	time.Sleep(troubleTime)
-	for _, store := range stores[:troubledStores] {
-		store.Endless.Store(false)
+	time.Sleep(grace)
+	c.Log("%s runs at the end of the grace period: %t", hosts[0].Name, hosts[0].Running())
+	if c.Trouble {
+		hosts[0].Signal(syscall.SIGKILL)
 	}
-	time.Sleep(3 * time.Second)
 	close(stop)
 	workers.Wait()
-	return judge(c, hosts, ends, answers), nil
+	return judge(c, engines, hosts[0], seen, stoppedAt), nil
 }
 
-// enforceMemory does what the platform does: it kills a process that exceeds its
-// memory, and starts it again. It returns how often.
-func enforceMemory(c *harness.Case, host *harness.Host, stop <-chan struct{}) int {
-	ends, peak := 0, 0
-	for {
-		select {
-		case <-stop:
-			c.Log("%s: %d ends, largest memory %d MB", host.Name, ends, peak)
-			return ends
-		case <-time.After(10 * time.Millisecond):
-		}
-		used := host.PeakMemory()
-		peak = max(peak, used)
-		if used <= harness.MemoryLimit {
-			continue
-		}
-		ends++
-		c.Log("%s uses %d MB of %d MB and is killed", host.Name, used, harness.MemoryLimit)
-		if err := host.Restart(restartTime); err != nil {
-			c.Log("%s cannot start again: %v", host.Name, err)
-			return ends
-		}
-	}
-}
-
-// answerCount counts orders by what their callers got.
-type answerCount struct{ answered, refused, lost, notTaken int }
-
-// sendOrders sends orders to a host, one after the other.
-func sendOrders(c *harness.Case, host *harness.Host, stop <-chan struct{}) answerCount {
+// ask sends prompts one after the other over a connection that the caller keeps. It
+// goes to another host once the first one takes no request any more.
+func ask(c *harness.Case, hosts []*harness.Host, seen *history, stop <-chan struct{}) {
 	caller := c.NewCaller()
-	var count answerCount
+	at := 0
 	for number := 0; ; number++ {
 		select {
 		case <-stop:
-			return count
-		case <-time.After(orderInterval):
+			return
+		default:
 		}
 		reply := caller.Send(harness.Request{
-			Host: host, Method: "POST", Path: fmt.Sprintf("/defi252/%d", number), Key: key, Deadline: 600 * time.Millisecond, Body: fmt.Sprint(host.Name, number),
+			Host: hosts[at], Method: "POST", Path: fmt.Sprintf("/puxa400/%d", number), Key: key, Deadline: 15 * time.Second,
+			Model: model, OutputTokens: minTokens + rand.IntN(maxTokens-minTokens+1), Body: "prompt",
+			Parts: []harness.Part{{ID: "5c1e07a2", Tokens: 512}, {ID: fmt.Sprintf("e4%06x", rand.IntN(1<<24)), Tokens: 250}},
 		})
-		switch {
-		case reply.Refused():
-			count.notTaken++
-		case reply.Err != nil:
-			count.lost++
-			c.Log("%s (to %s)", reply, host.Name)
-		case reply.Status == 200:
-			count.answered++
-		default:
-			count.refused++
+		c.Log("sent at %.3f to %s: %s", reply.SentAt.Seconds(), hosts[at].Name, reply)
+		seen.add(sent{hosts[at], reply})
+		if reply.Err != nil || reply.Closes() {
+			// The platform sends new connections to hosts that are ready.
+			at = 1 + rand.IntN(len(hosts)-1)
 		}
 	}
 }
 
-// judge returns the fault, if processes ended so often.
-func judge(c *harness.Case, hosts []*harness.Host, ends []int, answers []answerCount) []string {
-	faulty, text := 0, ""
-	for i, host := range hosts {
-		if ends[i] >= endsPerHost {
-			faulty++
+// judge returns the requests that the stopping host passed on to an engine and whose
+// answer it cut, among those sent later than lateAfter after SIGTERM.
+func judge(c *harness.Case, engines []*harness.Engine, stopping *harness.Host, seen *history, stoppedAt time.Duration) []string {
+	ran := map[string]bool{}
+	for _, engine := range engines {
+		for _, arrival := range engine.Arrivals() {
+			ran[arrival.Request] = ran[arrival.Request] || arrival.Ran
 		}
-		text += fmt.Sprintf("%s ended %d times; ", host.Name, ends[i])
-		c.Log("%s: orders answered %d, refused %d, taken and never answered %d, not taken because no process listened %d",
-			host.Name, answers[i].answered, answers[i].refused, answers[i].lost, answers[i].notTaken)
 	}
-	if faulty < minHosts {
-		return nil
+	var broken []string
+	for _, entry := range seen.list {
+		late := entry.reply.SentAt - stoppedAt
+		if entry.host != stopping || entry.reply.Err == nil || !ran[entry.reply.ID] || late <= lateAfter {
+			continue
+		}
+		broken = append(broken, fmt.Sprintf("sent %.3f s after SIGTERM, cut %.3f s after it: %s",
+			late.Seconds(), (entry.reply.EndAt-stoppedAt).Seconds(), entry.reply))
 	}
-	return []string{fmt.Sprintf("%sby memory over the limit on %d of %d machines", text, faulty, len(hosts))}
+	return broken
 }
--- a/review/harness/caller.go
+++ b/review/harness/caller.go
@@ -65,6 +65,8 @@
 	Body   string
 	// Err is set if no complete answer came.
 	Err error
+
+	close bool
 }
 
 // Caller sends requests over connections that it keeps.
@@ -116,7 +118,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	reply.Status, reply.Header = response.StatusCode, response.Header
+	reply.Status, reply.Header, reply.close = response.StatusCode, response.Header, response.Close
 	body, err := io.ReadAll(response.Body)
 	reply.Body = string(body)
 	return err
@@ -126,10 +128,13 @@
 func (r Reply) String() string {
 	took := (r.EndAt - r.SentAt).Round(time.Millisecond)
 	if r.Err != nil {
-		return fmt.Sprintf("request %s: no complete answer after %s, status %d: %v", r.ID, took, r.Status, errors.Unwrap(r.Err))
+		return fmt.Sprintf("request %s: no complete answer after %s, status %d: %v", r.ID, took, r.Status, r.Err)
 	}
 	return fmt.Sprintf("request %s: status %d after %s", r.ID, r.Status, took)
 }
 
 // Refused reports whether no process listened at the host's address.
 func (r Reply) Refused() bool { return errors.Is(r.Err, syscall.ECONNREFUSED) }
+
+// Closes reports whether the host closes the connection after the answer.
+func (r Reply) Closes() bool { return r.close }
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -45,6 +45,9 @@
 	Used func(use Use)
 	// Cold is how long the engine reports to be cold.
 	Cold time.Duration
+	// EventTime is the time between two events of a stream, or 0 for that of an engine
+	// with nothing else to do.
+	EventTime time.Duration
 }
 
 // Engine is a model engine. It keeps all parts of prompts, by the text of the salt.
@@ -165,8 +168,12 @@
 		defer conn.Close()
 		out, flush = conn, func() {}
 	}
+	eventTime := e.options.EventTime
+	if eventTime == 0 {
+		eventTime = tokensPerEvent * stepTime
+	}
 	for number, done := 1, 0; done < tokens; number++ {
-		time.Sleep(tokensPerEvent * stepTime)
+		time.Sleep(eventTime)
 		done += tokensPerEvent
 		if _, err := fmt.Fprintf(out, "id: %d\ndata: piece %d of %s\n\n", number, number, arrival.Request); err != nil {
 			e.update(arrival, func(a *Arrival) { a.Cut = true })
--- a/review/harness/host.go
+++ b/review/harness/host.go
@@ -200,3 +200,15 @@
 	time.Sleep(after)
 	return h.spawn()
 }
+
+// Running reports whether the process has not ended.
+func (h *Host) Running() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	select {
+	case <-h.exited:
+		return false
+	default:
+		return true
+	}
+}
