--- a/review/harness/endless.go
+++ b/review/harness/endless.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -21,10 +20,6 @@
 	// answers so.
 	Endless atomic.Bool
 	Calls   atomic.Int64
-
-	c     *Case
-	mutex sync.Mutex
-	conns map[net.Conn]struct{}
 }
 
 // StartContextStore starts a context store.
@@ -33,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &ContextStore{Address: listener.Addr().String(), c: c, conns: map[net.Conn]struct{}{}}
+	s := &ContextStore{Address: listener.Addr().String()}
 	server := &http.Server{Handler: s}
 	go func() { _ = server.Serve(listener) }()
 	c.onClose(func() { _ = server.Close() })
