Refuse requests that a planned stop would have to cut

Callers whose stream had begun before SIGTERM kept their connection and sent the next request on it up to six seconds later. The stopping host passed it on and cut its answer at the end of the grace period.

The end of a connection is announced in the head of an answer, and a head that was out before the stop says nothing of it. Nothing compared the time that a later request may need with the time left.

From 2.8 s after SIGTERM on, when the platform opens no connections to the host any more, a request that has not been sent to a target is refused as not run, with "Connection: close", unless its deadline is before the end of the stop. The check comes before each attempt, so it also covers late bodies, requests that wait for a target and those that a target refused. Closing kept connections earlier was ruled out: the next request may cross the close, and a caller cannot tell then whether it has run.

--- a/process/starter/listen.go
+++ b/process/starter/listen.go
@@ -12,6 +12,7 @@
 	"mulberrybeam"
 	"mulberrybeam/connection/drainer"
 	"mulberrybeam/process/meter"
+	"mulberrybeam/request/relayer"
 )
 
 const (
@@ -125,7 +126,7 @@
 // platform has not confirmed them for too long.
 func (p *Process) isReady() bool {
 	fleet := p.fleet()
-	if p.draining.Load() || fleet == nil || !fleet.Complete {
+	if p.shutdown.Load() != nil || fleet == nil || !fleet.Complete {
 		return false
 	}
 	bounds := p.settings.Load().Bounds
@@ -134,17 +135,19 @@
 
 // Shutdown stops the process without interrupting requests. The process reports
 // that it is not ready, accepts connections until the platform has noticed, and
-// waits for the requests that run or are arriving.
+// waits for the requests that run or are arriving. After that it refuses requests
+// on kept connections that it might have to cut at the end of the grace period.
 func (p *Process) Shutdown() {
 	startedAt := p.now()
-	p.draining.Store(true)
-	p.recordEvent("stop", "draining")
 	grace := p.settings.Load().Bounds.Grace
 	if grace <= 0 {
 		grace = defaultGrace
 	}
+	shutdown := &relayer.Shutdown{NewUntil: startedAt + drainDelay, CutAt: startedAt + grace - exitMargin}
+	p.shutdown.Store(shutdown)
+	p.recordEvent("stop", "draining")
 	time.Sleep(drainDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin-(p.now()-startedAt))
+	ctx, cancel := context.WithTimeout(context.Background(), shutdown.CutAt-p.now())
 	defer cancel()
 	stats, err := p.drainer.Drain(ctx)
 	if err != nil {
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -55,7 +55,7 @@
 	monitor   *monitor.Monitor
 	requester *requester.Requester
 	catalog   *cataloger.Cataloger
-	draining  atomic.Bool
+	shutdown  atomic.Pointer[relayer.Shutdown]
 	servers   []*http.Server
 	drainer   *drainer.Drainer
 	// cleanups run in reverse order when the process stops.
@@ -224,7 +224,7 @@
 		Fleet:    p.fleet,
 		Post:     p.control.Post,
 		Now:      p.now,
-		Draining: p.draining.Load,
+		Shutdown: p.shutdown.Load,
 	}
 }
 
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -169,6 +169,10 @@
 	for {
 		// Targets may have left since the previous attempt.
 		e.fleet = e.Fleet()
+		if err := e.checkShutdown(); err != nil {
+			e.writeRefusal(err)
+			return
+		}
 		if err := e.checkParts(ctx); err != nil {
 			e.failSuspect(ctx, err)
 			return
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -41,8 +41,8 @@
 	// Now returns local monotonic time, which includes time in which the host
 	// is suspended.
 	Now func() time.Duration
-	// Draining reports whether the process is shutting down.
-	Draining func() bool
+	// Shutdown returns the times of the shutdown, or nil if none is under way.
+	Shutdown func() *Shutdown
 
 	claims trialClaims
 }
@@ -53,7 +53,7 @@
 		// The connection was closed while the request was read.
 		panic(http.ErrAbortHandler)
 	}
-	e := &exchange{Relayer: r, writer: drainWriter{writer, r.Draining}, request: request, arrivedAt: r.Now(), fleet: r.Fleet(), settings: r.Settings()}
+	e := &exchange{Relayer: r, writer: drainWriter{writer, r.Shutdown}, request: request, arrivedAt: r.Now(), fleet: r.Fleet(), settings: r.Settings()}
 	e.run()
 }
 
@@ -61,12 +61,12 @@
 // while the process is shutting down.
 type drainWriter struct {
 	http.ResponseWriter
-	draining func() bool
+	shutdown func() *Shutdown
 }
 
 // WriteHeader writes the header of the response.
 func (w drainWriter) WriteHeader(status int) {
-	if w.draining() {
+	if w.shutdown() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -129,7 +129,7 @@
 				h.completions.Add(1)
 			}
 		},
-		Draining: func() bool { return false },
+		Shutdown: func() *relayer.Shutdown { return nil },
 	})
 	h.url = server.URL
 	h.t.Cleanup(func() {
