Separate others from the context of a workspace that becomes isolated

Prompts of other workspaces were served from context that a workspace had made before a configuration isolated it, for as long as engines and stores kept it.

All workspaces that are not isolated had the same salt at all times: the weight version. A workspace that became isolated moved to a salt of its own, but the others kept that of what it had left. A retry had the same fault: it used the workspace's settings from the request's arrival beside the current fleet.

The salt of workspaces that are not isolated now contains a hash of the set of isolated workspaces. It follows from the configuration alone, so that hosts agree on it without a message and after a restart; under one set, nobody of it has made shared context. Each attempt takes the fleet and the workspace's settings together. Removing the context instead was ruled out: engines take no order for it, and nothing says who made a part.

--- a/fleet.go
+++ b/fleet.go
@@ -244,6 +244,9 @@
 	Deployment *Deployment
 	// Keys maps API keys to the deployment's workspaces.
 	Keys map[string]*WorkspaceSpec
+	// SharingGroup names the workspaces that share stored context. It changes
+	// with the set of isolated workspaces.
+	SharingGroup string
 	// Hosts maps host names to their rules, longest prefix first.
 	Hosts map[string][]*Rule
 	// Targets are the targets that may receive new requests, by service.
--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"mulberrybeam"
+	"mulberrybeam/request/fetcher"
 	"mulberrybeam/version/wavescheduler"
 )
 
@@ -29,6 +30,7 @@
 	}
 	if t.deployment != nil {
 		t.fleet.Keys = workspacesByKey(t.deployment)
+		t.fleet.SharingGroup = fetcher.SharingGroup(t.deployment.Workspaces)
 		t.fleet.Hosts = rulesByHost(t.deployment)
 		t.fleet.ContextStores = contextStores(t.deployment)
 	}
--- a/request/fetcher/fetcher.go
+++ b/request/fetcher/fetcher.go
@@ -6,8 +6,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"mulberrybeam"
@@ -33,28 +31,6 @@
 // considered for a part while the preceding ones are full or unreachable.
 const maxStoreChoices = 3
 
-// saltSeparator separates the weight version from the workspace in a salt.
-const saltSeparator = "/"
-
-// Salt returns the cache salt for context that a weight version computes for a
-// workspace. Only an isolated workspace has a salt of its own; all others share
-// one per weight version.
-func Salt(version int, workspace *mulberrybeam.WorkspaceSpec) string {
-	salt := strconv.Itoa(version)
-	if workspace != nil && workspace.Isolated {
-		salt += saltSeparator + string(workspace.Name)
-	}
-	return salt
-}
-
-// VersionOf returns the weight version of a salt, or false if the salt was not
-// created by Salt.
-func VersionOf(salt string) (int, bool) {
-	digits, _, _ := strings.Cut(salt, saltSeparator)
-	version, err := strconv.Atoi(digits)
-	return version, err == nil
-}
-
 // Catalog is the process's knowledge of the context stores.
 type Catalog interface {
 	// StoreOf returns the address of a store that is known to have the complete
--- /dev/null
+++ b/request/fetcher/salt.go
@@ -0,0 +1,63 @@
+package fetcher
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strconv"
+	"strings"
+
+	"mulberrybeam"
+)
+
+const (
+	// workspaceSeparator and groupSeparator separate the weight version in a salt
+	// from the workspace and from the sharing group.
+	workspaceSeparator = "/"
+	groupSeparator     = "+"
+	// groupBytes is the length of the hash in a sharing group.
+	groupBytes = 8
+)
+
+// SharingGroup returns the name of the group of all workspaces that are not
+// isolated. It changes with the set of isolated workspaces, so that a workspace
+// that becomes isolated leaves the context behind that it shared before.
+func SharingGroup(workspaces []mulberrybeam.WorkspaceSpec) string {
+	var isolated []string
+	for _, workspace := range workspaces {
+		if workspace.Isolated {
+			isolated = append(isolated, strconv.Quote(string(workspace.Name)))
+		}
+	}
+	if len(isolated) == 0 {
+		return ""
+	}
+	slices.Sort(isolated)
+	digest := sha256.Sum256([]byte(strings.Join(slices.Compact(isolated), ",")))
+	return hex.EncodeToString(digest[:groupBytes])
+}
+
+// Salt returns the cache salt for context that a weight version computes for a
+// workspace. An isolated workspace has a salt of its own; all others share that of
+// their sharing group.
+func Salt(version int, workspace *mulberrybeam.WorkspaceSpec, group string) string {
+	salt := strconv.Itoa(version)
+	switch {
+	case workspace != nil && workspace.Isolated:
+		salt += workspaceSeparator + string(workspace.Name)
+	case group != "":
+		salt += groupSeparator + group
+	}
+	return salt
+}
+
+// VersionOf returns the weight version of a salt, or false if the salt was not
+// created by Salt.
+func VersionOf(salt string) (int, bool) {
+	digits := salt
+	if end := strings.IndexAny(salt, workspaceSeparator+groupSeparator); end >= 0 {
+		digits = salt[:end]
+	}
+	version, err := strconv.Atoi(digits)
+	return version, err == nil
+}
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -132,7 +132,7 @@
 		version = defaultVersion
 	}
 	_, query.Stored = e.Catalog.StoreOf(mulberrybeam.PartKey{
-		Salt: fetcher.Salt(version, e.match.Workspace), Model: e.inbound.Model, ID: last.ID,
+		Salt: fetcher.Salt(version, e.match.Workspace, e.fleet.SharingGroup), Model: e.inbound.Model, ID: last.ID,
 	})
 }
 
@@ -268,7 +268,7 @@
 	}
 	goal := a.fleet.Weights[a.inbound.Model].Version
 	version := a.target.Versions[a.inbound.Model]
-	call.Salt = fetcher.Salt(version, a.match.Workspace)
+	call.Salt = fetcher.Salt(version, a.match.Workspace, a.fleet.SharingGroup)
 	// The salt contains the weight version. An engine that ran the request on
 	// other weights would store context under the wrong salt, and engines that
 	// fetch it would use context computed with different weights.
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -168,7 +168,7 @@
 func (e *exchange) tryTargets(ctx context.Context) {
 	for {
 		// Targets may have left since the previous attempt.
-		e.fleet = e.Fleet()
+		e.refreshFleet()
 		if err := e.checkShutdown(); err != nil {
 			e.writeRefusal(err)
 			return
@@ -188,6 +188,31 @@
 	}
 }
 
+// refreshFleet replaces the state of the fleet and the workspace's settings by the
+// current ones, which must be of the same revision.
+func (e *exchange) refreshFleet() {
+	e.fleet = e.Fleet()
+	if e.match.Workspace != nil {
+		e.match.Workspace = currentWorkspace(e.fleet, e.inbound.Key, e.match.Workspace)
+	}
+}
+
+// currentWorkspace returns the current settings of a workspace. A workspace that was
+// removed shares no context any more.
+func currentWorkspace(fleet *mulberrybeam.Fleet, key string, workspace *mulberrybeam.WorkspaceSpec) *mulberrybeam.WorkspaceSpec {
+	if current := fleet.Keys[key]; current != nil && current.Name == workspace.Name {
+		return current
+	}
+	for i := range fleet.Deployment.Workspaces {
+		if current := &fleet.Deployment.Workspaces[i]; current.Name == workspace.Name {
+			return current
+		}
+	}
+	removed := *workspace
+	removed.Isolated = true
+	return &removed
+}
+
 // shouldRetry reports whether to send the request again, after a wait if one is
 // needed.
 func (e *exchange) shouldRetry(ctx context.Context, err error) bool {
--- a/request/relayer/watch.go
+++ b/request/relayer/watch.go
@@ -153,7 +153,7 @@
 	if a.headerWritten && !a.splitter.Resumable() {
 		return nil
 	}
-	a.fleet = a.Fleet()
+	a.refreshFleet()
 	if a.decideParts(true).Verdict != quarantiner.RunNormally {
 		return nil
 	}
