Use current settings after the wait for a decision on prompt parts

A request that waits until it is decided whether a prompt part crashes targets went on with the workspace's settings from before the wait, and without another look at a stop that had begun meanwhile.

--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -169,14 +169,15 @@
 	for {
 		// Targets may have left since the previous attempt.
 		e.refreshFleet()
-		if err := e.checkShutdown(); err != nil {
-			e.writeRefusal(err)
-			return
-		}
 		if err := e.checkParts(ctx); err != nil {
 			e.failSuspect(ctx, err)
 			return
 		}
+		// Waiting for checkParts may have taken long.
+		if err := e.checkShutdown(); err != nil {
+			e.writeRefusal(err)
+			return
+		}
 		err := e.runAttempt(ctx)
 		if err == nil {
 			return
--- a/request/relayer/part.go
+++ b/request/relayer/part.go
@@ -99,7 +99,7 @@
 		if !pauser.Pause(ctx, waitInterval) {
 			return ctx.Err()
 		}
-		e.fleet = e.Fleet()
+		e.refreshFleet()
 	}
 }
 
