Leave targets alone for the pause that they ask for

A target that refused a request with 503 and Retry-After got the next request after 40 ms (300 ms for an engine), again and again until its pause was over. Callers were told to come back after 0.3 s.

A refusal was taken for a state of the moment; the header was not read.

--- a/call.go
+++ b/call.go
@@ -63,6 +63,9 @@
 	Request RequestID
 	// NotRun reports that the target did not run the request.
 	NotRun bool
+	// RetryAfter is how long the target wants no more requests from this process,
+	// or 0 if it did not ask for a pause.
+	RetryAfter time.Duration
 	// Stamped reports that the answer carries the target's response stamp,
 	// which shows that the target itself produced it.
 	Stamped bool
--- a/process/monitor/monitor.go
+++ b/process/monitor/monitor.go
@@ -149,6 +149,17 @@
 	state.AvoidUntil = max(state.AvoidUntil, state.usedAt+duration)
 }
 
+// Pause keeps new requests away from a target that asked for it. It returns true if
+// the target was not paused before.
+func (m *Monitor) Pause(id mulberrybeam.InstanceID, duration time.Duration) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	state := m.touch(id)
+	begins := state.PausedUntil <= state.usedAt
+	state.PausedUntil = max(state.PausedUntil, state.usedAt+duration)
+	return begins
+}
+
 // Suspect marks a target as possibly cold for the given time.
 func (m *Monitor) Suspect(id mulberrybeam.InstanceID, duration time.Duration) {
 	m.mutex.Lock()
@@ -197,7 +208,7 @@
 	defer m.mutex.Unlock()
 	now := m.now()
 	for id, state := range m.stats {
-		if state.OwnLoad.Requests == 0 && now-state.usedAt > idleTTL {
+		if state.OwnLoad.Requests == 0 && now-state.usedAt > idleTTL && now >= state.PausedUntil {
 			delete(m.stats, id)
 		}
 	}
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -117,8 +117,14 @@
 
 // Choose returns a target, or a Failure with CodeNoTarget.
 func Choose(now time.Duration, random *rand.Rand, fleet *mulberrybeam.Fleet, view View, query Query) (Choice, error) {
-	eligible := candidates(now, fleet, view, query)
-	if len(eligible) == 0 {
+	eligible, pauseEnd := candidates(now, fleet, view, query)
+	switch {
+	case len(eligible) > 0:
+	case pauseEnd > 0:
+		failure := noTarget(query.Service, "all targets that are left asked for a pause")
+		failure.RetryAfter = pauseEnd - now
+		return Choice{}, failure
+	default:
 		return Choice{}, noTarget(query.Service, "no target is left")
 	}
 	warm := slices.Clone(eligible)
@@ -134,23 +140,32 @@
 	return chooseCold(fleet, query, eligible)
 }
 
-// candidates returns the targets that the request may be sent to.
-func candidates(now time.Duration, fleet *mulberrybeam.Fleet, view View, query Query) []candidate {
-	var found []candidate
+// candidates returns the targets that the request may be sent to, and when the first
+// pause ends that keeps others out, or 0 if a target is kept out for another reason.
+func candidates(now time.Duration, fleet *mulberrybeam.Fleet, view View, query Query) (found []candidate, pauseEnd time.Duration) {
+	otherReason := false
 	for _, target := range fleet.Targets[query.Service] {
-		if slices.Contains(query.Tried, target.ID) || !regionAllowed(fleet, query.Rule, target.Zone) {
+		if !regionAllowed(fleet, query.Rule, target.Zone) {
 			continue
 		}
 		if query.ExcludeOldWeights && hasOldWeights(fleet, query.Model, target) {
 			continue
 		}
 		stats := view.TargetStats(target.ID)
-		if now < stats.AvoidUntil {
-			continue
+		switch {
+		case now < stats.PausedUntil && (pauseEnd == 0 || stats.PausedUntil < pauseEnd):
+			pauseEnd = stats.PausedUntil
+		case now < stats.PausedUntil:
+		case now < stats.AvoidUntil, slices.Contains(query.Tried, target.ID):
+			otherReason = true
+		default:
+			found = append(found, candidate{target, stats})
 		}
-		found = append(found, candidate{target, stats})
 	}
-	return found
+	if otherReason {
+		pauseEnd = 0
+	}
+	return found, pauseEnd
 }
 
 func regionAllowed(fleet *mulberrybeam.Fleet, rule *mulberrybeam.Rule, zone mulberrybeam.ZoneName) bool {
@@ -366,7 +381,7 @@
 	return 0
 }
 
-func noTarget(service mulberrybeam.ServiceName, message string) error {
+func noTarget(service mulberrybeam.ServiceName, message string) *mulberrybeam.Failure {
 	return &mulberrybeam.Failure{
 		Code: mulberrybeam.CodeNoTarget, Step: mulberrybeam.StepRoute, Peer: string(service),
 		Message: message, NotRun: true, RetryAfter: noTargetRetryAfter,
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -81,6 +81,9 @@
 	limit := a.connectionLimit()
 	go func() {
 		response, err := a.Sender.Send(sendCtx, a.target, limit, message)
+		if err == nil {
+			a.recordNotice(response)
+		}
 		a.sent <- sendResult{response, err}
 	}()
 	return a, nil
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -223,7 +223,7 @@
 		return true
 	}
 	if mulberrybeam.CodeOf(err) == mulberrybeam.CodeNoTarget {
-		return e.waitForTarget(ctx, turn)
+		return turn.Now+pauseBefore(err) <= e.waitDeadline() && e.waitForTarget(ctx, turn)
 	}
 	if e.headerWritten && !(e.requestInfo.Repeatable && e.splitter.Resumable()) {
 		return false
--- /dev/null
+++ b/request/relayer/notice.go
@@ -0,0 +1,38 @@
+package relayer
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"mulberrybeam"
+	"mulberrybeam/connection/requester"
+)
+
+// retrySpread is the largest fraction of a pause that is added to the Retry-After of
+// a refusal, so that callers do not return at the same time.
+const retrySpread = 0.25
+
+// recordNotice records what the target said about itself in the header of a response,
+// also if the response is not forwarded.
+func (a *attempt) recordNotice(response *requester.Answer) {
+	if pause := response.Head.RetryAfter; pause > 0 && a.Monitor.Pause(a.target.ID, pause) {
+		a.recordEntry(mulberrybeam.EntryMember, string(a.target.ID), fmt.Sprintf("target asked for a pause of %s", pause))
+	}
+}
+
+// pauseBefore returns the time until the first target may get the request, or 0 if
+// no pause keeps it back.
+func pauseBefore(err error) time.Duration {
+	var failure *mulberrybeam.Failure
+	if mulberrybeam.CodeOf(err) != mulberrybeam.CodeNoTarget || !errors.As(err, &failure) {
+		return 0
+	}
+	return failure.RetryAfter
+}
+
+// spread returns a time that is up to retrySpread longer.
+func spread(random *rand.Rand, after time.Duration) time.Duration {
+	return after + time.Duration(retrySpread*random.Float64()*float64(after))
+}
