Send nothing to a target that says that it is about to stop

After a target had answered with "Server-Leaving: 1", the host that had passed the answer on kept sending requests to it while the store listed the target as ready, or for as long as the host was cut off from the store.

Whether a target takes requests was a fact of the store only; the header was not read.

A response that names another instance does not count.

--- a/call.go
+++ b/call.go
@@ -63,6 +63,10 @@
 	Request RequestID
 	// NotRun reports that the target did not run the request.
 	NotRun bool
+	// Instance is the target that answered, or empty if the answer does not name it.
+	Instance InstanceID
+	// Leaving reports that the target is about to stop.
+	Leaving bool
 	// RetryAfter is how long the target wants no more requests from this process,
 	// or 0 if it did not ask for a pause.
 	RetryAfter time.Duration
--- a/process/monitor/monitor.go
+++ b/process/monitor/monitor.go
@@ -25,6 +25,9 @@
 	// idleTTL is how long the state of an idle target or a silent peer is
 	// kept.
 	idleTTL = time.Minute
+	// leavingTTL is how long the state of an idle target that leaves is kept. It is
+	// longer than a target may take to stop.
+	leavingTTL = time.Hour
 	// peerLoadTTL is how long the last load update of a peer counts. It spans
 	// several rounds of updates, but is short enough that the load of a host
 	// that died does not keep requests away from targets for long.
@@ -149,6 +152,17 @@
 	state.AvoidUntil = max(state.AvoidUntil, state.usedAt+duration)
 }
 
+// RecordLeaving records that a run of a target is about to stop. It returns true if that
+// was not known.
+func (m *Monitor) RecordLeaving(target mulberrybeam.LiveTarget) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	state, run := m.touch(target.ID), target.Incarnation()
+	known := state.LeavingRun == run
+	state.LeavingRun = run
+	return !known
+}
+
 // Pause keeps new requests away from a target that asked for it. It returns true if
 // the target was not paused before.
 func (m *Monitor) Pause(id mulberrybeam.InstanceID, duration time.Duration) bool {
@@ -208,7 +222,11 @@
 	defer m.mutex.Unlock()
 	now := m.now()
 	for id, state := range m.stats {
-		if state.OwnLoad.Requests == 0 && now-state.usedAt > idleTTL && now >= state.PausedUntil {
+		ttl := idleTTL
+		if state.LeavingRun != "" {
+			ttl = leavingTTL
+		}
+		if state.OwnLoad.Requests == 0 && now-state.usedAt > ttl && now >= state.PausedUntil {
 			delete(m.stats, id)
 		}
 	}
--- a/request/relayer/notice.go
+++ b/request/relayer/notice.go
@@ -17,7 +17,11 @@
 // recordNotice records what the target said about itself in the header of a response,
 // also if the response is not forwarded.
 func (a *attempt) recordNotice(response *requester.Answer) {
-	if pause := response.Head.RetryAfter; pause > 0 && a.Monitor.Pause(a.target.ID, pause) {
+	head := response.Head
+	if head.Leaving && (head.Instance == "" || head.Instance == a.target.ID) && a.Monitor.RecordLeaving(a.target.LiveTarget) {
+		a.recordEntry(mulberrybeam.EntryMember, string(a.target.ID), "target said that it is about to stop")
+	}
+	if pause := head.RetryAfter; pause > 0 && a.Monitor.Pause(a.target.ID, pause) {
 		a.recordEntry(mulberrybeam.EntryMember, string(a.target.ID), fmt.Sprintf("target asked for a pause of %s", pause))
 	}
 }
--- a/request/relayer/notice_test.go
+++ b/request/relayer/notice_test.go
@@ -82,3 +82,74 @@
 		})
 	}
 }
+
+// Guards against requests to a target that has said in an answer that it is about to
+// stop, while the platform still lists it as ready.
+func TestLeavingTargetGetsNoMoreRequests(t *testing.T) {
+	const event = "id: 1\ndata: x\n\n"
+	for name, test := range map[string]struct {
+		rule    mulberrybeam.Rule
+		handler http.HandlerFunc
+		// forwarded is set if the caller gets the header.
+		forwarded bool
+	}{
+		"result":               {onceRule, respondsStamped("ok"), true},
+		"repeatable result":    {repeatableRule, respondsStamped("ok"), true},
+		"stream":               {streamRule, respondsStamped(event), true},
+		"failure":              {onceRule, fails, true},
+		"failure before retry": {repeatableRule, fails, false},
+		"refusal":              {onceRule, refuses, false},
+		"without stamp":        {onceRule, respondsStatus(http.StatusOK), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var arrivals atomic.Int64
+			h := newHarness(t, test.rule, func(writer http.ResponseWriter, request *http.Request) {
+				arrivals.Add(1)
+				writer.Header().Set("Server-Leaving", "1")
+				test.handler(writer, request)
+			}, respondsStamped(event))
+			for arrivals.Load() == 0 {
+				result := h.call(nil)
+				is.Equal(result.header.Get("Server-Leaving") != "", test.forwarded && arrivals.Load() > 0)
+			}
+			for range 40 {
+				is.Equal(h.call(nil).status, http.StatusOK)
+				time.Sleep(10 * time.Millisecond)
+			}
+			is.Equal(arrivals.Load(), int64(1))
+			// A new run under the same ID is used.
+			fleet := *h.fleet.Load()
+			targets := append([]mulberrybeam.FleetTarget(nil), fleet.Targets["s"]...)
+			targets[0].StartedAt = 7
+			fleet.Targets = map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget{"s": targets[:1]}
+			h.fleet.Store(&fleet)
+			h.call(nil)
+			is.Equal(arrivals.Load(), int64(2))
+		})
+	}
+}
+
+// Guards against a target that gets no requests because another one at its address,
+// or a value that does not mean it, said that it leaves.
+func TestOtherTargetsLeavingIsIgnored(t *testing.T) {
+	for name, change := range map[string]func(http.Header){
+		"another instance": func(header http.Header) {
+			header.Set("Server-Leaving", "1")
+			header.Set("Mulberrybeam-Instance-Id", "t9")
+		},
+		"0":     func(header http.Header) { header.Set("Server-Leaving", "0") },
+		"empty": func(header http.Header) { header.Set("Server-Leaving", "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, onceRule, func(writer http.ResponseWriter, request *http.Request) {
+				change(writer.Header())
+				respondsStamped("ok")(writer, request)
+			})
+			for range 3 {
+				is.Equal(h.call(nil).status, http.StatusOK)
+			}
+		})
+	}
+}
--- a/stats.go
+++ b/stats.go
@@ -19,6 +19,9 @@
 	// AvoidUntil is when the target may be tried again after it refused a
 	// request or could not be reached.
 	AvoidUntil time.Duration
+	// LeavingRun is the incarnation of the target that has said that it is about to
+	// stop, or empty.
+	LeavingRun InstanceID
 	// PausedUntil is the end of the pause that the target asked for.
 	PausedUntil time.Duration
 	// SuspectUntil is the time until which the target may be in a cold start
