Bound what is kept of a response without end

A faulty context store or engine that sends bytes without end in a head or a body made each process that called it exceed its memory: it was killed with the requests of other callers, started again and was killed again.

Bounds were set where a fault had been seen, in the client for callers' requests. The other clients read 10 MB of a head, which takes up to 160 MB while it is parsed, and 8 MB of any body; a longer body was cut without an error. Of a stream without the end of an event, 1 MB was kept for each request.

Both constructors of clients now limit heads to 64 KB.

--- a/connection/dialer/dialer.go
+++ b/connection/dialer/dialer.go
@@ -24,6 +24,9 @@
 	// dialTimeout limits the time in which a client from Client opens a
 	// connection.
 	dialTimeout = 800 * time.Millisecond
+	// maxHeadBytes limits the head of a response to such a client, with interim
+	// responses.
+	maxHeadBytes = 64 << 10
 	// idleTimeout limits the idle time of pooled connections of such a client.
 	idleTimeout = 10 * time.Second
 )
@@ -57,9 +60,10 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return New(dialTimeout).DialContext(ctx, network, address)
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     idleTimeout,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    8,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &http.Client{Transport: transport}, transport.CloseIdleConnections
 }
--- a/connection/encoder/encoder.go
+++ b/connection/encoder/encoder.go
@@ -23,6 +23,8 @@
 	// maxResponseBytes limits the body of a successful response and of any
 	// response of a service.
 	maxResponseBytes = 8 << 20
+	// maxHeadBytes limits the head of a response, with interim responses.
+	maxHeadBytes = 64 << 10
 	// maxRefusalBytes limits the body of an error response.
 	maxRefusalBytes = 64 << 10
 	// idleTimeout is shorter than the usual server idle timeout of 120 s, so
@@ -78,10 +80,11 @@
 
 func newClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) (*http.Client, func()) {
 	transport := &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: maxIdlePerTarget,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    maxIdlePerTarget,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	client := &http.Client{
 		Transport: transport,
--- a/request/resumer/resumer.go
+++ b/request/resumer/resumer.go
@@ -9,7 +9,7 @@
 
 // maxPending is the maximum size in bytes of an incomplete event. A longer one is
 // forwarded as it is, after which the stream cannot be resumed.
-const maxPending = 1 << 20
+const maxPending = 64 << 10
 
 // Splitter splits one stream. The zero value is ready to use.
 type Splitter struct {
--- a/request/resumer/resumer_test.go
+++ b/request/resumer/resumer_test.go
@@ -125,3 +125,17 @@
 		})
 	}
 }
+
+// Guards against a stream without the end of an event that is kept in memory.
+func TestEventWithoutEndIsNotKept(t *testing.T) {
+	const maxKept = 128 << 10
+	is := is.New(t)
+	splitter := &resumer.Splitter{}
+	chunk, forwarded := bytes.Repeat([]byte("x"), 8<<10), 0
+	for range 1000 {
+		forwarded += len(splitter.Feed(chunk))
+		is.True(len(splitter.Rest()) <= maxKept)
+	}
+	is.True(!splitter.Resumable())
+	is.Equal(forwarded+len(splitter.Rest()), 1000*len(chunk))
+}
