Guard against answers that were cut and reach callers as whole

Another operator saw clients get a 200 with an empty or short body after an engine had stopped in the middle of its answer's head and closed. Here it does not happen: each beginning of an answer, cut at every byte and closed or reset, with a length, chunks or neither, ends in an error status or a broken connection. An answer without length that is closed, not reset, after its head or between two events is complete by the protocol.

It fails if an error of the body is ignored.

--- /dev/null
+++ b/request/relayer/cuthead_test.go
@@ -0,0 +1,114 @@
+package relayer_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+)
+
+// cutAnswer is a target that closes its connection after some bytes of its answer.
+type cutAnswer struct {
+	bytes string
+	reset bool
+}
+
+func (c cutAnswer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	_, _ = io.WriteString(conn, c.bytes)
+	if c.reset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// listen returns the address at which the target accepts connections.
+func (c cutAnswer) listen(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go c.serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against an answer that a target broke off, at any byte of its head or body,
+// and that reaches the caller as a complete success.
+func TestAnswerCutAtAnyByteIsNoSuccess(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nMulberrybeam-Request-Id: r1\r\nMulberrybeam-Response-Stamp: s\r\n"
+	const events = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
+	for name, test := range map[string]struct {
+		rule         mulberrybeam.Rule
+		answer, body string
+		// mayEnd reports whether an answer without length that ends after these bytes
+		// of the body may be complete.
+		mayEnd func(body string) bool
+	}{
+		"length":         {rule: onceRule, answer: head + "Content-Length: 12\r\n\r\nhello, world", body: "hello, world"},
+		"length, first":  {rule: onceRule, answer: "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nMulberrybeam-Request-Id: r1\r\nMulberrybeam-Response-Stamp: s\r\n\r\nhello, world", body: "hello, world"},
+		"chunks":         {rule: onceRule, answer: head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n", body: "hello, world"},
+		"line feeds":     {rule: onceRule, answer: strings.ReplaceAll(head, "\r", "") + "Content-Length: 12\n\nhello, world", body: "hello, world"},
+		"stream, length": {rule: streamRule, answer: head + "Content-Type: text/event-stream\r\nContent-Length: 30\r\n\r\n" + events, body: events},
+		"stream, chunks": {rule: streamRule, answer: head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + events[:15] + "\r\nf\r\n" + events[15:] + "\r\n0\r\n\r\n", body: events},
+		"once stream, chunks": {
+			rule:   mulberrybeam.Rule{Guarantee: mulberrybeam.GuaranteeAtMostOnce, MaxAttempts: 1, Timeout: streamRule.Timeout, LatencyGoal: streamRule.LatencyGoal, Streaming: true},
+			answer: head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + events[:15] + "\r\nf\r\n" + events[15:] + "\r\n0\r\n\r\n", body: events,
+		},
+		"connection": {rule: onceRule, answer: head + "\r\nhello, world", body: "hello, world", mayEnd: func(string) bool { return true }},
+		"stream, connection": {
+			rule: streamRule, answer: head + "Content-Type: text/event-stream\r\n\r\n" + events, body: events,
+			mayEnd: func(body string) bool { return body == "" || strings.HasSuffix(body, "\n\n") },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for length := range len(test.answer) + 1 {
+				for _, reset := range []bool{false, true} {
+					if reset && length == len(test.answer) {
+						continue
+					}
+					_, body, headEnded := strings.Cut(test.answer[:length], "\r\n\r\n")
+					if !reset && headEnded && test.mayEnd != nil && test.mayEnd(body) && body != test.body {
+						continue
+					}
+					is := is.New(t)
+					rule := test.rule
+					rule.MaxAttempts = 1
+					h := newHarness(t, rule, respondsStamped(""))
+					fleet := *h.fleet.Load()
+					fleet.Targets["s"][0].Address = cutAnswer{test.answer[:length], reset}.listen(t)
+					h.fleet.Store(&fleet)
+					result := h.call(nil)
+					if length == len(test.answer) {
+						is.NoErr(result.err)
+						is.Equal(result.status, http.StatusOK)
+						is.Equal(result.body, test.body)
+						continue
+					}
+					if result.err == nil && result.status < 300 {
+						t.Errorf("cut after %q, reset %t: status %d, body %q", test.answer[:length], reset, result.status, result.body)
+					}
+				}
+			}
+		})
+	}
+}
