Close the listener of a stop once callers have stopped connecting

Callers that connected in the moment in which a planned stop closed its listener got "connection reset by peer" although their request was whole: connections that are established between the last accept and the close are reset.

The close came 2.8 s after SIGTERM and assumed that the platform has stopped opening connections by then. It now waits until none has come for 200 ms, 1.5 s at most; requests that arrive meanwhile are served or refused as not run.

--- a/connection/drainer/drain.go
+++ b/connection/drainer/drain.go
@@ -25,6 +25,19 @@
 	firstByteTimeout = 200 * time.Millisecond
 )
 
+// AwaitQuiet waits until no connection was accepted for a time, or ctx is done. Closing
+// the listener resets a connection that is established at the same moment.
+func (d *Drainer) AwaitQuiet(ctx context.Context, quiet time.Duration) {
+	for {
+		d.mutex.Lock()
+		remaining := quiet - time.Since(d.acceptedAt)
+		d.mutex.Unlock()
+		if remaining <= 0 || !pauser.Pause(ctx, remaining) {
+			return
+		}
+	}
+}
+
 // Drain closes the listener and, as soon as no request is arriving or running on
 // them, its connections. When ctx is done it closes the remaining ones as well.
 // It returns what it did, and an error if connections of the accept queue were
--- a/connection/drainer/drainer.go
+++ b/connection/drainer/drainer.go
@@ -35,9 +35,11 @@
 type Drainer struct {
 	*net.TCPListener
 
-	mutex    sync.Mutex
-	conns    map[*Conn]struct{}
-	stopping bool
+	mutex sync.Mutex
+	conns map[*Conn]struct{}
+	// acceptedAt is when the last connection was accepted.
+	acceptedAt time.Time
+	stopping   bool
 	// queue holds the connections of the accept queue of the closed listener.
 	queue []*net.TCPConn
 	// acceptEnded is true once Accept has returned the last connection.
@@ -97,7 +99,8 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	c := &Conn{TCPConn: conn, drainer: d, raw: raw, quietSince: time.Now()}
+	d.acceptedAt = time.Now()
+	c := &Conn{TCPConn: conn, drainer: d, raw: raw, quietSince: d.acceptedAt}
 	d.conns[c] = struct{}{}
 	return c, nil
 }
--- a/connection/drainer/drainer_test.go
+++ b/connection/drainer/drainer_test.go
@@ -168,3 +168,31 @@
 	is.NoErr(call())
 	is.Equal(<-done, drainer.Stats{Closed: 1})
 }
+
+// Guards against a stop that closes the listener while callers still open connections,
+// and against one that waits for them for ever.
+func TestAwaitQuietWaitsForTheLastConnection(t *testing.T) {
+	const quiet = 150 * time.Millisecond
+	is := is.New(t)
+	d := listen(t)
+	acceptUnread(d)
+	start := time.Now()
+	d.AwaitQuiet(t.Context(), quiet)
+	is.True(time.Since(start) < quiet) // nothing was accepted
+	lastAt := make(chan time.Time, 1)
+	go func() {
+		for range 10 {
+			dial(t, d)
+			time.Sleep(quiet / 5)
+		}
+		lastAt <- time.Now()
+	}()
+	time.Sleep(quiet / 5)
+	d.AwaitQuiet(t.Context(), quiet)
+	is.True(time.Since(<-lastAt) > quiet/2)
+	dial(t, d)
+	ctx, cancel := context.WithTimeout(t.Context(), quiet/5)
+	defer cancel()
+	d.AwaitQuiet(ctx, time.Hour)
+	is.True(ctx.Err() != nil)
+}
--- a/process/starter/listen.go
+++ b/process/starter/listen.go
@@ -27,6 +27,10 @@
 	// has begun. The platform probes readiness every second and removes a host
 	// after two failed probes.
 	drainDelay = 2800 * time.Millisecond
+	// quietTime is how long no connection may have been accepted before the listener
+	// is closed, and maxQuietWait the longest wait for that.
+	quietTime    = 200 * time.Millisecond
+	maxQuietWait = 1500 * time.Millisecond
 	// exitMargin is the part of the grace period that is reserved for the exit
 	// before the process is killed.
 	exitMargin = 700 * time.Millisecond
@@ -133,6 +137,13 @@
 	return !bounds.FailClosed || p.now()-fleet.ConfirmedAt < bounds.RevokeWithin
 }
 
+// awaitQuiet waits until callers have stopped opening connections.
+func (p *Process) awaitQuiet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxQuietWait)
+	defer cancel()
+	p.drainer.AwaitQuiet(ctx, quietTime)
+}
+
 // Shutdown stops the process without interrupting requests. The process reports
 // that it is not ready, accepts connections until the platform has noticed, and
 // waits for the requests that run or are arriving. After that it refuses requests
@@ -149,6 +160,7 @@
 	time.Sleep(drainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdown.CutAt-p.now())
 	defer cancel()
+	p.awaitQuiet(ctx)
 	stats, err := p.drainer.Drain(ctx)
 	if err != nil {
 		p.recordEvent("stop", "connections were lost: "+err.Error())
