Clear prompt parts by answers whose target lives on

After three crashes of engines by one prompt part, sound requests of the route were refused too if engines answer without length or chunks: the first part of all prompts, in flight at the same crashes, stayed convicted for two minutes.

Whether a request had completed was read from the framing of its answer. One that ends with its connection may have been cut by a crash and never counted.

While a part is suspect, the target of such an answer is connected to 200 ms after the end. If it accepts, it has lived on, and the parts are cleared.

--- a/connection/requester/requester.go
+++ b/connection/requester/requester.go
@@ -270,3 +270,13 @@
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
+
+// AcceptsConnections reports whether a process listens at an address.
+func (c *Requester) AcceptsConnections(ctx context.Context, address string) bool {
+	conn, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
--- a/request/relayer/part.go
+++ b/request/relayer/part.go
@@ -23,6 +23,10 @@
 // beginning, at which a prompt part crashes its target.
 const minStreamEvents = 3
 
+// livenessDelay is the time between the end of a response without length and the check
+// that its target lives on. A crashed target takes longer to come back.
+const livenessDelay = 200 * time.Millisecond
+
 // crashParts returns the prompt parts that may have crashed the target.
 func (a *attempt) crashParts() []mulberrybeam.SharedPart {
 	if a.firstByteAt > a.sentAt && a.Now()-a.firstByteAt > answerBeginWindow {
@@ -38,11 +42,34 @@
 // reportCompletedParts reports the parts of a completed request to the control
 // loop.
 func (a *attempt) reportCompletedParts(response *requester.Answer) {
-	if response.Status == http.StatusOK && a.provesCompletion(response) {
+	switch {
+	case response.Status != http.StatusOK:
+	case a.provesCompletion(response):
 		a.postCompletedParts()
+	case !response.Framed && a.hasSuspectParts():
+		a.postPartsIfTargetLives()
 	}
 }
 
+// hasSuspectParts reports whether targets have crashed with a part of the prompt.
+func (e *exchange) hasSuspectParts() bool {
+	suspects := e.Fleet().Suspects
+	return slices.ContainsFunc(e.sharedParts(), func(part mulberrybeam.SharedPart) bool { return suspects[part].Crashes > 0 })
+}
+
+// postPartsIfTargetLives reports the parts as completed if the target has not crashed
+// at the end of its response.
+func (a *attempt) postPartsIfTargetLives() {
+	parts, address, post, sender := a.sharedParts(), a.target.Address, a.Post, a.Sender
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), livenessDelay+crashCheckTimeout)
+		defer cancel()
+		if pauser.Pause(ctx, livenessDelay) && sender.AcceptsConnections(ctx, address) {
+			post(mulberrybeam.PartsCompleted{Parts: parts})
+		}
+	}()
+}
+
 // reportStreamedParts reports the parts of a stream as soon as it is past its
 // beginning, since a long answer may take several seconds more.
 func (a *attempt) reportStreamedParts() {
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -21,6 +21,8 @@
 	Send(ctx context.Context, target mulberrybeam.FleetTarget, limit int, message requester.Message) (*requester.Answer, error)
 	// RefusesConnections reports whether a target refuses connections.
 	RefusesConnections(ctx context.Context, address string) bool
+	// AcceptsConnections reports whether a target accepts connections.
+	AcceptsConnections(ctx context.Context, address string) bool
 }
 
 // Relayer is the HTTP handler for callers. It holds the state and dependencies
