Judge each weight version from its own announcement

Requests began on weights more than 8 s after a newer version had been acknowledged, if further versions came before.

A host kept one time for a model's goal and set it anew with each version, so that each put off the exclusion of engines with older ones. It now remembers when it learned of the last 64 versions; engines must have the newest one that has been known for longer than the bound less its margin.

TestLaterVersionsDoNotPutOffEarlierOnes fails if only the last version is remembered.

--- a/fleet.go
+++ b/fleet.go
@@ -258,6 +258,9 @@
 	Leaving map[InstanceID]bool
 	// Weights are the desired weight versions by model.
 	Weights map[ModelName]DesiredWeights
+	// WeightHistory are the versions in Weights and those before them by model, in the
+	// order in which this process learned of them.
+	WeightHistory map[ModelName][]DesiredWeights
 	// EntryHosts are the processes that share limits, including this one, in a
 	// fixed order.
 	EntryHosts []ProcessID
@@ -277,6 +280,18 @@
 	Complete bool
 }
 
+// RequiredVersion returns the newest weight version of a model that this process has known
+// of for longer than age, or 0. A later version does not put off an earlier one.
+func (f *Fleet) RequiredVersion(model ModelName, now, age time.Duration) int {
+	required := 0
+	for _, desired := range f.WeightHistory[model] {
+		if now-desired.SeenAt > age {
+			required = max(required, desired.Version)
+		}
+	}
+	return required
+}
+
 // FleetTarget is a target with the state that the control loop derived for it.
 type FleetTarget struct {
 	LiveTarget
--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -18,8 +18,10 @@
 		Deployment: t.deployment,
 		Weights:    maps.Clone(t.desiredWeights),
 		Regions:    t.regions,
-		Targets:    t.usableTargets(),
-		EntryHosts: t.entryHosts(),
+
+		WeightHistory: maps.Clone(t.weightHistory),
+		Targets:       t.usableTargets(),
+		EntryHosts:    t.entryHosts(),
 
 		PeerAddresses: t.peerAddresses(),
 		Crashes:       make(map[mulberrybeam.Fingerprint]int, len(t.crashes)),
--- a/process/tracker/tracker.go
+++ b/process/tracker/tracker.go
@@ -21,6 +21,9 @@
 // it.
 const crashRetention = 2 * time.Minute
 
+// maxWeightHistory is the number of weight versions of a model that are remembered.
+const maxWeightHistory = 64
+
 // requiredKinds lists the kinds of objects that must be known before requests
 // can be routed.
 var requiredKinds = []mulberrybeam.ObjectKind{
@@ -42,6 +45,7 @@
 	targets               map[mulberrybeam.InstanceID]*trackedTarget
 	evacuated             map[mulberrybeam.ZoneName]bool
 	desiredWeights        map[mulberrybeam.ModelName]mulberrybeam.DesiredWeights
+	weightHistory         map[mulberrybeam.ModelName][]mulberrybeam.DesiredWeights
 	hosts                 map[mulberrybeam.ProcessID]mulberrybeam.EntryHost
 	upgradedEngines       map[mulberrybeam.InstanceID]mulberrybeam.UpgradedEngine
 	crashes               map[crashKey]time.Duration
@@ -78,6 +82,7 @@
 		targets:         map[mulberrybeam.InstanceID]*trackedTarget{},
 		evacuated:       map[mulberrybeam.ZoneName]bool{},
 		desiredWeights:  map[mulberrybeam.ModelName]mulberrybeam.DesiredWeights{},
+		weightHistory:   map[mulberrybeam.ModelName][]mulberrybeam.DesiredWeights{},
 		hosts:           map[mulberrybeam.ProcessID]mulberrybeam.EntryHost{},
 		upgradedEngines: map[mulberrybeam.InstanceID]mulberrybeam.UpgradedEngine{},
 		crashes:         map[crashKey]time.Duration{},
@@ -293,7 +298,11 @@
 	if desired == nil || desired.Version <= t.desiredWeights[desired.Model].Version {
 		return nil
 	}
-	t.desiredWeights[desired.Model] = mulberrybeam.DesiredWeights{Model: desired.Model, Version: desired.Version, SeenAt: turn.Now}
+	learned := mulberrybeam.DesiredWeights{Model: desired.Model, Version: desired.Version, SeenAt: turn.Now}
+	t.desiredWeights[desired.Model] = learned
+	// Snapshots share the earlier history, so that it must not be changed.
+	history := append(slices.Clone(t.weightHistory[desired.Model]), learned)
+	t.weightHistory[desired.Model] = history[max(0, len(history)-maxWeightHistory):]
 	return []mulberrybeam.Action{recordEntry(mulberrybeam.EntryConfiguration, string(desired.Model), "weight version "+formatNumber(desired.Version)+" is the new goal")}
 }
 
--- a/process/tracker/tracker_test.go
+++ b/process/tracker/tracker_test.go
@@ -189,3 +189,31 @@
 		})
 	}
 }
+
+// Guards against a weight version that puts off the exclusion of engines that still
+// have the versions before it.
+func TestLaterVersionsDoNotPutOffEarlierOnes(t *testing.T) {
+	const age = 5500 * time.Millisecond
+	for _, interval := range []time.Duration{700 * time.Millisecond, 1200 * time.Millisecond, 4 * time.Second, 9 * time.Second} {
+		is := is.New(t)
+		f := newFixture()
+		learned := map[int]time.Duration{}
+		for version := 2; version < 40; version++ {
+			learned[version] = f.now
+			f.sendChange(mulberrybeam.ObjectWeights, "m", mulberrybeam.Record{
+				Weights: &mulberrybeam.DesiredWeights{Model: "m", Version: version},
+			}, false)
+			earlier := f.fleet()
+			f.now += interval
+			want := 0
+			for known, at := range learned {
+				if f.now-at > age {
+					want = max(want, known)
+				}
+			}
+			is.Equal(earlier.RequiredVersion("m", f.now, age), want)
+			is.Equal(earlier.RequiredVersion("other", f.now, age), 0)
+			is.Equal(earlier.Weights["m"].Version, version)
+		}
+	}
+}
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -80,9 +80,9 @@
 	PromptTokens int
 	MemoryTokens int
 	Model        mulberrybeam.ModelName
-	// ExcludeOldWeights excludes engines that report older weights than the current ones.
-	ExcludeOldWeights bool
-	Tried             []mulberrybeam.InstanceID
+	// MinVersion excludes engines that report an older weight version. 0 excludes none.
+	MinVersion int
+	Tried      []mulberrybeam.InstanceID
 	// MayWait reports that the request can wait until an engine has capacity.
 	MayWait bool
 	// ColdOvershoot is a factor on a cold target's rate, and ColdSlack a number
@@ -148,7 +148,7 @@
 		if !regionAllowed(fleet, query.Rule, target.Zone) {
 			continue
 		}
-		if query.ExcludeOldWeights && hasOldWeights(fleet, query.Model, target) {
+		if version, known := target.Versions[query.Model]; known && version < query.MinVersion {
 			continue
 		}
 		stats := view.TargetStats(target.ID)
--- a/request/chooser/chooser_test.go
+++ b/request/chooser/chooser_test.go
@@ -91,7 +91,7 @@
 	is := is.New(t)
 	f := fleet(2)
 	f.Weights["m"] = mulberrybeam.DesiredWeights{Version: 2}
-	_, err := choose(f, nil, func(q *chooser.Query) { q.ExcludeOldWeights = true })
+	_, err := choose(f, nil, func(q *chooser.Query) { q.MinVersion = 2 })
 	is.Equal(mulberrybeam.CodeOf(err), mulberrybeam.CodeNoTarget)
 	_, err = choose(f, nil, nil)
 	is.NoErr(err)
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	current, err := e.startAttempt(ctx, choice, query.ExcludeOldWeights)
+	current, err := e.startAttempt(ctx, choice, query.MinVersion)
 	if err != nil {
 		return err
 	}
@@ -64,10 +64,10 @@
 }
 
 // startAttempt sends the request to the chosen target.
-func (e *exchange) startAttempt(ctx context.Context, choice chooser.Choice, requireGoal bool) (*attempt, error) {
+func (e *exchange) startAttempt(ctx context.Context, choice chooser.Choice, minVersion int) (*attempt, error) {
 	a := &attempt{
 		exchange: e, target: choice.Target, preferred: choice.PreferredEngine, reason: choice.Reason,
-		sentAt: e.Now(), requireGoal: requireGoal, sent: make(chan sendResult, 1),
+		sentAt: e.Now(), minVersion: minVersion, sent: make(chan sendResult, 1),
 	}
 	message := a.buildMessage()
 	if !e.Monitor.Reserve(a.target.ID, a.load, choice.ColdLimit) {
@@ -109,11 +109,8 @@
 		PromptTokens: e.inbound.PromptTokens, MemoryTokens: e.fleet.Deployment.Pools[e.service].MemoryTokens,
 		ColdOvershoot: e.settings.Bounds.ColdOvershoot, ColdSlack: e.settings.Bounds.ColdSlack,
 	}
-	goal, found := e.fleet.Weights[e.inbound.Model]
-	if found {
-		query.ExcludeOldWeights = e.Now()-goal.SeenAt > e.settings.Bounds.VersionWithin-weightDeadlineMargin
-	}
-	e.addPromptParts(&query, goal.Version)
+	query.MinVersion = e.fleet.RequiredVersion(e.inbound.Model, e.Now(), e.settings.Bounds.VersionWithin-weightDeadlineMargin)
+	e.addPromptParts(&query, e.fleet.Weights[e.inbound.Model].Version)
 	return query
 }
 
@@ -150,8 +147,8 @@
 	// load is the part of the target's load that this attempt accounts for.
 	load   mulberrybeam.TargetLoad
 	sentAt time.Duration
-	// requireGoal requires the target to run the current weight goal.
-	requireGoal bool
+	// minVersion is the oldest weight version that the target may run.
+	minVersion int
 	// eventsBefore is the number of events of the stream from earlier attempts.
 	eventsBefore int
 	// partsReported is set once the attempt's prompt parts were reported as
@@ -276,7 +273,7 @@
 	// other weights would store context under the wrong salt, and engines that
 	// fetch it would use context computed with different weights.
 	call.Version = version
-	if a.requireGoal {
+	if version < a.minVersion {
 		call.Version = goal
 	}
 	if version == 0 || version < goal {
--- a/request/relayer/watch.go
+++ b/request/relayer/watch.go
@@ -174,7 +174,7 @@
 		return nil
 	}
 	a.recordEntry(mulberrybeam.EntryRetry, string(a.target.ID), fmt.Sprintf("silent target, trying %s", choice.Target.ID))
-	standby, err := a.startAttempt(ctx, choice, query.ExcludeOldWeights)
+	standby, err := a.startAttempt(ctx, choice, query.MinVersion)
 	if err != nil {
 		return nil
 	}
