Bound the size of timeline entries

An entry of another writer that cannot be used, with a state of 1 MB and written again and again, made an idle process exceed its memory: the timeline keeps 2,048 entries, and the text of each contained the object.

The recorder now keeps 2 KB of a text and 256 bytes of a name, with the length and a hash.

TestLongTextsAreShortened failed before.

--- a/process/recorder/recorder.go
+++ b/process/recorder/recorder.go
@@ -3,7 +3,10 @@
 package recorder
 
 import (
+	"crypto/sha256"
+	"fmt"
 	"slices"
+	"strings"
 	"sync/atomic"
 
 	"mulberrybeam"
@@ -15,6 +18,14 @@
 // an hour of control events.
 const defaultCapacity = 8192
 
+// Limits of the texts of an entry, in bytes. Texts may contain what other systems sent.
+const (
+	maxNameBytes = 256
+	maxTextBytes = 2048
+	// digestBytes is the length of the hash that tells longer texts apart.
+	digestBytes = 8
+)
+
 // Ring is a timeline of bounded length. Its methods never block and are safe
 // for concurrent use.
 type Ring struct {
@@ -57,6 +68,9 @@
 	if r.stamp != nil && entry.Stamp == (mulberrybeam.Stamp{}) {
 		entry.Stamp = r.stamp()
 	}
+	entry.Request = mulberrybeam.RequestID(shorten(string(entry.Request), maxNameBytes))
+	entry.Subject = shorten(entry.Subject, maxNameBytes)
+	entry.Text = shorten(entry.Text, maxTextBytes)
 	if r.observe != nil {
 		r.observe(entry)
 	}
@@ -64,6 +78,16 @@
 	r.entries[index%uint64(len(r.entries))].Store(&entry)
 }
 
+// shorten returns a text of more than limit bytes as its beginning, its length and its
+// hash, in a copy that does not keep the whole text in memory.
+func shorten(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	digest := sha256.Sum256([]byte(text))
+	return fmt.Sprintf("%s... (%d bytes, SHA-256 %x)", strings.ToValidUTF8(text[:limit], ""), len(text), digest[:digestBytes])
+}
+
 // Entries returns the entries sorted by stamp, so that a cause precedes its
 // effects.
 func (r *Ring) Entries() []mulberrybeam.Entry {
--- a/process/recorder/recorder_test.go
+++ b/process/recorder/recorder_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/matryer/is"
 
@@ -50,3 +52,28 @@
 		is.Equal(entry.Subject, string(entry.Process))
 	}
 }
+
+// Guards against a timeline that exceeds the memory of the process because entries hold
+// what other systems sent, and against long texts that cannot be told apart.
+func TestLongTextsAreShortened(t *testing.T) {
+	const limit = 2300
+	is := is.New(t)
+	ring := recorder.New(recorder.WithCapacity(2048), recorder.WithObserver(func(entry mulberrybeam.Entry) {
+		is.True(len(entry.Text) <= limit)
+	}))
+	long := strings.Repeat("ä", 1<<19)
+	for i := range 8 {
+		end := fmt.Sprint(i)
+		ring.Record(mulberrybeam.Entry{Request: mulberrybeam.RequestID(long + end), Subject: long + end, Text: long + end})
+	}
+	ring.Record(mulberrybeam.Entry{Text: "short"})
+	entries := ring.Entries()
+	is.Equal(entries[8].Text, "short")
+	texts := map[string]bool{}
+	for _, entry := range entries[:8] {
+		is.True(len(entry.Request)+len(entry.Subject)+len(entry.Text) <= 3*limit)
+		is.True(utf8.ValidString(entry.Text) && strings.HasPrefix(entry.Text, "ää"))
+		texts[entry.Text] = true
+	}
+	is.Equal(len(texts), 8)
+}
