Tidy names and skip work in the choice of a target

Compares incarnations only for targets that have said that they leave, since building the name of an incarnation costs more than the rest of the choice. Names the wait of a request that found no target after what it is.

--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -15,11 +15,10 @@
 // mutable data with that state, since snapshots are read by other goroutines.
 func (t *Tracker) rebuildFleet() {
 	t.fleet = mulberrybeam.Fleet{
-		Deployment: t.deployment,
-		Weights:    maps.Clone(t.desiredWeights),
-		Regions:    t.regions,
-
+		Deployment:    t.deployment,
+		Weights:       maps.Clone(t.desiredWeights),
 		WeightHistory: maps.Clone(t.weightHistory),
+		Regions:       t.regions,
 		Targets:       t.usableTargets(),
 		EntryHosts:    t.entryHosts(),
 
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -153,7 +153,7 @@
 		}
 		stats := view.TargetStats(target.ID)
 		switch {
-		case stats.LeavingRun == target.Incarnation():
+		case stats.LeavingRun != "" && stats.LeavingRun == target.Incarnation():
 		case now < stats.PausedUntil && (pauseEnd == 0 || stats.PausedUntil < pauseEnd):
 			pauseEnd = stats.PausedUntil
 		case now < stats.PausedUntil:
--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -206,7 +206,7 @@
 	}
 	failure := &mulberrybeam.Failure{
 		Code: mulberrybeam.CodeOf(err), Step: mulberrybeam.StepOutcome, Message: "no target returned a complete response",
-		NotRun: !e.mayHaveRun, RetryAfter: max(spread(e.random, pauseBefore(err)), minRetryAfter), Cause: err,
+		NotRun: !e.mayHaveRun, RetryAfter: max(spread(e.random, waitBefore(err)), minRetryAfter), Cause: err,
 	}
 	if ctx.Err() != nil {
 		failure.Code = mulberrybeam.CodeTimeout
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -223,7 +223,8 @@
 		return true
 	}
 	if mulberrybeam.CodeOf(err) == mulberrybeam.CodeNoTarget {
-		return turn.Now+pauseBefore(err) <= e.waitDeadline() && e.waitForTarget(ctx, turn)
+		// Waiting is in vain if the pauses of all targets end later.
+		return turn.Now+waitBefore(err) <= e.waitDeadline() && e.waitForTarget(ctx, turn)
 	}
 	if e.headerWritten && !(e.requestInfo.Repeatable && e.splitter.Resumable()) {
 		return false
--- a/request/relayer/notice.go
+++ b/request/relayer/notice.go
@@ -26,9 +26,9 @@
 	}
 }
 
-// pauseBefore returns the time until the first target may get the request, or 0 if
-// no pause keeps it back.
-func pauseBefore(err error) time.Duration {
+// waitBefore returns the time after which a target may be free for a request that found
+// none, or 0 if err is another failure.
+func waitBefore(err error) time.Duration {
 	var failure *mulberrybeam.Failure
 	if mulberrybeam.CodeOf(err) != mulberrybeam.CodeNoTarget || !errors.As(err, &failure) {
 		return 0
