Share the check of weights, the wait and a test request

The chooser compared an engine's weight version in two places, a request that found no target checked its deadline twice, and a test spelled a request that its neighbour builds. Each is now written once. A stream without length that had already reported its prompt parts no longer opens a connection to ask whether its target lives; the parts were cleared by its events.

--- a/process/starter/drain_test.go
+++ b/process/starter/drain_test.go
@@ -39,7 +39,7 @@
 // requestParts returns a request that must not be sent again, in two parts. The
 // first one ends within the header.
 func requestParts(id string) []string {
-	return []string{"POST /a/ HTTP/1.1\r\nHost: h\r\nApi-Key: k\r\n", "Mulberrybeam-Request-Id: " + id + "\r\nContent-Length: 4\r\n\r\nbody"}
+	return strings.SplitAfterN(request("/a/", id), "Api-Key: k\r\n", 2)
 }
 
 // send sends parts with a pause after each.
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -148,15 +148,16 @@
 		if !regionAllowed(fleet, query.Rule, target.Zone) {
 			continue
 		}
-		if version, known := target.Versions[query.Model]; known && version < query.MinVersion {
+		if hasWeightsBefore(query.MinVersion, query.Model, target) {
 			continue
 		}
 		stats := view.TargetStats(target.ID)
 		switch {
 		case stats.LeavingRun != "" && stats.LeavingRun == target.Incarnation():
-		case now < stats.PausedUntil && (pauseEnd == 0 || stats.PausedUntil < pauseEnd):
-			pauseEnd = stats.PausedUntil
 		case now < stats.PausedUntil:
+			if pauseEnd == 0 || stats.PausedUntil < pauseEnd {
+				pauseEnd = stats.PausedUntil
+			}
 		case now < stats.AvoidUntil, slices.Contains(query.Tried, target.ID):
 			otherReason = true
 		default:
@@ -173,9 +174,10 @@
 	return len(rule.Regions) == 0 || slices.Contains(rule.Regions, fleet.Regions[zone])
 }
 
-func hasOldWeights(fleet *mulberrybeam.Fleet, model mulberrybeam.ModelName, target mulberrybeam.FleetTarget) bool {
-	version, known := target.Versions[model]
-	return known && version < fleet.Weights[model].Version
+// hasWeightsBefore reports whether an engine reports an older version of a model.
+func hasWeightsBefore(version int, model mulberrybeam.ModelName, target mulberrybeam.FleetTarget) bool {
+	reported, known := target.Versions[model]
+	return known && reported < version
 }
 
 func (c candidate) isCold(now time.Duration) bool {
@@ -192,7 +194,9 @@
 		warm = staying
 	}
 	upgraded := slices.Clone(warm)
-	upgraded = slices.DeleteFunc(upgraded, func(c candidate) bool { return hasOldWeights(fleet, query.Model, c.target) })
+	upgraded = slices.DeleteFunc(upgraded, func(c candidate) bool {
+		return hasWeightsBefore(fleet.Weights[query.Model].Version, query.Model, c.target)
+	})
 	if float64(len(upgraded)) >= upgradedRatio*float64(len(fleet.Targets[query.Service])) {
 		return upgraded
 	}
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -223,8 +223,7 @@
 		return true
 	}
 	if mulberrybeam.CodeOf(err) == mulberrybeam.CodeNoTarget {
-		// Waiting is in vain if the pauses of all targets end later.
-		return turn.Now+waitBefore(err) <= e.waitDeadline() && e.waitForTarget(ctx, turn)
+		return e.waitForTarget(ctx, turn, err)
 	}
 	if e.headerWritten && !(e.requestInfo.Repeatable && e.splitter.Resumable()) {
 		return false
@@ -256,8 +255,9 @@
 
 // waitForTarget waits for waitInterval and reports whether to look for a target
 // again. A wait puts no load on targets, so the retry budget is not charged.
-func (e *exchange) waitForTarget(ctx context.Context, turn mulberrybeam.Turn) bool {
-	if turn.Now+waitInterval > e.waitDeadline() || e.mayHaveRun && !e.requestInfo.Repeatable {
+func (e *exchange) waitForTarget(ctx context.Context, turn mulberrybeam.Turn, err error) bool {
+	// Waiting is in vain if the pauses of all targets end after the deadline.
+	if turn.Now+max(waitInterval, waitBefore(err)) > e.waitDeadline() || e.mayHaveRun && !e.requestInfo.Repeatable {
 		return false
 	}
 	if !pauser.Pause(ctx, waitInterval) {
--- a/request/relayer/part.go
+++ b/request/relayer/part.go
@@ -46,7 +46,7 @@
 	case response.Status != http.StatusOK:
 	case a.provesCompletion(response):
 		a.postCompletedParts()
-	case !response.Framed && a.hasSuspectParts():
+	case !response.Framed && !a.partsReported && a.hasSuspectParts():
 		a.postPartsIfTargetLives()
 	}
 }
