Limit callers' connections by the descriptors of the host

Callers that open connections and send nothing used up the descriptors of a process: nothing limited them, and each was kept for 15 to 90 s. Then neither ordinary callers nor connections to targets find a descriptor.

At the limit the connection that has waited longest for a request, or for the rest of a head, closes for a new one once it has waited for a second; connections on which a request runs are never closed.

--- a/connection/drainer/conn.go
+++ b/connection/drainer/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,6 +35,9 @@
 	quietSince time.Time
 	// cancel ends the contexts of the connection's requests.
 	cancel context.CancelFunc
+
+	// handling is true while a handler runs.
+	handling atomic.Bool
 }
 
 // Read reads from the connection. Reading a byte and noting that a request has
--- a/connection/drainer/drainer.go
+++ b/connection/drainer/drainer.go
@@ -45,11 +45,20 @@
 	// acceptEnded is true once Accept has returned the last connection.
 	acceptEnded bool
 	stats       Stats
+
+	// maxConnections limits the connections, 0 for no limit. replaced and rejected count
+	// those that were closed because of it.
+	maxConnections     int
+	replaced, rejected int
 }
 
 // New returns a Drainer for the connections of listener.
-func New(listener *net.TCPListener) *Drainer {
-	return &Drainer{TCPListener: listener, conns: map[*Conn]struct{}{}}
+func New(listener *net.TCPListener, options ...Option) *Drainer {
+	d := &Drainer{TCPListener: listener, conns: map[*Conn]struct{}{}}
+	for _, option := range options {
+		option(d)
+	}
+	return d
 }
 
 // Attach makes the server report the states of its connections. The contexts of
@@ -57,7 +66,7 @@
 func (d *Drainer) Attach(server *http.Server) {
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		if c := tracked(conn); c != nil {
-			return c.withCancel(ctx)
+			return c.withCancel(withConn(ctx, c))
 		}
 		return ctx
 	}
@@ -80,7 +89,7 @@
 // Accept waits for the next connection. After the listener was closed it returns
 // the connections of the accept queue first.
 func (d *Drainer) Accept() (net.Conn, error) {
-	conn, err := d.AcceptTCP()
+	conn, err := d.acceptWithin()
 	if errors.Is(err, net.ErrClosed) {
 		return d.nextQueued(err)
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -310,8 +310,11 @@
 	PeerAddress   string
 	ReadyAddress  string
 	StoreAddress  string
-	MemoryBytes   int64
-	Bounds        HostBounds
+	// MemoryBytes and FileDescriptors are what the host allows the process, or 0 if the
+	// settings do not say.
+	MemoryBytes     int64
+	FileDescriptors int
+	Bounds          HostBounds
 }
 
 // HostBounds are the limits and deadlines that an entry process must keep.
--- a/process/starter/listen.go
+++ b/process/starter/listen.go
@@ -59,7 +59,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	if err := p.serveCallers(settings.CallerAddress, callers); err != nil {
+	if err := p.serveCallers(settings, callers); err != nil {
 		return err
 	}
 	if err := p.serve(settings.ReadyAddress, &http.Server{Handler: http.HandlerFunc(p.handleReady)}); err != nil {
@@ -78,13 +78,15 @@
 }
 
 // serveCallers serves callers on connections that the stop can tell apart.
-func (p *Process) serveCallers(address string, server *http.Server) error {
-	listener, err := net.Listen("tcp", address)
+func (p *Process) serveCallers(settings mulberrybeam.HostSettings, server *http.Server) error {
+	listener, err := listenForCallers(settings.CallerAddress)
 	if err != nil {
 		return err
 	}
-	p.drainer = drainer.New(listener.(*net.TCPListener))
+	p.drainer = drainer.New(listener.(*net.TCPListener),
+		drainer.WithMaxConnections(MaxCallerConnections(settings.FileDescriptors)))
 	p.drainer.Attach(server)
+	server.Handler = p.drainer.Handler(server.Handler)
 	p.serveOn(p.drainer, server)
 	return nil
 }
