Reserve the memory of requests before it is taken

Callers that sent many bodies of legal size at once, most of which stopped just short of their end, ended a process: it ran out of memory, and the requests of all other callers on the host ended with it.

Cause: each body was read whole, with a bound for one request and none for the process, and a body could take for ever. Fields of heads take many times their bytes besides.

process/reserver accounts for what heads, requests, bodies and buffered responses hold, up to a quarter of limits.memory_mb. A body is reserved before it is read; one announced beyond the limit is refused from its head. When bytes are short, ordinary requests have a part of their own, a workspace has a share, and callers that stall give way. A refusal is a 503 of a request that has not been sent, with Retry-After. A body ends with the deadline of its request.

--- a/connection/drainer/conn.go
+++ b/connection/drainer/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"mulberrybeam/process/reserver"
 )
 
 // Conn is a connection of a caller.
@@ -36,8 +38,12 @@
 	// cancel ends the contexts of the connection's requests.
 	cancel context.CancelFunc
 
-	// handling is true while a handler runs.
+	// handling is true while a handler runs. The bytes of a head that arrives before
+	// that are reserved in head.
 	handling atomic.Bool
+	head     atomic.Pointer[reserver.Reservation]
+	// evicted is set when the connection has to give way to others.
+	evicted atomic.Bool
 }
 
 // Read reads from the connection. Reading a byte and noting that a request has
@@ -55,6 +61,9 @@
 	if err == nil {
 		err = readErr
 	}
+	if err == nil {
+		err = c.reserveHead(n)
+	}
 	if err == nil || err == io.EOF {
 		return n, err
 	}
@@ -99,6 +108,7 @@
 	c.mutex.Lock()
 	c.markClosed()
 	c.mutex.Unlock()
+	c.releaseHead()
 	return c.TCPConn.Close()
 }
 
--- a/connection/drainer/drainer.go
+++ b/connection/drainer/drainer.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"mulberrybeam/process/reserver"
 )
 
 // Stats counts what a stop did to connections.
@@ -50,6 +52,8 @@
 	// those that were closed because of it.
 	maxConnections     int
 	replaced, rejected int
+	// memory may be nil.
+	memory *reserver.Reserver
 }
 
 // New returns a Drainer for the connections of listener.
--- a/connection/drainer/limit.go
+++ b/connection/drainer/limit.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"mulberrybeam/process/reserver"
 )
 
 // minQuiet is how long a connection must have been without a request, or with an
@@ -18,6 +20,11 @@
 	return func(d *Drainer) { d.maxConnections = limit }
 }
 
+// WithMemory reserves the memory of the heads of requests.
+func WithMemory(memory *reserver.Reserver) Option {
+	return func(d *Drainer) { d.memory = memory }
+}
+
 // Refused returns the numbers of connections that were closed for others, and of new
 // connections that were closed at once, because of the limit.
 func (d *Drainer) Refused() (replaced, rejected int) {
@@ -41,6 +48,9 @@
 	}
 	victim := longestWaiting(conns)
 	if victim == nil || !victim.retireForOther() {
+		// A caller that stalls within a request gives way with some delay. The next
+		// connection finds the room.
+		d.memory.EvictStalled()
 		d.count(&d.rejected)
 		return false
 	}
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -42,6 +42,7 @@
 	workspaces      map[mulberrybeam.WorkspaceName]bool
 	environment     attribute.KeyValue
 	zone            attribute.KeyValue
+	instruments     metric.Meter
 }
 
 // New returns a meter, the handler of its Prometheus endpoint, and a function
@@ -58,7 +59,8 @@
 		environment: attribute.String("environment", string(environment)),
 		zone:        attribute.String("zone", string(zone)),
 	}
-	if err := m.createInstruments(provider.Meter("mulberrybeam")); err != nil {
+	m.instruments = provider.Meter("mulberrybeam")
+	if err := m.createInstruments(m.instruments); err != nil {
 		return nil, nil, nil, err
 	}
 	cleanup := func() { _ = provider.Shutdown(context.Background()) }
@@ -100,6 +102,28 @@
 	return histogram
 }
 
+// Gauge is a value that is read when the metrics are fetched.
+type Gauge struct {
+	Name, Description, Unit string
+	Read                    func() int64
+}
+
+// AddGauges adds gauges to the metrics.
+func (m *Meter) AddGauges(gauges ...Gauge) error {
+	for _, gauge := range gauges {
+		callback := func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(gauge.Read(), m.attributes())
+			return nil
+		}
+		_, err := m.instruments.Int64ObservableGauge(gauge.Name, metric.WithDescription(gauge.Description),
+			metric.WithUnit(gauge.Unit), metric.WithInt64Callback(callback))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Observe updates the metrics for one entry.
 func (m *Meter) Observe(entry mulberrybeam.Entry) {
 	ctx := context.Background()
--- a/process/starter/limit.go
+++ b/process/starter/limit.go
@@ -6,6 +6,9 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"mulberrybeam/process/meter"
+	"mulberrybeam/process/reserver"
 )
 
 const (
@@ -44,3 +47,21 @@
 	}}
 	return config.Listen(context.Background(), "tcp", address)
 }
+
+// limitGauges returns the metrics of the limits on callers.
+func (p *Process) limitGauges() []meter.Gauge {
+	memory := func(name, description, unit string, read func(reserver.Stats) int64) meter.Gauge {
+		return meter.Gauge{Name: name, Description: description, Unit: unit, Read: func() int64 { return read(p.memory.Stats()) }}
+	}
+	connections := func(name, description string, read func(replaced, rejected int) int) meter.Gauge {
+		return meter.Gauge{Name: name, Description: description, Read: func() int64 { return int64(read(p.drainer.Refused())) }}
+	}
+	return []meter.Gauge{
+		memory("mulberrybeam.held-bytes", "Memory held for callers and targets.", "By", func(s reserver.Stats) int64 { return s.HeldBytes }),
+		memory("mulberrybeam.holders", "Connections and requests that hold memory.", "", func(s reserver.Stats) int64 { return s.Holders }),
+		memory("mulberrybeam.memory-refusals", "Requests refused for lack of memory since the start.", "", func(s reserver.Stats) int64 { return s.Refused }),
+		memory("mulberrybeam.memory-evictions", "Callers interrupted for lack of memory since the start.", "", func(s reserver.Stats) int64 { return s.Evicted }),
+		connections("mulberrybeam.connections-replaced", "Connections closed to make room for others since the start.", func(replaced, _ int) int { return replaced }),
+		connections("mulberrybeam.connections-rejected", "New connections closed because of their limit since the start.", func(_, rejected int) int { return rejected }),
+	}
+}
--- a/process/starter/listen.go
+++ b/process/starter/listen.go
@@ -46,7 +46,7 @@
 		return nil, nil, err
 	}
 	p.cleanups = append(p.cleanups, stop)
-	return handler, meter.Observe, nil
+	return handler, meter.Observe, meter.AddGauges(p.limitGauges()...)
 }
 
 // listen opens the addresses for callers, for the platform's readiness probe and,
@@ -84,7 +84,7 @@
 		return err
 	}
 	p.drainer = drainer.New(listener.(*net.TCPListener),
-		drainer.WithMaxConnections(MaxCallerConnections(settings.FileDescriptors)))
+		drainer.WithMaxConnections(MaxCallerConnections(settings.FileDescriptors)), drainer.WithMemory(p.memory))
 	p.drainer.Attach(server)
 	server.Handler = p.drainer.Handler(server.Handler)
 	p.serveOn(p.drainer, server)
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -26,6 +26,7 @@
 	"mulberrybeam/process/parttracker"
 	"mulberrybeam/process/recorder"
 	"mulberrybeam/process/registrar"
+	"mulberrybeam/process/reserver"
 	"mulberrybeam/process/tracker"
 	"mulberrybeam/request/relayer"
 	"mulberrybeam/version/upgrader"
@@ -55,6 +56,7 @@
 	monitor   *monitor.Monitor
 	requester *requester.Requester
 	catalog   *cataloger.Cataloger
+	memory    *reserver.Reserver
 	shutdown  atomic.Pointer[relayer.Shutdown]
 	servers   []*http.Server
 	drainer   *drainer.Drainer
@@ -74,6 +76,7 @@
 	p.settings.Store(&settings)
 	log, stopLog := logger.New(out)
 	p.cleanups = append(p.cleanups, stopLog)
+	p.memory = reserver.New(reserver.DefaultLimits(settings.MemoryBytes), p.now, func(text string) { p.recordEvent("memory", text) })
 	metrics, observe, err := p.newMetrics(settings)
 	if err != nil {
 		p.runCleanups()
@@ -225,6 +228,7 @@
 		Post:     p.control.Post,
 		Now:      p.now,
 		Shutdown: p.shutdown.Load,
+		Memory:   p.memory,
 	}
 }
 
--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -16,6 +16,8 @@
 	// maxBufferedBody is the largest response body, in bytes, that is buffered
 	// until it is complete. The rest of a larger one is copied as it arrives.
 	maxBufferedBody = 64 << 10
+	// minBufferedBody is used instead while memory is short.
+	minBufferedBody = 4 << 10
 	// maxDiscardedBody is the largest body of a refusal, in bytes, that is read
 	// so that the connection can be used again.
 	maxDiscardedBody = 64 << 10
@@ -29,12 +31,16 @@
 // before it writes the header, so that an interrupted response can still be
 // retried.
 func (a *attempt) forwardBody(ctx context.Context, response *requester.Answer) error {
-	buffered, err := io.ReadAll(io.LimitReader(response, maxBufferedBody+1))
+	limit := maxBufferedBody
+	if !a.reservation.TryGrow(maxBufferedBody) {
+		limit = minBufferedBody
+	}
+	buffered, err := io.ReadAll(io.LimitReader(response, int64(limit)+1))
 	if err != nil {
 		return a.recordInterruption(ctx, "response body was interrupted", err)
 	}
 	a.writeHeader(response)
-	if len(buffered) <= maxBufferedBody {
+	if len(buffered) <= limit {
 		_, err = a.writer.Write(buffered)
 	} else if _, err = a.writer.Write(buffered); err == nil {
 		_, err = io.Copy(a.writer, response)
@@ -224,6 +230,7 @@
 		Kind: mulberrybeam.EntryRefusal, Request: e.inbound.ID, Code: failure.Code, Text: failure.Error(),
 	})
 	status := statusOf(failure)
+	e.endUnread(failure.Code)
 	if status == http.StatusServiceUnavailable {
 		e.Codec.RetryAfter(e.writer.Header(), max(failure.RetryAfter, minRetryAfter))
 	}
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -13,6 +13,7 @@
 
 	"mulberrybeam"
 	"mulberrybeam/connection/pauser"
+	"mulberrybeam/process/reserver"
 	"mulberrybeam/request/matcher"
 	"mulberrybeam/request/quarantiner"
 	"mulberrybeam/request/resumer"
@@ -27,9 +28,6 @@
 	keyAgeFraction = 0.95
 	// defaultTimeout is the timeout of a request whose rule sets none.
 	defaultTimeout = 30 * time.Second
-	// defaultBodyLimit is the largest request body, in bytes, if the
-	// deployment sets no limit.
-	defaultBodyLimit = 4 << 20
 	// weightDeadlineMargin is how long before the deadline for replacing old
 	// weights requests are restricted to engines with the new ones.
 	weightDeadlineMargin = 2500 * time.Millisecond
@@ -46,10 +44,14 @@
 	// settings are the host settings at the request's arrival.
 	settings *mulberrybeam.HostSettings
 
-	inbound     mulberrybeam.InboundCall
-	match       matcher.Match
-	service     mulberrybeam.ServiceName
-	body        []byte
+	inbound mulberrybeam.InboundCall
+	match   matcher.Match
+	service mulberrybeam.ServiceName
+	body    []byte
+	// reservation holds the memory of the request, and bodyRead is set once the caller
+	// has sent all.
+	reservation *reserver.Reservation
+	bodyRead    bool
 	requestInfo mulberrybeam.Request
 	random      *rand.Rand
 	history     retrier.History
@@ -67,6 +69,7 @@
 }
 
 func (e *exchange) run() {
+	defer func() { e.reservation.Close() }()
 	e.inbound = e.Codec.Inbound(e.request.Header)
 	if err := e.accept(); err != nil {
 		e.writeRefusal(err)
@@ -125,30 +128,6 @@
 	return timeout
 }
 
-// readBody buffers the whole body, so that a retry can send it again.
-func (e *exchange) readBody() error {
-	limit := e.fleet.Deployment.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.writer.ResponseWriter, e.request.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &mulberrybeam.Failure{
-			Code: mulberrybeam.CodeBodyTooLarge, Step: mulberrybeam.StepAccept,
-			Message: fmt.Sprintf("request body exceeds %d bytes", limit), NotRun: true, Cause: err,
-		}
-	case err != nil:
-		return &mulberrybeam.Failure{
-			Code: mulberrybeam.CodeCancelled, Step: mulberrybeam.StepAccept,
-			Message: "request body was interrupted", NotRun: true, Cause: err,
-		}
-	}
-	e.body = body
-	return nil
-}
-
 // fingerprint returns a hash of the request's method, URI, API key and body,
 // which are the same when a caller retries it.
 func (e *exchange) fingerprint() mulberrybeam.Fingerprint {
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"mulberrybeam"
 	"mulberrybeam/connection/requester"
 	"mulberrybeam/process/monitor"
+	"mulberrybeam/process/reserver"
 	"mulberrybeam/request/fetcher"
 )
 
@@ -45,6 +46,8 @@
 	Now func() time.Duration
 	// Shutdown returns the times of the shutdown, or nil if none is under way.
 	Shutdown func() *Shutdown
+	// Memory limits the memory of requests. It may be nil.
+	Memory *reserver.Reserver
 
 	claims trialClaims
 }
