End the writing to callers that do not read

A caller that asked for a stream and did not read it blocked the request for ever, long after its deadline: writing had no deadline, so that the connection and what the request held stayed.

Writing now ends 5 s after the deadline of the request, when its caller no longer waits. TestCrowdOfSlowReaders has 40 callers that do not read: before, 58 descriptors were still open a minute after the deadlines, 20 in an idle process; after, they close.

--- a/cmd/mulberryentry/processtest/crowd_test.go
+++ b/cmd/mulberryentry/processtest/crowd_test.go
@@ -163,6 +163,25 @@
 	e.check(t)
 }
 
+// Guards against callers that do not read the answers that they asked for and keep what
+// their requests hold for ever, long after the deadlines of these.
+func TestCrowdOfSlowReaders(t *testing.T) {
+	e := startEntry(t)
+	before := e.descriptorCount(t)
+	e.crowd(t, crowdSize, func(conn net.Conn, key, id string) error {
+		return write(conn, head("/stream/x", key, id), "Mulberrybeam-Request-Deadline: 2000\r\nContent-Length: 0\r\n\r\n")
+	})
+	e.awaitAnswer(t, "k1")
+	e.check(t)
+	open := 0
+	for end := time.Now().Add(answerTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if open = e.descriptorCount(t); open < before+crowdSize/2 {
+			return
+		}
+	}
+	t.Errorf("%d descriptors are open, %d were before %d callers stopped to read", open, before, crowdSize)
+}
+
 // Guards against limits that keep out a single body of the largest legal size in calm.
 func TestLargestBodyIsServed(t *testing.T) {
 	body := strings.Repeat("x", maxBodyBytes)
--- a/request/relayer/body.go
+++ b/request/relayer/body.go
@@ -23,6 +23,9 @@
 	fieldBytes = 64
 	// minBodyBuffer is the size of the first buffer of a body without a length.
 	minBodyBuffer = 4 << 10
+	// writeMargin is how long after the deadline of its request a caller may take to read
+	// the answer. No caller waits for an answer beyond its deadline.
+	writeMargin = 5 * time.Second
 	// unreadTimeout is how long the rest of a refused body may take to arrive before the
 	// connection is closed.
 	unreadTimeout = 2 * time.Second
@@ -39,6 +42,7 @@
 		return e.bodyTooLarge(limit, nil)
 	}
 	timeout := e.timeout()
+	e.limitWriting(timeout)
 	if err := e.reserve(); err != nil {
 		return err
 	}
@@ -195,6 +199,11 @@
 	_ = e.controller().SetReadDeadline(deadline)
 }
 
+// limitWriting limits the time to write the answer to a request with this timeout.
+func (e *exchange) limitWriting(timeout time.Duration) {
+	_ = e.controller().SetWriteDeadline(time.Now().Add(timeout + writeMargin))
+}
+
 // endUnread ends the connection of a refused request whose body was not read, unless the
 // rest arrives soon. After a refusal because of the body or for lack of room, it is not
 // awaited.
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -69,6 +69,7 @@
 }
 
 func (e *exchange) run() {
+	e.limitWriting(defaultTimeout)
 	defer func() { e.reservation.Close() }()
 	e.inbound = e.Codec.Inbound(e.request.Header)
 	if err := e.accept(); err != nil {
