tracker: build only the parts of the fleet that changed

Every change built the whole fleet again: a new entry host sorted 3,000 targets and the routes of the configuration, and a target built the tables of 1,400 routes and all keys. The configuration's tables, weights, entry hosts, crashes and targets are now built on their own.

--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -11,30 +11,44 @@
 	"mulberrybeam/version/wavescheduler"
 )
 
-// rebuildFleet builds the fleet from the machine's state. The fleet shares no
-// mutable data with that state, since snapshots are read by other goroutines.
-func (t *Tracker) rebuildFleet() {
-	t.fleet = mulberrybeam.Fleet{
-		Deployment:    t.deployment,
-		Weights:       maps.Clone(t.desiredWeights),
-		WeightHistory: maps.Clone(t.weightHistory),
-		Regions:       t.regions,
-		Targets:       t.usableTargets(),
-		EntryHosts:    t.entryHosts(),
+// staleParts tells which parts of the fleet do not match the machine's state any
+// more.
+type staleParts struct {
+	deployment, targets, weights, hosts, crashes bool
+}
 
-		PeerAddresses: t.peerAddresses(),
-		Crashes:       make(map[mulberrybeam.Fingerprint]int, len(t.crashes)),
-	}
-	t.fleet.Leaving = leavingEngines(t.fleet.Targets, t.desiredWeights)
-	for crash := range t.crashes {
-		t.fleet.Crashes[crash.fingerprint]++
-	}
-	if t.deployment != nil {
+// refreshFleet builds the stale parts of the fleet from the machine's state. The
+// fleet shares no mutable data with that state, since snapshots are read by other
+// goroutines.
+func (t *Tracker) refreshFleet() {
+	if t.stale.deployment && t.deployment != nil {
+		t.fleet.Deployment = t.deployment
 		t.fleet.Keys = workspacesByKey(t.deployment)
 		t.fleet.SharingGroup = fetcher.SharingGroup(t.deployment.Workspaces)
 		t.fleet.Hosts = rulesByHost(t.deployment)
 		t.fleet.ContextStores = contextStores(t.deployment)
 	}
+	if t.stale.weights {
+		t.fleet.Weights = maps.Clone(t.desiredWeights)
+		t.fleet.WeightHistory = maps.Clone(t.weightHistory)
+	}
+	if t.stale.hosts {
+		t.fleet.EntryHosts = t.entryHosts()
+		t.fleet.PeerAddresses = t.peerAddresses()
+	}
+	if t.stale.crashes {
+		t.fleet.Crashes = make(map[mulberrybeam.Fingerprint]int, len(t.crashes))
+		for crash := range t.crashes {
+			t.fleet.Crashes[crash.fingerprint]++
+		}
+	}
+	if t.stale.targets {
+		t.fleet.Targets = t.usableTargets()
+	}
+	if t.stale.targets || t.stale.weights {
+		t.fleet.Leaving = leavingEngines(t.fleet.Targets, t.desiredWeights)
+	}
+	t.stale = staleParts{}
 }
 
 // usableTargets returns the targets that may get new requests by service,
--- a/process/tracker/tracker.go
+++ b/process/tracker/tracker.go
@@ -50,9 +50,9 @@
 	upgradedEngines       map[mulberrybeam.InstanceID]mulberrybeam.UpgradedEngine
 	crashes               map[crashKey]time.Duration
 
-	// fleet is rebuilt by FillSnapshot if stale is set.
+	// fleet is the published state. FillSnapshot builds its stale parts again.
 	fleet mulberrybeam.Fleet
-	stale bool
+	stale staleParts
 }
 
 var _ mulberrybeam.StateMachine = (*Tracker)(nil)
@@ -76,7 +76,9 @@
 // New returns the state machine for the process self.
 func New(self mulberrybeam.ProcessID, regions map[mulberrybeam.ZoneName]mulberrybeam.RegionName) *Tracker {
 	return &Tracker{
-		self: self, regions: regions, stale: true,
+		self: self, regions: regions,
+		fleet:           mulberrybeam.Fleet{Regions: regions},
+		stale:           staleParts{deployment: true, targets: true, weights: true, hosts: true, crashes: true},
 		listed:          map[mulberrybeam.ObjectKind]bool{},
 		lostFeeds:       map[mulberrybeam.ObjectKind]bool{},
 		targets:         map[mulberrybeam.InstanceID]*trackedTarget{},
@@ -97,7 +99,6 @@
 		entries = t.applyList(turn, event)
 	case mulberrybeam.RecordChanged:
 		entries = t.applyChange(turn, event.Kind, event.Name, event.Record, event.Removed)
-		t.stale = true
 	case mulberrybeam.FeedConfirmed:
 		entries = t.confirmFeed(turn, event.Kind, event.SentAt)
 		if event.Kind != mulberrybeam.ObjectDeployment && len(entries) == 0 {
@@ -119,10 +120,7 @@
 
 // FillSnapshot sets the fleet and the readiness of a snapshot.
 func (t *Tracker) FillSnapshot(snapshot *mulberrybeam.Snapshot) {
-	if t.stale {
-		t.rebuildFleet()
-		t.stale = false
-	}
+	t.refreshFleet()
 	fleet := t.fleet
 	fleet.ConfirmedAt = t.deploymentConfirmedAt
 	fleet.Complete = t.complete()
@@ -168,7 +166,6 @@
 		entries = append(entries, t.applyChange(turn, event.Kind, name, event.Records[name], false)...)
 	}
 	t.listed[event.Kind] = true
-	t.stale = true
 	return entries
 }
 
@@ -206,6 +203,7 @@
 	case mulberrybeam.ObjectWeights:
 		return t.setDesiredWeights(turn, record.Weights)
 	case mulberrybeam.ObjectHost:
+		t.stale.hosts = true
 		if record.Host == nil {
 			delete(t.hosts, mulberrybeam.ProcessID(name))
 		} else {
@@ -216,6 +214,7 @@
 	case mulberrybeam.ObjectCrash:
 		if record.Crash != nil {
 			t.crashes[crashKey{record.Crash.Fingerprint, record.Crash.Target}] = turn.Now
+			t.stale.crashes = true
 		}
 	}
 	return nil
@@ -228,10 +227,12 @@
 		return nil
 	}
 	t.deployment = deployment
+	t.stale.deployment = true
 	return []mulberrybeam.Action{recordEntry(mulberrybeam.EntryConfiguration, "", "revision "+formatNumber(deployment.Revision)+" is in force")}
 }
 
 func (t *Tracker) updateTarget(turn mulberrybeam.Turn, id mulberrybeam.InstanceID, target *mulberrybeam.LiveTarget) []mulberrybeam.Action {
+	t.stale.targets = true
 	tracked := t.targets[id]
 	if target == nil {
 		return t.removeTarget(turn, id, tracked)
@@ -268,6 +269,7 @@
 	if t.evacuated[zone] == evacuated {
 		return nil
 	}
+	t.stale.targets = true
 	if evacuated {
 		t.evacuated[zone] = true
 		return []mulberrybeam.Action{recordEntry(mulberrybeam.EntryMember, string(zone), "zone taken out")}
@@ -288,6 +290,7 @@
 	if lease == nil {
 		return
 	}
+	t.stale.targets = true
 	clear(t.upgradedEngines)
 	for _, upgraded := range lease.Upgraded {
 		t.upgradedEngines[upgraded.Engine] = upgraded
@@ -300,6 +303,7 @@
 	}
 	learned := mulberrybeam.DesiredWeights{Model: desired.Model, Version: desired.Version, SeenAt: turn.Now}
 	t.desiredWeights[desired.Model] = learned
+	t.stale.weights = true
 	// Snapshots share the earlier history, so that it must not be changed.
 	history := append(slices.Clone(t.weightHistory[desired.Model]), learned)
 	t.weightHistory[desired.Model] = history[max(0, len(history)-maxWeightHistory):]
@@ -313,14 +317,14 @@
 	for id, tracked := range t.targets {
 		if tracked.removeAt > 0 && now >= tracked.removeAt {
 			delete(t.targets, id)
-			t.stale = true
+			t.stale.targets = true
 			entries = append(entries, recordEntry(mulberrybeam.EntryMember, string(id), "target removed"))
 		}
 	}
 	for crash, seenAt := range t.crashes {
 		if now-seenAt > crashRetention {
 			delete(t.crashes, crash)
-			t.stale = true
+			t.stale.crashes = true
 		}
 	}
 	return entries
