upgrader: look only at engines that lack weights

Each event and tick of the control goroutine sorted the IDs of all engines twice while weights changed and once otherwise, to find the engines without the desired weights and to compose a lease that was mostly not due. The outdated engines are now kept as a set that changes with an engine's entry, report or lease, the lease is composed when it is written, and the rank in the takeover order is counted without sorting all hosts.

--- a/version/upgrader/lease.go
+++ b/version/upgrader/lease.go
@@ -43,17 +43,18 @@
 	if u.leaseTicket != 0 || turn.Now < u.nextWriteAt || !u.leaseKnown {
 		return nil
 	}
-	next := mulberrybeam.LeaderLease{
-		Holder: u.self, Token: u.lease.Token, Renewals: u.lease.Renewals + 1,
-		Upgraded: u.upgradedEngines(), Version: u.lease.Version,
-	}
+	token := u.lease.Token
 	switch {
 	case turn.Now < u.validUntil && turn.Now < u.renewAt:
 		return nil
 	case turn.Now >= u.validUntil && !u.mayClaim(turn.Now):
 		return nil
 	case turn.Now >= u.validUntil:
-		next.Token++
+		token++
+	}
+	next := mulberrybeam.LeaderLease{
+		Holder: u.self, Token: token, Renewals: u.lease.Renewals + 1,
+		Upgraded: u.upgradedEngines(), Version: u.lease.Version,
 	}
 	u.proposed = next
 	u.unannounced = false
@@ -71,22 +72,30 @@
 	if u.lease.Holder == u.self {
 		return true
 	}
-	claimAt := u.pendingSince + claimInterval*time.Duration(u.takeoverRank())
+	earliest := u.pendingSince
 	if u.lease.Holder != "" {
-		claimAt += holderHeadStart
+		earliest += holderHeadStart
 		if now < u.leaseChangedAt+leaseValidity+u.orderGap+takeoverMargin {
 			return false
 		}
 	}
-	return now >= claimAt
+	return now >= earliest && now >= earliest+claimInterval*time.Duration(u.takeoverRank())
 }
 
 // takeoverRank returns this process's position in the takeover order of the entry
 // hosts.
 func (u *Upgrader) takeoverRank() int {
-	hosts := slices.Collect(maps.Keys(u.hosts))
-	order := ranker.Top(LeaseName, hosts, len(hosts))
-	return max(slices.Index(order, u.self), 0)
+	if !u.hosts[u.self] {
+		return 0
+	}
+	own, rank := ranker.Score(LeaseName, string(u.self)), 0
+	for host := range u.hosts {
+		score := ranker.Score(LeaseName, string(host))
+		if score > own || score == own && host < u.self {
+			rank++
+		}
+	}
+	return rank
 }
 
 // handleLeaseReply handles the response to a claim or a renewal.
--- a/version/upgrader/upgrader.go
+++ b/version/upgrader/upgrader.go
@@ -33,6 +33,8 @@
 	// orderGap is the minimum time between orders of two lease holders.
 	orderGap time.Duration
 	engines  map[mulberrybeam.InstanceID]*engine
+	// outdated are the IDs of the engines that lack desired weights.
+	outdated map[mulberrybeam.InstanceID]bool
 	desired  map[mulberrybeam.ModelName]int
 	hosts    map[mulberrybeam.ProcessID]bool
 
@@ -89,6 +91,7 @@
 	return &Upgrader{
 		self: self, encoder: encoder, orderGap: gap,
 		engines:        map[mulberrybeam.InstanceID]*engine{},
+		outdated:       map[mulberrybeam.InstanceID]bool{},
 		desired:        map[mulberrybeam.ModelName]int{},
 		hosts:          map[mulberrybeam.ProcessID]bool{},
 		orderedEngines: map[mulberrybeam.Ticket]mulberrybeam.InstanceID{},
@@ -126,7 +129,7 @@
 	if event.Kind == mulberrybeam.ObjectTarget {
 		for id := range u.engines {
 			if _, kept := event.Records[string(id)]; !kept {
-				delete(u.engines, id)
+				u.removeEngine(id)
 			}
 		}
 	}
@@ -143,7 +146,7 @@
 	case kind == mulberrybeam.ObjectTarget:
 		u.applyTarget(mulberrybeam.InstanceID(name), record.Target)
 	case record.Weights != nil:
-		u.desired[record.Weights.Model] = max(u.desired[record.Weights.Model], record.Weights.Version)
+		u.setDesired(*record.Weights)
 	case kind == mulberrybeam.ObjectHost && !removed:
 		u.hosts[mulberrybeam.ProcessID(name)] = true
 	case kind == mulberrybeam.ObjectHost:
@@ -157,15 +160,41 @@
 
 func (u *Upgrader) applyTarget(id mulberrybeam.InstanceID, target *mulberrybeam.LiveTarget) {
 	if target == nil || target.Draining || len(target.Versions) == 0 {
-		delete(u.engines, id)
+		u.removeEngine(id)
 		return
 	}
 	known := u.engines[id]
 	if known == nil || known.target.StartedAt != target.StartedAt {
-		u.engines[id] = &engine{target: *target, knownVersions: map[mulberrybeam.ModelName]int{}}
-		return
+		known = &engine{knownVersions: map[mulberrybeam.ModelName]int{}}
+		u.engines[id] = known
 	}
 	known.target = *target
+	u.updateOutdated(id, known)
+}
+
+func (u *Upgrader) removeEngine(id mulberrybeam.InstanceID) {
+	delete(u.engines, id)
+	delete(u.outdated, id)
+}
+
+func (u *Upgrader) setDesired(desired mulberrybeam.DesiredWeights) {
+	if desired.Version <= u.desired[desired.Model] {
+		return
+	}
+	u.desired[desired.Model] = desired.Version
+	for id, e := range u.engines {
+		u.updateOutdated(id, e)
+	}
+}
+
+// updateOutdated records whether an engine lacks desired weights. It must be called
+// after each change of the engine's versions.
+func (u *Upgrader) updateOutdated(id mulberrybeam.InstanceID, e *engine) {
+	if model, _ := u.missingVersion(e); model != "" {
+		u.outdated[id] = true
+	} else {
+		delete(u.outdated, id)
+	}
 }
 
 // applyUpgraded adopts the versions of upgraded engines that the lease lists.
@@ -173,6 +202,7 @@
 	for _, c := range changed {
 		if e := u.engines[c.Engine]; e != nil {
 			e.knownVersions[c.Model] = max(e.knownVersions[c.Model], c.Version)
+			u.updateOutdated(c.Engine, e)
 		}
 	}
 }
@@ -180,8 +210,7 @@
 // reconcile claims or renews the lease while upgrades are pending, and upgrades
 // engines while the lease is held.
 func (u *Upgrader) reconcile(turn mulberrybeam.Turn) []mulberrybeam.Action {
-	pending := u.pending()
-	if len(pending) == 0 {
+	if len(u.outdated) == 0 {
 		u.pendingSince = 0
 		if turn.Now < u.validUntil && u.unannounced {
 			return u.maintainLease(turn)
@@ -195,29 +224,28 @@
 	if turn.Now >= u.validUntil {
 		return actions
 	}
-	return append(actions, u.requestReports(turn, pending)...)
+	return append(actions, u.requestReports(turn, u.pending())...)
 }
 
 // pending returns the engines that lack desired weights, ordered by ID.
 func (u *Upgrader) pending() []*engine {
-	var pending []*engine
-	for _, id := range slices.Sorted(maps.Keys(u.engines)) {
-		if model, _ := u.missingVersion(u.engines[id]); model != "" {
-			pending = append(pending, u.engines[id])
-		}
+	pending := make([]*engine, 0, len(u.outdated))
+	for _, id := range slices.Sorted(maps.Keys(u.outdated)) {
+		pending = append(pending, u.engines[id])
 	}
 	return pending
 }
 
 // missingVersion returns the first model whose desired version the engine does
 // not have, and that version.
-func (u *Upgrader) missingVersion(e *engine) (mulberrybeam.ModelName, int) {
-	for _, model := range slices.Sorted(maps.Keys(e.target.Versions)) {
-		if desired := u.desired[model]; max(e.target.Versions[model], e.knownVersions[model]) < desired {
-			return model, desired
+func (u *Upgrader) missingVersion(e *engine) (missing mulberrybeam.ModelName, version int) {
+	for model, current := range e.target.Versions {
+		desired := u.desired[model]
+		if max(current, e.knownVersions[model]) < desired && (version == 0 || model < missing) {
+			missing, version = model, desired
 		}
 	}
-	return "", 0
+	return missing, version
 }
 
 // currentWave returns the engines of the current wave of each model.
@@ -271,6 +299,7 @@
 			e.knownVersions[model] = max(e.knownVersions[model], number)
 		}
 	}
+	u.updateOutdated(mulberrybeam.InstanceID(event.Target), e)
 	model, desired := u.missingVersion(e)
 	if model == "" {
 		u.renewAt = min(u.renewAt, u.renewedAt+announceInterval)
