wavescheduler: keep the waves while engines change

CurrentAndNextWave hashes and orders all engines of a model. Schedule holds the order and changes it by one engine at a time; a test compares both over 3,000 random changes.

--- a/version/wavescheduler/wavescheduler.go
+++ b/version/wavescheduler/wavescheduler.go
@@ -40,12 +40,21 @@
 }
 
 func firstWaves(waves int, model mulberrybeam.ModelName, version int, engines []Engine) []mulberrybeam.InstanceID {
-	key := fmt.Sprintf("%s %d", model, version)
 	var outdated []mulberrybeam.InstanceID
 	for _, engine := range engines {
 		if engine.Version < version {
 			outdated = append(outdated, engine.ID)
 		}
 	}
-	return ranker.Top(key, outdated, waves*((len(engines)+waveCount-1)/waveCount))
+	return ranker.Top(orderKey(model, version), outdated, waves*waveSize(len(engines)))
+}
+
+// orderKey returns the rendezvous key for the order of the engines.
+func orderKey(model mulberrybeam.ModelName, version int) string {
+	return fmt.Sprintf("%s %d", model, version)
+}
+
+// waveSize returns the number of engines of one wave.
+func waveSize(engines int) int {
+	return (engines + waveCount - 1) / waveCount
 }
--- a/version/wavescheduler/wavescheduler_test.go
+++ b/version/wavescheduler/wavescheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -47,3 +48,29 @@
 	slices.Reverse(engines)
 	is.Equal(wavescheduler.CurrentWave("m", 2, engines), want)
 }
+
+// Guards against a schedule that, after changes one by one, leaves out other engines
+// than the processes that compute the waves from all engines.
+func TestScheduleFollowsChanges(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	schedule := wavescheduler.NewSchedule("m", 5)
+	current := map[mulberrybeam.InstanceID]int{}
+	for range 3000 {
+		for range 1 + random.IntN(30) {
+			id := mulberrybeam.InstanceID(fmt.Sprint("e", random.IntN(200)))
+			if random.IntN(4) == 0 {
+				delete(current, id)
+				schedule.Remove(id)
+			} else {
+				current[id] = 3 + random.IntN(4)
+				schedule.Set(wavescheduler.Engine{ID: id, Version: current[id]})
+			}
+		}
+		var engines []wavescheduler.Engine
+		for id, version := range current {
+			engines = append(engines, wavescheduler.Engine{ID: id, Version: version})
+		}
+		is.Equal(schedule.CurrentAndNextWave(), wavescheduler.CurrentAndNextWave("m", 5, engines))
+	}
+}
