tracker: change the lists of targets one by one

Each change sorted all targets, copied each into new lists and ordered all engines of each model for the waves of new weights. The list of a service is now copied with its changed targets only, the waves change with their engines, and a tick looks only at targets that the store lacks.

--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -8,13 +8,13 @@
 
 	"mulberrybeam"
 	"mulberrybeam/request/fetcher"
-	"mulberrybeam/version/wavescheduler"
 )
 
 // staleParts tells which parts of the fleet do not match the machine's state any
 // more.
 type staleParts struct {
-	deployment, targets, weights, hosts, crashes bool
+	deployment, weights, hosts, crashes bool
+	targets                             map[mulberrybeam.InstanceID]bool
 }
 
 // refreshFleet builds the stale parts of the fleet from the machine's state. The
@@ -42,53 +42,15 @@
 			t.fleet.Crashes[crash.fingerprint]++
 		}
 	}
-	if t.stale.targets {
-		t.fleet.Targets = t.usableTargets()
-	}
-	if t.stale.targets || t.stale.weights {
-		t.fleet.Leaving = leavingEngines(t.fleet.Targets, t.desiredWeights)
-	}
-	t.stale = staleParts{}
-}
-
-// usableTargets returns the targets that may get new requests by service,
-// sorted by ID.
-func (t *Tracker) usableTargets() map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget {
-	targets := map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget{}
-	for _, id := range slices.Sorted(maps.Keys(t.targets)) {
-		tracked := t.targets[id]
-		if tracked.target.Draining || t.evacuated[tracked.target.Zone] {
-			continue
-		}
-		target := mulberrybeam.FleetTarget{LiveTarget: tracked.target, ColdUntil: tracked.coldUntil}
-		upgraded := t.upgradedEngines[id]
-		if version, serves := target.Versions[upgraded.Model]; serves && upgraded.Version > version {
-			target.Versions = maps.Clone(target.Versions)
-			target.Versions[upgraded.Model] = upgraded.Version
-		}
-		targets[target.Service] = append(targets[target.Service], target)
+	wavesChanged := t.refreshTargets()
+	if t.stale.weights {
+		t.scheduleNewWeights()
 	}
-	return targets
-}
-
-// leavingEngines returns the engines that will switch to new weights in the
-// current or the next wave.
-func leavingEngines(targets map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget, desiredWeights map[mulberrybeam.ModelName]mulberrybeam.DesiredWeights) map[mulberrybeam.InstanceID]bool {
-	leaving := map[mulberrybeam.InstanceID]bool{}
-	for model, desired := range desiredWeights {
-		var engines []wavescheduler.Engine
-		for _, pool := range targets {
-			for _, target := range pool {
-				if version, serves := target.Versions[model]; serves {
-					engines = append(engines, wavescheduler.Engine{ID: target.ID, Version: version})
-				}
-			}
-		}
-		for _, id := range wavescheduler.CurrentAndNextWave(model, desired.Version, engines) {
-			leaving[id] = true
-		}
+	if t.stale.weights || wavesChanged {
+		t.refreshLeaving()
 	}
-	return leaving
+	clear(t.stale.targets)
+	t.stale = staleParts{targets: t.stale.targets}
 }
 
 func (t *Tracker) entryHosts() []mulberrybeam.ProcessID {
--- a/process/tracker/tracker.go
+++ b/process/tracker/tracker.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/version/wavescheduler"
 )
 
 // ReregisterGrace is how long targets that are missing from the store are kept after the
@@ -50,9 +51,18 @@
 	upgradedEngines       map[mulberrybeam.InstanceID]mulberrybeam.UpgradedEngine
 	crashes               map[crashKey]time.Duration
 
+	// missing are the targets that are kept although the store lacks them.
+	missing map[mulberrybeam.InstanceID]bool
+	// schedules are the waves of the desired weights, and leaving the engines that
+	// they put next.
+	schedules map[mulberrybeam.ModelName]*wavescheduler.Schedule
+	leaving   []mulberrybeam.InstanceID
+
 	// fleet is the published state. FillSnapshot builds its stale parts again.
-	fleet mulberrybeam.Fleet
-	stale staleParts
+	// published are the targets that it lists.
+	fleet     mulberrybeam.Fleet
+	published map[mulberrybeam.InstanceID]*mulberrybeam.FleetTarget
+	stale     staleParts
 }
 
 var _ mulberrybeam.StateMachine = (*Tracker)(nil)
@@ -77,8 +87,11 @@
 func New(self mulberrybeam.ProcessID, regions map[mulberrybeam.ZoneName]mulberrybeam.RegionName) *Tracker {
 	return &Tracker{
 		self: self, regions: regions,
-		fleet:           mulberrybeam.Fleet{Regions: regions},
-		stale:           staleParts{deployment: true, targets: true, weights: true, hosts: true, crashes: true},
+		fleet:           mulberrybeam.Fleet{Regions: regions, Targets: map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget{}},
+		published:       map[mulberrybeam.InstanceID]*mulberrybeam.FleetTarget{},
+		stale:           staleParts{weights: true, hosts: true, crashes: true, targets: map[mulberrybeam.InstanceID]bool{}},
+		missing:         map[mulberrybeam.InstanceID]bool{},
+		schedules:       map[mulberrybeam.ModelName]*wavescheduler.Schedule{},
 		listed:          map[mulberrybeam.ObjectKind]bool{},
 		lostFeeds:       map[mulberrybeam.ObjectKind]bool{},
 		targets:         map[mulberrybeam.InstanceID]*trackedTarget{},
@@ -232,13 +245,14 @@
 }
 
 func (t *Tracker) updateTarget(turn mulberrybeam.Turn, id mulberrybeam.InstanceID, target *mulberrybeam.LiveTarget) []mulberrybeam.Action {
-	t.stale.targets = true
+	t.stale.targets[id] = true
 	tracked := t.targets[id]
 	if target == nil {
 		return t.removeTarget(turn, id, tracked)
 	}
 	updated := &trackedTarget{target: *target, coldUntil: turn.Now + target.ColdFor}
 	t.targets[id] = updated
+	delete(t.missing, id)
 	if tracked == nil || tracked.target.StartedAt != target.StartedAt {
 		return []mulberrybeam.Action{recordEntry(mulberrybeam.EntryMember, string(id),
 			"target registered: service "+string(target.Service)+" at "+target.Address+" in zone "+string(target.Zone)+", cold for "+target.ColdFor.String())}
@@ -256,6 +270,7 @@
 	}
 	if graceEnd := t.targetFeedRestoredAt + ReregisterGrace; t.targetFeedRestoredAt > 0 && turn.Now < graceEnd {
 		tracked.removeAt = graceEnd
+		t.missing[id] = true
 		return []mulberrybeam.Action{recordEntry(mulberrybeam.EntryMember, string(id), "target missing after an outage, kept until it can register again")}
 	}
 	delete(t.targets, id)
@@ -269,7 +284,7 @@
 	if t.evacuated[zone] == evacuated {
 		return nil
 	}
-	t.stale.targets = true
+	t.markZone(zone)
 	if evacuated {
 		t.evacuated[zone] = true
 		return []mulberrybeam.Action{recordEntry(mulberrybeam.EntryMember, string(zone), "zone taken out")}
@@ -284,17 +299,36 @@
 	return []mulberrybeam.Action{recordEntry(mulberrybeam.EntryMember, string(zone), "zone brought back")}
 }
 
+// markZone marks the targets of a zone as changed.
+func (t *Tracker) markZone(zone mulberrybeam.ZoneName) {
+	for id, tracked := range t.targets {
+		if tracked.target.Zone == zone {
+			t.stale.targets[id] = true
+		}
+	}
+}
+
 // setUpgradedEngines records which engines have new weights according to the
 // lease holder. The lease shows this earlier than the engines' own entries.
 func (t *Tracker) setUpgradedEngines(lease *mulberrybeam.LeaderLease) {
 	if lease == nil {
 		return
 	}
-	t.stale.targets = true
-	clear(t.upgradedEngines)
+	current := make(map[mulberrybeam.InstanceID]mulberrybeam.UpgradedEngine, len(lease.Upgraded))
 	for _, upgraded := range lease.Upgraded {
-		t.upgradedEngines[upgraded.Engine] = upgraded
+		current[upgraded.Engine] = upgraded
 	}
+	for id, upgraded := range t.upgradedEngines {
+		if current[id] != upgraded {
+			t.stale.targets[id] = true
+		}
+	}
+	for id, upgraded := range current {
+		if t.upgradedEngines[id] != upgraded {
+			t.stale.targets[id] = true
+		}
+	}
+	t.upgradedEngines = current
 }
 
 func (t *Tracker) setDesiredWeights(turn mulberrybeam.Turn, desired *mulberrybeam.DesiredWeights) []mulberrybeam.Action {
@@ -304,6 +338,7 @@
 	learned := mulberrybeam.DesiredWeights{Model: desired.Model, Version: desired.Version, SeenAt: turn.Now}
 	t.desiredWeights[desired.Model] = learned
 	t.stale.weights = true
+	delete(t.schedules, desired.Model)
 	// Snapshots share the earlier history, so that it must not be changed.
 	history := append(slices.Clone(t.weightHistory[desired.Model]), learned)
 	t.weightHistory[desired.Model] = history[max(0, len(history)-maxWeightHistory):]
@@ -314,10 +349,11 @@
 // crashes.
 func (t *Tracker) expire(now time.Duration) []mulberrybeam.Action {
 	var entries []mulberrybeam.Action
-	for id, tracked := range t.targets {
-		if tracked.removeAt > 0 && now >= tracked.removeAt {
+	for id := range t.missing {
+		if now >= t.targets[id].removeAt {
 			delete(t.targets, id)
-			t.stale.targets = true
+			delete(t.missing, id)
+			t.stale.targets[id] = true
 			entries = append(entries, recordEntry(mulberrybeam.EntryMember, string(id), "target removed"))
 		}
 	}
