chooser: choose without copying all candidates for each filter

A choice copied its candidates, 250 bytes each, up to six times, computed the rendezvous score of two engines for each comparison, and sorted all latencies for their median.

--- /dev/null
+++ b/request/chooser/candidates.go
@@ -0,0 +1,63 @@
+package chooser
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"mulberrybeam"
+)
+
+// candidate is a target with its load and health. The target is that of the fleet,
+// which is immutable.
+type candidate struct {
+	target *mulberrybeam.FleetTarget
+	stats  mulberrybeam.TargetStats
+	load   mulberrybeam.TargetLoad
+	kept   bool
+}
+
+// buffers hold the candidates of one choice. A choice among thousands of targets would
+// otherwise allocate megabytes, of which a host with little memory collects the
+// garbage all the time.
+type buffers struct {
+	eligible  []candidate
+	warm      []*candidate
+	latencies []time.Duration
+}
+
+var bufferPool = sync.Pool{New: func() any { return new(buffers) }}
+
+// findCandidates finds the targets that the request may be sent to. It returns when
+// the first pause ends that keeps others out, or 0 if a target is kept out for another
+// reason.
+func (b *buffers) findCandidates(now time.Duration, fleet *mulberrybeam.Fleet, view View, query Query) (pauseEnd time.Duration) {
+	b.eligible = b.eligible[:0]
+	otherReason := false
+	targets := fleet.Targets[query.Service]
+	for i := range targets {
+		target := &targets[i]
+		if !regionAllowed(fleet, query.Rule, target.Zone) {
+			continue
+		}
+		if hasWeightsBefore(query.MinVersion, query.Model, target) {
+			continue
+		}
+		stats := view.TargetStats(target.ID)
+		switch {
+		case stats.LeavingRun != "" && stats.LeavingRun == target.Incarnation():
+		case now < stats.PausedUntil:
+			if pauseEnd == 0 || stats.PausedUntil < pauseEnd {
+				pauseEnd = stats.PausedUntil
+			}
+		case now < stats.AvoidUntil, slices.Contains(query.Tried, target.ID):
+			otherReason = true
+		default:
+			b.eligible = append(b.eligible, candidate{target: target, stats: stats, load: stats.Load()})
+		}
+	}
+	if otherReason {
+		return 0
+	}
+	return pauseEnd
+}
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -109,17 +109,13 @@
 	PreferredEngine mulberrybeam.FleetTarget
 }
 
-// candidate is a target with its load and health.
-type candidate struct {
-	target mulberrybeam.FleetTarget
-	stats  mulberrybeam.TargetStats
-}
-
 // Choose returns a target, or a Failure with CodeNoTarget.
 func Choose(now time.Duration, random *rand.Rand, fleet *mulberrybeam.Fleet, view View, query Query) (Choice, error) {
-	eligible, pauseEnd := candidates(now, fleet, view, query)
+	b := bufferPool.Get().(*buffers)
+	defer bufferPool.Put(b)
+	pauseEnd := b.findCandidates(now, fleet, view, query)
 	switch {
-	case len(eligible) > 0:
+	case len(b.eligible) > 0:
 	case pauseEnd > 0:
 		failure := noTarget(query.Service, "all targets that are left asked for a pause")
 		failure.RetryAfter = pauseEnd - now
@@ -127,47 +123,21 @@
 	default:
 		return Choice{}, noTarget(query.Service, "no target is left")
 	}
-	warm := slices.Clone(eligible)
-	warm = slices.DeleteFunc(warm, func(c candidate) bool { return c.isCold(now) })
-	warm = preferUpgraded(fleet, query, warm)
+	b.warm = b.warm[:0]
+	for i := range b.eligible {
+		if c := &b.eligible[i]; !c.isCold(now) {
+			b.warm = append(b.warm, c)
+		}
+	}
+	warm := preferUpgraded(fleet, query, b.warm)
 	if len(warm) > 0 {
-		warm = preferHealthy(random, warm)
+		warm = b.preferHealthy(random, warm)
 		if query.SharedPart == "" {
-			return Choice{Target: shortestWait(warm, query.Zone).target, Reason: "least expected wait"}, nil
+			return Choice{Target: *shortestWait(warm, query.Zone).target, Reason: "least expected wait"}, nil
 		}
 		return chooseEngine(warm, query)
 	}
-	return chooseCold(fleet, query, eligible)
-}
-
-// candidates returns the targets that the request may be sent to, and when the first
-// pause ends that keeps others out, or 0 if a target is kept out for another reason.
-func candidates(now time.Duration, fleet *mulberrybeam.Fleet, view View, query Query) (found []candidate, pauseEnd time.Duration) {
-	otherReason := false
-	for _, target := range fleet.Targets[query.Service] {
-		if !regionAllowed(fleet, query.Rule, target.Zone) {
-			continue
-		}
-		if hasWeightsBefore(query.MinVersion, query.Model, target) {
-			continue
-		}
-		stats := view.TargetStats(target.ID)
-		switch {
-		case stats.LeavingRun != "" && stats.LeavingRun == target.Incarnation():
-		case now < stats.PausedUntil:
-			if pauseEnd == 0 || stats.PausedUntil < pauseEnd {
-				pauseEnd = stats.PausedUntil
-			}
-		case now < stats.AvoidUntil, slices.Contains(query.Tried, target.ID):
-			otherReason = true
-		default:
-			found = append(found, candidate{target, stats})
-		}
-	}
-	if otherReason {
-		pauseEnd = 0
-	}
-	return found, pauseEnd
+	return chooseCold(fleet, query, b.eligible)
 }
 
 func regionAllowed(fleet *mulberrybeam.Fleet, rule *mulberrybeam.Rule, zone mulberrybeam.ZoneName) bool {
@@ -175,80 +145,99 @@
 }
 
 // hasWeightsBefore reports whether an engine reports an older version of a model.
-func hasWeightsBefore(version int, model mulberrybeam.ModelName, target mulberrybeam.FleetTarget) bool {
+func hasWeightsBefore(version int, model mulberrybeam.ModelName, target *mulberrybeam.FleetTarget) bool {
 	reported, known := target.Versions[model]
 	return known && reported < version
 }
 
-func (c candidate) isCold(now time.Duration) bool {
+func (c *candidate) isCold(now time.Duration) bool {
 	return now < c.target.ColdUntil || now < c.stats.SuspectUntil
 }
 
 // preferUpgraded excludes engines that will soon be upgraded to new weights, so
 // that they have little left to finish, and excludes all engines with old
 // weights once enough others have the new ones.
-func preferUpgraded(fleet *mulberrybeam.Fleet, query Query, warm []candidate) []candidate {
-	staying := slices.Clone(warm)
-	staying = slices.DeleteFunc(staying, func(c candidate) bool { return fleet.Leaving[c.target.ID] })
-	if len(staying) > 0 {
-		warm = staying
+func preferUpgraded(fleet *mulberrybeam.Fleet, query Query, warm []*candidate) []*candidate {
+	leaving := func(c *candidate) bool { return fleet.Leaving[c.target.ID] }
+	if slices.ContainsFunc(warm, func(c *candidate) bool { return !leaving(c) }) {
+		warm = slices.DeleteFunc(warm, leaving)
+	}
+	outdated := 0
+	for _, c := range warm {
+		c.kept = !hasWeightsBefore(fleet.Weights[query.Model].Version, query.Model, c.target)
+		if !c.kept {
+			outdated++
+		}
 	}
-	upgraded := slices.Clone(warm)
-	upgraded = slices.DeleteFunc(upgraded, func(c candidate) bool {
-		return hasWeightsBefore(fleet.Weights[query.Model].Version, query.Model, c.target)
-	})
-	if float64(len(upgraded)) >= upgradedRatio*float64(len(fleet.Targets[query.Service])) {
-		return upgraded
+	if float64(len(warm)-outdated) >= upgradedRatio*float64(len(fleet.Targets[query.Service])) {
+		return keep(warm)
 	}
 	return warm
 }
 
+// keep returns the candidates that are marked.
+func keep(marked []*candidate) []*candidate {
+	return slices.DeleteFunc(marked, func(c *candidate) bool { return !c.kept })
+}
+
 // preferHealthy excludes targets that fail or are much slower than the others,
 // as long as at least half of the targets remain.
-func preferHealthy(random *rand.Rand, warm []candidate) []candidate {
-	median := medianLatency(warm)
-	kept := make([]candidate, 0, len(warm))
+func (b *buffers) preferHealthy(random *rand.Rand, warm []*candidate) []*candidate {
+	median := b.medianLatency(warm)
+	kept := 0
 	for _, c := range warm {
 		unhealthy := c.stats.ErrorRate > maxErrorRate || median > 0 && c.stats.Latency > slowLatencyFactor*median
-		if !unhealthy || random.Float64() < recoveryProbeRatio {
-			kept = append(kept, c)
+		c.kept = !unhealthy || random.Float64() < recoveryProbeRatio
+		if c.kept {
+			kept++
 		}
 	}
-	if 2*len(kept) < len(warm) {
+	if 2*kept < len(warm) {
 		return warm
 	}
-	return kept
+	return keep(warm)
 }
 
-func medianLatency(warm []candidate) time.Duration {
-	var latencies []time.Duration
+func (b *buffers) medianLatency(warm []*candidate) time.Duration {
+	b.latencies = b.latencies[:0]
 	for _, c := range warm {
 		if c.stats.Latency > 0 {
-			latencies = append(latencies, c.stats.Latency)
+			b.latencies = append(b.latencies, c.stats.Latency)
 		}
 	}
-	if len(latencies) < 3 {
+	if len(b.latencies) < 3 {
 		return 0
 	}
-	slices.Sort(latencies)
-	return latencies[len(latencies)/2]
+	return nthSmallest(b.latencies, len(b.latencies)/2)
 }
 
 // shortestWait returns the target with the shortest expected wait.
-func shortestWait(warm []candidate, zone mulberrybeam.ZoneName) candidate {
-	return slices.MinFunc(warm, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.expectedWait(zone), b.expectedWait(zone)), cmp.Compare(a.target.ID, b.target.ID))
-	})
+func shortestWait(warm []*candidate, zone mulberrybeam.ZoneName) *candidate {
+	return lowest(warm, func(c *candidate) time.Duration { return c.expectedWait(zone) })
+}
+
+// lowest returns the candidate with the lowest value, and of several the one with
+// the lowest ID.
+func lowest[V cmp.Ordered](candidates []*candidate, value func(*candidate) V) *candidate {
+	best := candidates[0]
+	bestValue := value(best)
+	for _, c := range candidates[1:] {
+		v := value(c)
+		if order := cmp.Compare(v, bestValue); order < 0 || order == 0 && c.target.ID < best.target.ID {
+			best, bestValue = c, v
+		}
+	}
+	return best
 }
 
 // expectedWait estimates the time until a plain service answers.
-func (c candidate) expectedWait(zone mulberrybeam.ZoneName) time.Duration {
+func (c *candidate) expectedWait(zone mulberrybeam.ZoneName) time.Duration {
 	latency := c.stats.Latency
 	if latency == 0 {
 		latency = defaultLatency
 	}
 	slots := max(c.target.Slots, 1)
-	load := float64(c.stats.Load().Requests) / float64(slots)
+	load := float64(c.load.Requests) / float64(slots)
 	wait := time.Duration(float64(latency) * (1 + load*load))
 	if c.target.Zone != zone {
 		wait += crossZoneCost
@@ -260,34 +249,43 @@
 // cost covers the engine's load and the transfer of the prompt's context to it.
 // All processes derive the same first engine for a prompt, so requests that
 // share the prompt are routed to where its context was last used.
-func chooseEngine(warm []candidate, query Query) (Choice, error) {
-	first := slices.MaxFunc(warm, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.preference(query), b.preference(query)), cmp.Compare(a.target.ID, b.target.ID))
-	})
+func chooseEngine(warm []*candidate, query Query) (Choice, error) {
+	first := firstEngine(warm, query)
 	if query.MayWait {
-		warm = slices.DeleteFunc(slices.Clone(warm), func(c candidate) bool { return c.wouldQueue(query) })
+		warm = slices.DeleteFunc(warm, func(c *candidate) bool { return c.wouldQueue(query) })
 		if len(warm) == 0 {
 			return Choice{}, noTarget(query.Service, "no engine has capacity")
 		}
 	}
-	best := slices.MinFunc(warm, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.startCost(query, first), b.startCost(query, first)), cmp.Compare(a.target.ID, b.target.ID))
-	})
+	best := lowest(warm, func(c *candidate) float64 { return c.startCost(query, first) })
 	switch {
 	case best.memoryFull(query):
 		return Choice{}, noTarget(query.Service, "the context memory of all engines is full")
 	case best.target.ID == first.target.ID:
-		return Choice{Target: best.target, Reason: "first engine for the shared prompt"}, nil
+		return Choice{Target: *best.target, Reason: "first engine for the shared prompt"}, nil
 	case best.target.Zone == query.ContextZone:
-		return Choice{Target: best.target, PreferredEngine: first.target, Reason: "less loaded engine in the zone of the prompt's store"}, nil
+		return Choice{Target: *best.target, PreferredEngine: *first.target, Reason: "less loaded engine in the zone of the prompt's store"}, nil
+	}
+	return Choice{Target: *best.target, PreferredEngine: *first.target, Reason: "less loaded engine in another zone"}, nil
+}
+
+// firstEngine returns the engine with the highest preference for a prompt.
+func firstEngine(warm []*candidate, query Query) *candidate {
+	first := warm[0]
+	highest := first.preference(query)
+	for _, c := range warm[1:] {
+		preference := c.preference(query)
+		if preference > highest || preference == highest && c.target.ID > first.target.ID {
+			first, highest = c, preference
+		}
 	}
-	return Choice{Target: best.target, PreferredEngine: first.target, Reason: "less loaded engine in another zone"}, nil
+	return first
 }
 
 // preference is the rank of an engine for a prompt, highest first: engines in
 // the zone of the prompt's store before all others, each group in rendezvous
 // order.
-func (c candidate) preference(query Query) uint64 {
+func (c *candidate) preference(query Query) uint64 {
 	score := ranker.Score(query.SharedPart, string(c.target.ID)) >> 1
 	if c.target.Zone == query.ContextZone {
 		score |= 1 << 63
@@ -298,11 +296,11 @@
 // wouldQueue reports whether the request would have to wait at the engine.
 // Waiting in this process instead lets it still go to another engine, and gives
 // the prompt's context time to reach a store.
-func (c candidate) wouldQueue(query Query) bool {
+func (c *candidate) wouldQueue(query Query) bool {
 	if c.memoryFull(query) {
 		return true
 	}
-	backlog := c.stats.Load().PrefillTokens
+	backlog := c.load.PrefillTokens
 	if query.MemoryTokens == 0 || backlog == 0 {
 		return false
 	}
@@ -322,23 +320,23 @@
 // that one more would evict them or the context that they reuse. An engine that
 // accepts more nevertheless has to prefill the evicted context again and stays
 // slow long after the peak.
-func (c candidate) memoryFull(query Query) bool {
-	return c.stats.Load().HeldTokens > 0 && c.excessTokens(query) > 0
+func (c *candidate) memoryFull(query Query) bool {
+	return c.load.HeldTokens > 0 && c.excessTokens(query) > 0
 }
 
 // excessTokens is the number of tokens by which the request would exceed the
 // usable part of the engine's memory, or 0 if it fits.
-func (c candidate) excessTokens(query Query) float64 {
+func (c *candidate) excessTokens(query Query) float64 {
 	if query.MemoryTokens == 0 {
 		return 0
 	}
-	return max(float64(c.stats.Load().HeldTokens+query.PromptTokens)-usableMemoryRatio*float64(query.MemoryTokens), 0)
+	return max(float64(c.load.HeldTokens+query.PromptTokens)-usableMemoryRatio*float64(query.MemoryTokens), 0)
 }
 
 // startCost is the cost of starting the request on the engine, in prompt tokens
 // to prefill.
-func (c candidate) startCost(query Query, first candidate) float64 {
-	load := c.stats.Load()
+func (c *candidate) startCost(query Query, first *candidate) float64 {
+	load := c.load
 	cost := float64(load.PrefillTokens) + heldTokenWeight*float64(load.HeldTokens) + excessTokenWeight*c.excessTokens(query)
 	switch {
 	case c.target.ID == first.target.ID:
@@ -355,37 +353,6 @@
 	return cost
 }
 
-// chooseCold returns a cold target that this process may use. All entry
-// processes share the target's rate.
-func chooseCold(fleet *mulberrybeam.Fleet, query Query, eligible []candidate) (Choice, error) {
-	for _, c := range eligible {
-		limit := ColdLimit(fleet, query, c.target.ID)
-		if limit > 0 && c.stats.ColdSends < limit {
-			return Choice{Target: c.target, ColdLimit: limit, Reason: "all targets are cold"}, nil
-		}
-	}
-	return Choice{}, noTarget(query.Service, "all targets are cold and at their rate limit")
-}
-
-// ColdLimit is this process's share of the requests per second that a cold
-// target accepts. If there are more processes than requests, the first
-// processes in rendezvous order get one request each.
-func ColdLimit(fleet *mulberrybeam.Fleet, query Query, id mulberrybeam.InstanceID) int {
-	// coldMargin leaves room for requests that are delayed in transit and
-	// arrive together.
-	const coldMargin = 0.6
-	pool := fleet.Deployment.Pools[query.Service]
-	total := int(coldMargin * (pool.ColdRate*query.ColdOvershoot + float64(query.ColdSlack)))
-	hosts := len(fleet.EntryHosts)
-	if total >= hosts {
-		return total / hosts
-	}
-	if slices.Contains(ranker.Top(string(id), fleet.EntryHosts, total), query.Self) {
-		return 1
-	}
-	return 0
-}
-
 func noTarget(service mulberrybeam.ServiceName, message string) *mulberrybeam.Failure {
 	return &mulberrybeam.Failure{
 		Code: mulberrybeam.CodeNoTarget, Step: mulberrybeam.StepRoute, Peer: string(service),
