controller: take urgent events first and measure the waits

All events of the control goroutine waited in one queue, so that a configuration, a drained target or an evacuated zone waited behind the registrations of thousands of targets, and its feed was blocked after 256 of them. Events that decide configuration, keys, removed or drained targets and evacuated zones now wait in a queue of their own that is always emptied first. An entry of a target that is older than an urgent event about the same target, or than a list that went before it, is dropped, so that an older state never follows a newer one. The loss of a feed stays before the list after it.

The histogram mulberrybeam.control-wait has the time that events waited by lane. newMetrics returns the meter, which the controller's waits need. go test -race passes for ./process/controller/..., ./process/meter, ./process/starter and ./process/launcher.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -28,8 +28,10 @@
 	// request handling never waits for the control goroutine.
 	postBacklog = 4096
 	// deliveryBacklog is the buffer size for results of actions and for events
-	// passed to Deliver.
-	deliveryBacklog = 256
+	// passed to Deliver, in each lane. It holds the changes of all targets of a
+	// large deployment, since a feed that waits for room cannot deliver the urgent
+	// changes among them.
+	deliveryBacklog = 4096
 )
 
 // Controller owns the control goroutine. Its exported methods are safe for
@@ -40,7 +42,9 @@
 
 	snapshot   atomic.Pointer[mulberrybeam.Snapshot]
 	dropped    atomic.Uint64
-	posted     chan mulberrybeam.Event
+	sequence   atomic.Uint64
+	urgent     chan delivery
+	posted     chan delivery
 	requests   chan pendingRequest
 	deliveries chan delivery
 	ctx        context.Context
@@ -49,6 +53,7 @@
 	// Only the control goroutine uses the fields below. dirty is set when
 	// the published snapshot is out of date.
 	dirty       bool
+	overtaking  overtaking
 	draining    bool
 	publishedAt time.Duration
 	lastTicket  mulberrybeam.Ticket
@@ -63,13 +68,6 @@
 	reply   chan mulberrybeam.Message
 }
 
-// delivery is an event with its recipient, which is the index of one machine or
-// allMachines.
-type delivery struct {
-	recipient int
-	event     mulberrybeam.Event
-}
-
 // allMachines addresses an event to every machine.
 const allMachines = -1
 
@@ -80,7 +78,8 @@
 	c := &Controller{
 		dependencies: defaultDependencies(),
 		machines:     machines,
-		posted:       make(chan mulberrybeam.Event, postBacklog),
+		urgent:       make(chan delivery, deliveryBacklog),
+		posted:       make(chan delivery, postBacklog),
 		requests:     make(chan pendingRequest),
 		deliveries:   make(chan delivery, deliveryBacklog),
 		ctx:          ctx,
@@ -109,7 +108,7 @@
 // full, the event is dropped and counted.
 func (c *Controller) Post(event mulberrybeam.Event) {
 	select {
-	case c.posted <- event:
+	case c.posted <- delivery{recipient: allMachines, event: event, queuedAt: c.now()}:
 	default:
 		c.dropped.Add(1)
 	}
@@ -118,7 +117,7 @@
 // Deliver queues an event for all machines. It blocks while the buffer is full,
 // until the controller stops. Use it for events that must not be lost.
 func (c *Controller) Deliver(event mulberrybeam.Event) {
-	c.deliver(delivery{allMachines, event})
+	c.deliver(allMachines, event)
 }
 
 // Ask passes a message from a peer, or from this process's own request
@@ -155,23 +154,47 @@
 func (c *Controller) run() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
+	for c.ctx.Err() == nil {
+		select {
+		case next := <-c.urgent:
+			c.processUrgent(next)
+			continue
+		default:
+		}
 		select {
 		case <-c.ctx.Done():
-			return
 		case <-ticker.C:
 			c.expireRequests()
-			c.processTurn(delivery{allMachines, mulberrybeam.Tick{}})
-		case event := <-c.posted:
-			c.processTurn(delivery{allMachines, event})
+			c.processTurn(delivery{recipient: allMachines, event: mulberrybeam.Tick{}})
+		case next := <-c.urgent:
+			c.processUrgent(next)
+		case next := <-c.posted:
+			c.observeWait(LanePosted, c.now()-next.queuedAt)
+			c.processTurn(next)
 		case request := <-c.requests:
-			c.processTurn(delivery{allMachines, c.addRequest(request)})
+			c.processTurn(delivery{recipient: allMachines, event: c.addRequest(request)})
 		case next := <-c.deliveries:
-			c.processTurn(next)
+			c.processDelivered(next)
 		}
 	}
 }
 
+func (c *Controller) processUrgent(next delivery) {
+	c.observeWait(LaneUrgent, c.now()-next.queuedAt)
+	c.overtaking.record(next)
+	c.processTurn(next)
+}
+
+func (c *Controller) processDelivered(next delivery) {
+	c.observeWait(LaneDelivered, c.now()-next.queuedAt)
+	if !c.overtaking.isOutdated(next) {
+		c.processTurn(next)
+	}
+	if len(c.deliveries) == 0 {
+		c.overtaking.forget()
+	}
+}
+
 // processTurn runs one turn: it passes the event, and the events that machines
 // emit in response, to the machines and publishes a snapshot if one is due.
 func (c *Controller) processTurn(first delivery) {
@@ -199,7 +222,7 @@
 		}
 		for _, action := range machine.Step(turn, next.event) {
 			if emit, ok := action.(mulberrybeam.EmitEvent); ok {
-				emitted = append(emitted, delivery{allMachines, emit.Event})
+				emitted = append(emitted, delivery{recipient: allMachines, event: emit.Event})
 				continue
 			}
 			c.execute(i, turn, action)
--- a/process/controller/execute.go
+++ b/process/controller/execute.go
@@ -52,13 +52,18 @@
 
 func (c *Controller) runAsync(machine int, job func() mulberrybeam.Event) {
 	c.workers.Go(func() {
-		c.deliver(delivery{machine, job()})
+		c.deliver(machine, job())
 	})
 }
 
-func (c *Controller) deliver(item delivery) {
+func (c *Controller) deliver(recipient int, event mulberrybeam.Event) {
+	queue := c.deliveries
+	if LaneOf(event) == LaneUrgent {
+		queue = c.urgent
+	}
+	item := delivery{recipient: recipient, event: event, queuedAt: c.now(), sequence: c.sequence.Add(1)}
 	select {
-	case c.deliveries <- item:
+	case queue <- item:
 	case <-c.ctx.Done():
 	}
 }
@@ -103,7 +108,7 @@
 
 func (c *Controller) watchObject(machine int, watch mulberrybeam.WatchObject) mulberrybeam.Event {
 	changed := func(change mulberrybeam.ObjectChanged) {
-		c.deliver(delivery{machine, change})
+		c.deliver(machine, change)
 	}
 	err := c.objects.Watch(c.ctx, watch.Kind, watch.Name, watch.Version, changed)
 	return mulberrybeam.WatchEnded{Kind: watch.Kind, Name: watch.Name, Err: err}
--- a/process/controller/option.go
+++ b/process/controller/option.go
@@ -17,17 +17,20 @@
 	engines  mulberrybeam.OrderClient
 	observe  ObserveFunc
 	recorder mulberrybeam.Recorder
-	now      func() time.Duration
-	wallTime func() time.Time
-	rand     *rand.Rand
+	// observeWait is called with the time that an event waited in a lane.
+	observeWait func(Lane, time.Duration)
+	now         func() time.Duration
+	wallTime    func() time.Time
+	rand        *rand.Rand
 }
 
 func defaultDependencies() dependencies {
 	start := time.Now()
 	return dependencies{
-		now:      func() time.Duration { return time.Since(start) },
-		wallTime: time.Now,
-		rand:     newRand(),
+		observeWait: func(Lane, time.Duration) {},
+		now:         func() time.Duration { return time.Since(start) },
+		wallTime:    time.Now,
+		rand:        newRand(),
 	}
 }
 
@@ -69,6 +72,12 @@
 	return func(d *dependencies) { d.recorder = recorder }
 }
 
+// WithWaitObserver sets a function that the control goroutine calls with the lane of each
+// event and the time that it waited there. The function must not block.
+func WithWaitObserver(observe func(lane Lane, wait time.Duration)) Option {
+	return func(d *dependencies) { d.observeWait = observe }
+}
+
 // WithClock sets the function that returns the monotonic time since process
 // start.
 func WithClock(now func() time.Duration) Option {
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -36,6 +37,7 @@
 	firstToken      metric.Float64Histogram
 	tokenGap        metric.Float64Histogram
 	duration        metric.Float64Histogram
+	controlWait     metric.Float64Histogram
 	contextTokens   metric.Int64Counter
 	generatedTokens metric.Int64Counter
 	mutex           sync.Mutex
@@ -72,6 +74,7 @@
 	m.firstToken = builder.seconds("mulberrybeam.first-token", "Time from arrival to first token.")
 	m.tokenGap = builder.seconds("mulberrybeam.token-gap", "Longest time between two tokens of a request.")
 	m.duration = builder.seconds("mulberrybeam.duration", "Time from arrival to the end of the answer.")
+	m.controlWait = builder.seconds("mulberrybeam.control-wait", "Time that events waited for the control goroutine by lane.")
 	m.contextTokens = builder.counter("mulberrybeam.context-tokens", "Prompt tokens by where their context came from.")
 	m.generatedTokens = builder.counter("mulberrybeam.generated-tokens", "Generated tokens.")
 	return builder.err
@@ -112,6 +115,11 @@
 	}
 }
 
+// ObserveControlWait records how long an event waited for the control goroutine.
+func (m *Meter) ObserveControlWait(lane string, wait time.Duration) {
+	m.controlWait.Record(context.Background(), wait.Seconds(), m.attributes(attribute.String("lane", lane)))
+}
+
 func (m *Meter) recordStats(ctx context.Context, stats *mulberrybeam.RequestStats) {
 	labels := []attribute.KeyValue{
 		attribute.String("workspace", m.workspaceLabel(stats.Workspace)),
--- a/process/meter/meter_test.go
+++ b/process/meter/meter_test.go
@@ -38,3 +38,19 @@
 	is.True(strings.Contains(body, `source="recompute"`))
 	is.True(strings.Contains(body, `zone="a"`))
 }
+
+// Guards against waits of the control goroutine's events that are missing from the
+// endpoint, or not told apart by lane.
+func TestControlWaits(t *testing.T) {
+	is := is.New(t)
+	metrics, handler, cleanup, err := meter.New("trial", "a")
+	is.NoErr(err)
+	defer cleanup()
+	metrics.ObserveControlWait("urgent", 40*time.Millisecond)
+	metrics.ObserveControlWait("posted", 2*time.Second)
+	response := httptest.NewRecorder()
+	handler.ServeHTTP(response, httptest.NewRequest("GET", "/metrics", nil))
+	body := response.Body.String()
+	is.Equal(strings.Count(body, "control_wait_seconds_count{"), 2)
+	is.True(strings.Contains(body, `lane="urgent"`))
+}
--- a/process/starter/listen.go
+++ b/process/starter/listen.go
@@ -38,15 +38,14 @@
 	defaultGrace = 8 * time.Second
 )
 
-// newMetrics returns the handler of the metrics endpoint and the function that
-// counts a timeline entry in the metrics.
-func (p *Process) newMetrics(settings mulberrybeam.HostSettings) (http.Handler, func(mulberrybeam.Entry), error) {
-	meter, handler, stop, err := meter.New("", settings.Zone)
+// newMetrics returns the handler of the metrics endpoint and the meter.
+func (p *Process) newMetrics(settings mulberrybeam.HostSettings) (http.Handler, *meter.Meter, error) {
+	metrics, handler, stop, err := meter.New("", settings.Zone)
 	if err != nil {
 		return nil, nil, err
 	}
 	p.cleanups = append(p.cleanups, stop)
-	return handler, meter.Observe, nil
+	return handler, metrics, nil
 }
 
 // listen opens the addresses for callers, for the platform's readiness probe and,
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -22,6 +22,7 @@
 	"mulberrybeam/process/cataloger"
 	"mulberrybeam/process/controller"
 	"mulberrybeam/process/logger"
+	"mulberrybeam/process/meter"
 	"mulberrybeam/process/monitor"
 	"mulberrybeam/process/parttracker"
 	"mulberrybeam/process/recorder"
@@ -74,17 +75,17 @@
 	p.settings.Store(&settings)
 	log, stopLog := logger.New(out)
 	p.cleanups = append(p.cleanups, stopLog)
-	metrics, observe, err := p.newMetrics(settings)
+	metrics, meter, err := p.newMetrics(settings)
 	if err != nil {
 		p.runCleanups()
 		return nil, err
 	}
 	p.recorder = recorder.New(recorder.WithCapacity(timelineEntries), recorder.WithObserver(func(entry mulberrybeam.Entry) {
 		log.Observe(entry)
-		observe(entry)
+		meter.Observe(entry)
 	}))
 	p.recordEvent("start", "zone "+string(settings.Zone)+", caller address "+settings.CallerAddress)
-	p.startControl(settings)
+	p.startControl(settings, meter)
 	if err := p.listen(settings, metricsPort, metrics); err != nil {
 		p.runCleanups()
 		return nil, err
@@ -115,7 +116,7 @@
 
 // startControl starts the control goroutine and the goroutines that follow the
 // platform's store and the context stores.
-func (p *Process) startControl(settings mulberrybeam.HostSettings) {
+func (p *Process) startControl(settings mulberrybeam.HostSettings, meter *meter.Meter) {
 	client, closeClient := dialer.NewClient()
 	store := platform.NewStore(settings.StoreAddress, client)
 	engines := platform.NewEngines(client)
@@ -135,6 +136,7 @@
 		}),
 		controller.WithRecorder(p.recorder),
 		controller.WithClock(p.now),
+		controller.WithWaitObserver(func(lane controller.Lane, wait time.Duration) { meter.ObserveControlWait(string(lane), wait) }),
 	)
 	p.control = control
 	p.cleanups = append(p.cleanups, closeClient, stopControl)
