matcher: say that a route or key is unknown only if the configuration is current

A host whose configuration was outdated answered valid requests for newer routes with 404 and newer keys with 401; one did so 4.9 s after its start at 299 hosts. A host without any configuration already answered 503. Now a host whose last confirmation of the configuration is older than two waits of its feed and a margin refuses such requests with 503, that is 4.2 s at a configuration bound of 3 s with keys that must be revoked within 5 s. What the configuration has is served as before, and nothing changes where the settings have no such bound.

--- a/process/starter/feeds.go
+++ b/process/starter/feeds.go
@@ -60,12 +60,8 @@
 // Feeds returns the feeds for all kinds of objects, with wait times that meet the
 // deadlines in bounds.
 func Feeds(bounds mulberrybeam.HostBounds) []Feed {
-	configWait := clampWait(orDefault(bounds.ConfigWithin, defaultConfigWithin) - pollMargin)
-	if bounds.FailClosed && bounds.RevokeWithin > 0 {
-		configWait = clampWait(min(configWait, time.Duration(revokeFraction*float64(bounds.RevokeWithin))))
-	}
 	return []Feed{
-		{mulberrybeam.ObjectDeployment, configWait, 0},
+		{mulberrybeam.ObjectDeployment, configWait(bounds), 0},
 		{mulberrybeam.ObjectTarget, targetWait, changePause},
 		{mulberrybeam.ObjectEvacuation, clampWait(orDefault(bounds.EvacuateWithin, defaultEvacuateWithin) - retryMargin), 0},
 		{mulberrybeam.ObjectWeights, clampWait(orDefault(bounds.VersionWithin, defaultVersionWithin) - retryMargin), 0},
@@ -75,6 +71,26 @@
 	}
 }
 
+// configWait returns the longest wait of a call for the configuration.
+func configWait(bounds mulberrybeam.HostBounds) time.Duration {
+	wait := clampWait(orDefault(bounds.ConfigWithin, defaultConfigWithin) - pollMargin)
+	if bounds.FailClosed && bounds.RevokeWithin > 0 {
+		wait = clampWait(min(wait, time.Duration(revokeFraction*float64(bounds.RevokeWithin))))
+	}
+	return wait
+}
+
+// MaxConfigAge returns the greatest age that the last confirmation of the configuration
+// has while the store answers. A confirmation counts from when its call was sent, so
+// that it is two waits old when the next one comes. The age is 0, for no limit, if the
+// settings do not bound how late a configuration may take effect.
+func MaxConfigAge(bounds mulberrybeam.HostBounds) time.Duration {
+	if bounds.ConfigWithin <= 0 {
+		return 0
+	}
+	return 2*configWait(bounds) + pollMargin
+}
+
 func orDefault(value, fallback time.Duration) time.Duration {
 	if value <= 0 {
 		return fallback
--- a/process/starter/feeds_test.go
+++ b/process/starter/feeds_test.go
@@ -26,6 +26,7 @@
 				is.True(feed.Wait > 0 && feed.Wait <= 30*time.Second)
 				switch feed.Kind {
 				case mulberrybeam.ObjectDeployment:
+					is.True(2*feed.Wait+slack <= starter.MaxConfigAge(bounds)) // else 503 for unknown routes in calm
 					is.True(feed.Wait+slack <= bounds.ConfigWithin)
 					is.True(10*2*feed.Wait < 8*bounds.RevokeWithin)
 				case mulberrybeam.ObjectEvacuation:
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -227,6 +227,8 @@
 		Post:     p.control.Post,
 		Now:      p.now,
 		Shutdown: p.shutdown.Load,
+
+		MaxConfigAge: MaxConfigAge(bounds),
 	}
 }
 
--- a/process/starter/starter_test.go
+++ b/process/starter/starter_test.go
@@ -59,7 +59,8 @@
 
 func address(port int) string { return fmt.Sprint("127.0.0.1:", port) }
 
-func newHarness(t *testing.T, handler http.HandlerFunc) *harness {
+// newHarness starts an entry process after the changes.
+func newHarness(t *testing.T, handler http.HandlerFunc, changes ...func(*harness)) *harness {
 	h := &harness{store: metastore.New(), log: &logBuffer{}, metricsPort: freePort(t)}
 	store := httptest.NewServer(h.store)
 	target := httptest.NewServer(handler)
@@ -76,6 +77,9 @@
 		CallerAddress: address(freePort(t)), ReadyAddress: address(freePort(t)),
 		Bounds: mulberrybeam.HostBounds{Grace: 6 * time.Second, FailClosed: true, RevokeWithin: 4 * time.Second, OrderLease: time.Second},
 	}
+	for _, change := range changes {
+		change(h)
+	}
 	process, err := starter.Start(h.settings, h.metricsPort, h.log)
 	if err != nil {
 		t.Fatal(err)
--- a/request/matcher/matcher.go
+++ b/request/matcher/matcher.go
@@ -22,6 +22,10 @@
 	// last confirmed longer than MaxKeyAge ago.
 	FailClosed bool
 	MaxKeyAge  time.Duration
+	// MaxConfigAge is the age of the deployment's last confirmation beyond which a
+	// newer deployment may have the route or the key that this one lacks. 0 means no
+	// limit.
+	MaxConfigAge time.Duration
 }
 
 // Match is the rule and the workspace of a request.
@@ -39,7 +43,7 @@
 	}
 	rule := findRule(fleet, query.Host, query.Path)
 	if rule == nil {
-		return Match{}, refusal(mulberrybeam.CodeNotFound, "no route matches the host and path")
+		return Match{}, unknown(fleet, query, mulberrybeam.CodeNotFound, "no route matches the host and path")
 	}
 	if len(fleet.Deployment.Workspaces) == 0 {
 		return Match{Rule: rule}, nil
@@ -53,11 +57,22 @@
 			"the API key may have been revoked: revision %d was last confirmed %s ago", fleet.Deployment.Revision, age.Round(time.Millisecond)))
 	}
 	if workspace == nil {
-		return Match{}, refusal(mulberrybeam.CodeUnauthorized, "the API key is unknown")
+		return Match{}, unknown(fleet, query, mulberrybeam.CodeUnauthorized, "the API key is unknown")
 	}
 	return Match{Rule: rule, Workspace: workspace}, nil
 }
 
+// unknown returns the refusal of a request whose route or key the deployment lacks. A
+// process whose deployment may be outdated is not ready to say so: valid requests got
+// 404 from hosts that applied a configuration seconds late.
+func unknown(fleet *mulberrybeam.Fleet, query Query, code mulberrybeam.Code, message string) error {
+	if age := query.Now - fleet.ConfirmedAt; query.MaxConfigAge > 0 && age > query.MaxConfigAge {
+		return refusal(mulberrybeam.CodeNotReady, fmt.Sprintf(
+			"%s, but revision %d was last confirmed %s ago", message, fleet.Deployment.Revision, age.Round(time.Millisecond)))
+	}
+	return refusal(code, message)
+}
+
 // findRule returns the rule with the longest matching prefix. Prefixes end with
 // a slash, so a path without the trailing slash matches only shorter prefixes.
 func findRule(fleet *mulberrybeam.Fleet, host, path string) *mulberrybeam.Rule {
--- a/request/matcher/matcher_test.go
+++ b/request/matcher/matcher_test.go
@@ -75,6 +75,38 @@
 	is.Equal(mulberrybeam.CodeOf(err), mulberrybeam.CodeNotReady)
 }
 
+// Guards against 404 and 401 for valid requests from a process whose configuration is
+// older than the one that has their route or key, and against 503 for others.
+func TestOutdatedConfiguration(t *testing.T) {
+	cases := []struct {
+		name, path, key string
+		age             time.Duration
+		maxAge          time.Duration
+		code            mulberrybeam.Code
+	}{
+		{name: "unknown path, current", path: "/z/", age: 3 * time.Second, maxAge: 4 * time.Second, code: mulberrybeam.CodeNotFound},
+		{name: "unknown path, outdated", path: "/z/", age: 5 * time.Second, maxAge: 4 * time.Second, code: mulberrybeam.CodeNotReady},
+		{name: "unknown path, no limit", path: "/z/", age: time.Hour, code: mulberrybeam.CodeNotFound},
+		{name: "unknown key, current", path: "/a/b/", key: "x", age: 3 * time.Second, maxAge: 4 * time.Second, code: mulberrybeam.CodeUnauthorized},
+		{name: "unknown key, outdated", path: "/a/b/", key: "x", age: 5 * time.Second, maxAge: 4 * time.Second, code: mulberrybeam.CodeNotReady},
+		{name: "known key, outdated", path: "/a/b/", key: "k", age: 5 * time.Second, maxAge: 4 * time.Second},
+		{name: "public, outdated", path: "/a/open/", age: 5 * time.Second, maxAge: 4 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := matcher.Decide(fleet(), matcher.Query{
+				Host: "h", Path: c.path, Key: c.key, Now: 10*time.Second + c.age, MaxConfigAge: c.maxAge,
+			})
+			if c.code == "" {
+				is.NoErr(err)
+				return
+			}
+			is.Equal(mulberrybeam.CodeOf(err), c.code)
+		})
+	}
+}
+
 // Guards against services that get requests although their weight is 0.
 func TestPickService(t *testing.T) {
 	is := is.New(t)
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -84,6 +84,7 @@
 	match, err := matcher.Decide(e.fleet, matcher.Query{
 		Host: e.request.Host, Path: requestPath(e.request), Key: e.inbound.Key, Now: e.arrivedAt,
 		FailClosed: bounds.FailClosed, MaxKeyAge: time.Duration(keyAgeFraction * float64(bounds.RevokeWithin)),
+		MaxConfigAge: e.MaxConfigAge,
 	})
 	if err != nil {
 		return err
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -46,6 +46,10 @@
 	// Shutdown returns the times of the shutdown, or nil if none is under way.
 	Shutdown func() *Shutdown
 
+	// MaxConfigAge is how old the last confirmation of the configuration may be for
+	// an unknown route or key to be answered with 404 or 401. 0 means no limit.
+	MaxConfigAge time.Duration
+
 	claims trialClaims
 }
 
