upgrader: follow the waves on the host that orders new weights

The holder of the lease sorted all outdated engines and computed the current waves from all engines after each event. It now keeps the waves as the tracker does, and looks at the engines of the current waves and those whose upgrade has begun.

--- a/process/tracker/scale_bench_test.go
+++ b/process/tracker/scale_bench_test.go
@@ -28,7 +28,10 @@
 type largeFleet struct {
 	machines []mulberrybeam.StateMachine
 	now      time.Duration
-	random   *rand.Rand
+	// storeAnswers confirms writes of the lease, which are counted.
+	storeAnswers bool
+	writes       int
+	random       *rand.Rand
 }
 
 func newLargeFleet() *largeFleet {
@@ -72,7 +75,22 @@
 func (f *largeFleet) step(event mulberrybeam.Event) {
 	f.now += time.Millisecond
 	for _, machine := range f.machines {
-		machine.Step(mulberrybeam.Turn{Now: f.now, Rand: f.random}, event)
+		for _, action := range machine.Step(mulberrybeam.Turn{Now: f.now, Rand: f.random}, event) {
+			if call, ok := action.(mulberrybeam.CallObject); ok && f.storeAnswers && call.Object.Kind == mulberrybeam.ObjectLease {
+				f.writes++
+				machine.Step(mulberrybeam.Turn{Now: f.now, Rand: f.random}, mulberrybeam.ObjectReplied{Ticket: call.Ticket, SentAt: f.now})
+			}
+		}
+	}
+}
+
+// holdLease makes this host the one that orders new weights.
+func (f *largeFleet) holdLease() {
+	f.storeAnswers = true
+	f.change(mulberrybeam.ObjectWeights, "m", largeWeights(2))
+	for f.writes == 0 {
+		f.now += 100 * time.Millisecond
+		f.step(mulberrybeam.Tick{})
 	}
 }
 
@@ -155,6 +173,13 @@
 			f.publish()
 		}},
 		{"tick", func(f *largeFleet, _ int) { f.step(mulberrybeam.Tick{}) }},
+		{"report-to-holder", func(f *largeFleet, i int) {
+			if i == 0 {
+				f.holdLease()
+			}
+			id := mulberrybeam.TargetID(fmt.Sprintf("target-%04d", i%largeTargets))
+			f.step(mulberrybeam.TargetObserved{Target: id, Report: mulberrybeam.LoadReport{OrderBusy: true}})
+		}},
 		{"target-during-upgrade", func(f *largeFleet, i int) {
 			if i == 0 {
 				f.change(mulberrybeam.ObjectWeights, "m", largeWeights(2))
--- a/version/upgrader/upgrader.go
+++ b/version/upgrader/upgrader.go
@@ -35,8 +35,12 @@
 	engines  map[mulberrybeam.InstanceID]*engine
 	// outdated are the IDs of the engines that lack desired weights.
 	outdated map[mulberrybeam.InstanceID]bool
-	desired  map[mulberrybeam.ModelName]int
-	hosts    map[mulberrybeam.ProcessID]bool
+	// active are the IDs of the engines whose upgrade has begun.
+	active map[mulberrybeam.InstanceID]bool
+	// schedules are the waves of the desired weights.
+	schedules map[mulberrybeam.ModelName]*wavescheduler.Schedule
+	desired   map[mulberrybeam.ModelName]int
+	hosts     map[mulberrybeam.ProcessID]bool
 
 	lease      mulberrybeam.LeaderLease
 	leaseKnown bool
@@ -92,6 +96,8 @@
 		self: self, encoder: encoder, orderGap: gap,
 		engines:        map[mulberrybeam.InstanceID]*engine{},
 		outdated:       map[mulberrybeam.InstanceID]bool{},
+		active:         map[mulberrybeam.InstanceID]bool{},
+		schedules:      map[mulberrybeam.ModelName]*wavescheduler.Schedule{},
 		desired:        map[mulberrybeam.ModelName]int{},
 		hosts:          map[mulberrybeam.ProcessID]bool{},
 		orderedEngines: map[mulberrybeam.Ticket]mulberrybeam.InstanceID{},
@@ -158,55 +164,6 @@
 	}
 }
 
-func (u *Upgrader) applyTarget(id mulberrybeam.InstanceID, target *mulberrybeam.LiveTarget) {
-	if target == nil || target.Draining || len(target.Versions) == 0 {
-		u.removeEngine(id)
-		return
-	}
-	known := u.engines[id]
-	if known == nil || known.target.StartedAt != target.StartedAt {
-		known = &engine{knownVersions: map[mulberrybeam.ModelName]int{}}
-		u.engines[id] = known
-	}
-	known.target = *target
-	u.updateOutdated(id, known)
-}
-
-func (u *Upgrader) removeEngine(id mulberrybeam.InstanceID) {
-	delete(u.engines, id)
-	delete(u.outdated, id)
-}
-
-func (u *Upgrader) setDesired(desired mulberrybeam.DesiredWeights) {
-	if desired.Version <= u.desired[desired.Model] {
-		return
-	}
-	u.desired[desired.Model] = desired.Version
-	for id, e := range u.engines {
-		u.updateOutdated(id, e)
-	}
-}
-
-// updateOutdated records whether an engine lacks desired weights. It must be called
-// after each change of the engine's versions.
-func (u *Upgrader) updateOutdated(id mulberrybeam.InstanceID, e *engine) {
-	if model, _ := u.missingVersion(e); model != "" {
-		u.outdated[id] = true
-	} else {
-		delete(u.outdated, id)
-	}
-}
-
-// applyUpgraded adopts the versions of upgraded engines that the lease lists.
-func (u *Upgrader) applyUpgraded(changed []mulberrybeam.UpgradedEngine) {
-	for _, c := range changed {
-		if e := u.engines[c.Engine]; e != nil {
-			e.knownVersions[c.Model] = max(e.knownVersions[c.Model], c.Version)
-			u.updateOutdated(c.Engine, e)
-		}
-	}
-}
-
 // reconcile claims or renews the lease while upgrades are pending, and upgrades
 // engines while the lease is held.
 func (u *Upgrader) reconcile(turn mulberrybeam.Turn) []mulberrybeam.Action {
@@ -224,60 +181,19 @@
 	if turn.Now >= u.validUntil {
 		return actions
 	}
-	return append(actions, u.requestReports(turn, u.pending())...)
-}
-
-// pending returns the engines that lack desired weights, ordered by ID.
-func (u *Upgrader) pending() []*engine {
-	pending := make([]*engine, 0, len(u.outdated))
-	for _, id := range slices.Sorted(maps.Keys(u.outdated)) {
-		pending = append(pending, u.engines[id])
-	}
-	return pending
-}
-
-// missingVersion returns the first model whose desired version the engine does
-// not have, and that version.
-func (u *Upgrader) missingVersion(e *engine) (missing mulberrybeam.ModelName, version int) {
-	for model, current := range e.target.Versions {
-		desired := u.desired[model]
-		if max(current, e.knownVersions[model]) < desired && (version == 0 || model < missing) {
-			missing, version = model, desired
-		}
-	}
-	return missing, version
+	return append(actions, u.requestReports(turn)...)
 }
 
-// currentWave returns the engines of the current wave of each model.
-func (u *Upgrader) currentWave() map[mulberrybeam.InstanceID]bool {
-	wave := map[mulberrybeam.InstanceID]bool{}
-	for model, desired := range u.desired {
-		var engines []wavescheduler.Engine
-		for id, e := range u.engines {
-			if version, serves := e.target.Versions[model]; serves {
-				engines = append(engines, wavescheduler.Engine{ID: id, Version: max(version, e.knownVersions[model])})
-			}
-		}
-		for _, id := range wavescheduler.CurrentWave(model, desired, engines) {
-			wave[id] = true
-		}
-	}
-	return wave
-}
-
-// requestReports requests load reports from the pending engines that are due.
-// Engines that have not begun their upgrade must be in the current wave.
-func (u *Upgrader) requestReports(turn mulberrybeam.Turn, pending []*engine) []mulberrybeam.Action {
-	wave := u.currentWave()
+// requestReports requests load reports from the engines that are due: the outdated
+// ones of the current waves and those that have begun their upgrade.
+func (u *Upgrader) requestReports(turn mulberrybeam.Turn) []mulberrybeam.Action {
 	var actions []mulberrybeam.Action
-	for _, e := range pending {
+	for _, id := range u.upgradeCandidates() {
+		e := u.engines[id]
 		if turn.Now < e.nextAt || e.state == stateQuerying || e.state == stateOrdering {
 			continue
 		}
-		if e.state == stateIdle && !wave[e.target.ID] {
-			continue
-		}
-		e.state = stateQuerying
+		u.setState(e, stateQuerying)
 		actions = append(actions, mulberrybeam.Observe{Target: toTarget(e.target)})
 	}
 	return actions
@@ -290,7 +206,8 @@
 	if e == nil || e.state != stateQuerying {
 		return nil
 	}
-	e.state, e.nextAt = stateIdle, turn.Now+retryDelay
+	e.nextAt = turn.Now + retryDelay
+	u.setState(e, stateIdle)
 	if event.Err != nil {
 		return []mulberrybeam.Action{timelineNote("engine " + string(event.Target) + " returned no load report: " + event.Err.Error())}
 	}
@@ -307,13 +224,14 @@
 		return nil
 	}
 	if event.Report.OrderBusy {
-		e.state, e.nextAt = stateLoading, turn.Now+checkDelay
+		e.nextAt = turn.Now + checkDelay
+		u.setState(e, stateLoading)
 		return nil
 	}
 	if turn.Now >= u.validUntil {
 		return nil
 	}
-	e.state = stateOrdering
+	u.setState(e, stateOrdering)
 	ticket := mulberrybeam.Ticket(turn.Rand.Uint64())
 	u.orderedEngines[ticket] = e.target.ID
 	return []mulberrybeam.Action{mulberrybeam.SendOrder{
@@ -339,7 +257,8 @@
 	if !known || e == nil || e.state != stateOrdering {
 		return nil
 	}
-	e.state, e.nextAt = stateLoading, turn.Now+checkDelay
+	e.nextAt = turn.Now + checkDelay
+	u.setState(e, stateLoading)
 	if event.Err == nil {
 		return []mulberrybeam.Action{timelineNote("engine " + string(id) + " accepted an order")}
 	}
@@ -348,7 +267,7 @@
 		// holds the lease now.
 		u.validUntil = 0
 		u.nextWriteAt = turn.Now + writeRetryDelay
-		e.state = stateIdle
+		u.setState(e, stateIdle)
 	}
 	return []mulberrybeam.Action{timelineNote("engine " + string(id) + " did not accept an order: " + event.Err.Error())}
 }
--- a/version/wavescheduler/schedule.go
+++ b/version/wavescheduler/schedule.go
@@ -54,10 +54,19 @@
 	}
 }
 
+// CurrentWave returns the engines of the current wave.
+func (s *Schedule) CurrentWave() []mulberrybeam.InstanceID {
+	return s.firstWaves(1)
+}
+
 // CurrentAndNextWave returns the engines of the current and the next wave.
 func (s *Schedule) CurrentAndNextWave() []mulberrybeam.InstanceID {
+	return s.firstWaves(drainingWaves)
+}
+
+func (s *Schedule) firstWaves(waves int) []mulberrybeam.InstanceID {
 	s.sortAdded()
-	count := min(drainingWaves*waveSize(len(s.engines)), len(s.outdated))
+	count := min(waves*waveSize(len(s.engines)), len(s.outdated))
 	wave := make([]mulberrybeam.InstanceID, count)
 	for i, engine := range s.outdated[:count] {
 		wave[i] = engine.id
--- a/version/wavescheduler/wavescheduler_test.go
+++ b/version/wavescheduler/wavescheduler_test.go
@@ -71,6 +71,7 @@
 		for id, version := range current {
 			engines = append(engines, wavescheduler.Engine{ID: id, Version: version})
 		}
+		is.Equal(schedule.CurrentWave(), wavescheduler.CurrentWave("m", 5, engines))
 		is.Equal(schedule.CurrentAndNextWave(), wavescheduler.CurrentAndNextWave("m", 5, engines))
 	}
 }
