--- a/process/tracker/scale_bench_test.go
+++ b/process/tracker/scale_bench_test.go
@@ -150,6 +150,13 @@
 // BenchmarkControl measures one change with the snapshot after it, in all state
 // machines of the control goroutine.
 func BenchmarkControl(b *testing.B) {
+	deployment := largeDeployment(2).Deployment
+	prepare := map[string]func(f *largeFleet){
+		"report-to-holder": (*largeFleet).holdLease,
+		"target-during-upgrade": func(f *largeFleet) {
+			f.change(mulberrybeam.ObjectWeights, "m", largeWeights(2))
+		},
+	}
 	cases := []struct {
 		name string
 		run  func(f *largeFleet, i int)
@@ -166,7 +173,9 @@
 		{"lease", func(f *largeFleet, i int) { f.change(mulberrybeam.ObjectLease, upgrader.LeaseName, largeLease(i)) }},
 		{"weights", func(f *largeFleet, i int) { f.change(mulberrybeam.ObjectWeights, "m", largeWeights(i+2)) }},
 		{"configuration", func(f *largeFleet, i int) {
-			f.change(mulberrybeam.ObjectDeployment, "main", largeDeployment(i+2))
+			next := *deployment
+			next.Revision = mulberrybeam.Revision(i + 2)
+			f.change(mulberrybeam.ObjectDeployment, "main", mulberrybeam.Record{Deployment: &next})
 		}},
 		{"confirmation", func(f *largeFleet, _ int) {
 			f.step(mulberrybeam.FeedConfirmed{Kind: mulberrybeam.ObjectDeployment, SentAt: f.now})
@@ -174,16 +183,10 @@
 		}},
 		{"tick", func(f *largeFleet, _ int) { f.step(mulberrybeam.Tick{}) }},
 		{"report-to-holder", func(f *largeFleet, i int) {
-			if i == 0 {
-				f.holdLease()
-			}
 			id := mulberrybeam.TargetID(fmt.Sprintf("target-%04d", i%largeTargets))
 			f.step(mulberrybeam.TargetObserved{Target: id, Report: mulberrybeam.LoadReport{OrderBusy: true}})
 		}},
 		{"target-during-upgrade", func(f *largeFleet, i int) {
-			if i == 0 {
-				f.change(mulberrybeam.ObjectWeights, "m", largeWeights(2))
-			}
 			record := largeTarget(i%largeTargets, 1+i%2)
 			f.change(mulberrybeam.ObjectTarget, string(record.Target.ID), record)
 		}},
@@ -191,6 +194,9 @@
 	for _, c := range cases {
 		b.Run(c.name, func(b *testing.B) {
 			f := newLargeFleet()
+			if setUp := prepare[c.name]; setUp != nil {
+				setUp(f)
+			}
 			b.ReportAllocs()
 			i := 0
 			for b.Loop() {
@@ -200,3 +206,28 @@
 		})
 	}
 }
+
+// Guards against work for a change, or for a tick, that grows with the number of
+// targets. Before the fleet was changed in parts, each of these allocated 10,000 objects.
+func TestWorkDoesNotGrowWithTheFleet(t *testing.T) {
+	const most = 200
+	f := newLargeFleet()
+	number := 0
+	for name, run := range map[string]func(){
+		"tick": func() { f.step(mulberrybeam.Tick{}) },
+		"target": func() {
+			number++
+			record := largeTarget(number%largeTargets, 1)
+			f.change(mulberrybeam.ObjectTarget, string(record.Target.ID), record)
+		},
+		"entry host": func() {
+			number++
+			host := mulberrybeam.EntryHost{ID: "h007", Address: fmt.Sprint("10.1.1.1:", number)}
+			f.change(mulberrybeam.ObjectHost, "h007", mulberrybeam.Record{Host: &host})
+		},
+	} {
+		if allocations := testing.AllocsPerRun(50, run); allocations > most {
+			t.Errorf("%s: %v allocations", name, allocations)
+		}
+	}
+}
