--- a/process/tracker/scale_bench_test.go
+++ b/process/tracker/scale_bench_test.go
@@ -162,8 +162,8 @@
 		run  func(f *largeFleet, i int)
 	}{
 		{"target", func(f *largeFleet, i int) {
-			record := largeTarget(i%largeTargets, 1)
-			record.Target.Draining = i/largeTargets%2 == 0
+			record := largeTarget(i/2%largeTargets, 1)
+			record.Target.Draining = i%2 == 0
 			f.change(mulberrybeam.ObjectTarget, string(record.Target.ID), record)
 		}},
 		{"entry-host", func(f *largeFleet, i int) {
