--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -22,6 +22,7 @@
 	"mulberrybeam/process/cataloger"
 	"mulberrybeam/process/controller"
 	"mulberrybeam/process/logger"
+	"mulberrybeam/process/meter"
 	"mulberrybeam/process/monitor"
 	"mulberrybeam/process/parttracker"
 	"mulberrybeam/process/recorder"
@@ -77,17 +78,17 @@
 	log, stopLog := logger.New(out)
 	p.cleanups = append(p.cleanups, stopLog)
 	p.memory = reserver.New(reserver.DefaultLimits(settings.MemoryBytes), p.now, func(text string) { p.recordEvent("memory", text) })
-	metrics, observe, err := p.newMetrics(settings)
+	metrics, meter, err := p.newMetrics(settings)
 	if err != nil {
 		p.runCleanups()
 		return nil, err
 	}
 	p.recorder = recorder.New(recorder.WithCapacity(timelineEntries), recorder.WithObserver(func(entry mulberrybeam.Entry) {
 		log.Observe(entry)
-		observe(entry)
+		meter.Observe(entry)
 	}))
 	p.recordEvent("start", "zone "+string(settings.Zone)+", caller address "+settings.CallerAddress)
-	p.startControl(settings)
+	p.startControl(settings, meter)
 	if err := p.listen(settings, metricsPort, metrics); err != nil {
 		p.runCleanups()
 		return nil, err
@@ -118,7 +119,7 @@
 
 // startControl starts the control goroutine and the goroutines that follow the
 // platform's store and the context stores.
-func (p *Process) startControl(settings mulberrybeam.HostSettings) {
+func (p *Process) startControl(settings mulberrybeam.HostSettings, meter *meter.Meter) {
 	client, closeClient := dialer.NewClient()
 	store := platform.NewStore(settings.StoreAddress, client)
 	engines := platform.NewEngines(client)
@@ -138,6 +139,7 @@
 		}),
 		controller.WithRecorder(p.recorder),
 		controller.WithClock(p.now),
+		controller.WithWaitObserver(func(lane controller.Lane, wait time.Duration) { meter.ObserveControlWait(string(lane), wait) }),
 	)
 	p.control = control
 	p.cleanups = append(p.cleanups, closeClient, stopControl)
@@ -229,6 +231,8 @@
 		Now:      p.now,
 		Shutdown: p.shutdown.Load,
 		Memory:   p.memory,
+
+		MaxConfigAge: MaxConfigAge(bounds),
 	}
 }
 
--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -8,73 +8,49 @@
 
 	"mulberrybeam"
 	"mulberrybeam/request/fetcher"
-	"mulberrybeam/version/wavescheduler"
 )
 
-// rebuildFleet builds the fleet from the machine's state. The fleet shares no
-// mutable data with that state, since snapshots are read by other goroutines.
-func (t *Tracker) rebuildFleet() {
-	t.fleet = mulberrybeam.Fleet{
-		Deployment:    t.deployment,
-		Weights:       maps.Clone(t.desiredWeights),
-		WeightHistory: maps.Clone(t.weightHistory),
-		Regions:       t.regions,
-		Targets:       t.usableTargets(),
-		EntryHosts:    t.entryHosts(),
+// staleParts tells which parts of the fleet do not match the machine's state any
+// more.
+type staleParts struct {
+	deployment, weights, hosts, crashes bool
+	targets                             map[mulberrybeam.InstanceID]bool
+}
 
-		PeerAddresses: t.peerAddresses(),
-		Crashes:       make(map[mulberrybeam.Fingerprint]int, len(t.crashes)),
-	}
-	t.fleet.Leaving = leavingEngines(t.fleet.Targets, t.desiredWeights)
-	for crash := range t.crashes {
-		t.fleet.Crashes[crash.fingerprint]++
-	}
-	if t.deployment != nil {
+// refreshFleet builds the stale parts of the fleet from the machine's state. The
+// fleet shares no mutable data with that state, since snapshots are read by other
+// goroutines.
+func (t *Tracker) refreshFleet() {
+	if t.stale.deployment && t.deployment != nil {
+		t.fleet.Deployment = t.deployment
 		t.fleet.Keys = workspacesByKey(t.deployment)
 		t.fleet.SharingGroup = fetcher.SharingGroup(t.deployment.Workspaces)
 		t.fleet.Hosts = rulesByHost(t.deployment)
 		t.fleet.ContextStores = contextStores(t.deployment)
 	}
-}
-
-// usableTargets returns the targets that may get new requests by service,
-// sorted by ID.
-func (t *Tracker) usableTargets() map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget {
-	targets := map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget{}
-	for _, id := range slices.Sorted(maps.Keys(t.targets)) {
-		tracked := t.targets[id]
-		if tracked.target.Draining || t.evacuated[tracked.target.Zone] {
-			continue
-		}
-		target := mulberrybeam.FleetTarget{LiveTarget: tracked.target, ColdUntil: tracked.coldUntil}
-		upgraded := t.upgradedEngines[id]
-		if version, serves := target.Versions[upgraded.Model]; serves && upgraded.Version > version {
-			target.Versions = maps.Clone(target.Versions)
-			target.Versions[upgraded.Model] = upgraded.Version
-		}
-		targets[target.Service] = append(targets[target.Service], target)
+	if t.stale.weights {
+		t.fleet.Weights = maps.Clone(t.desiredWeights)
+		t.fleet.WeightHistory = maps.Clone(t.weightHistory)
 	}
-	return targets
-}
-
-// leavingEngines returns the engines that will switch to new weights in the
-// current or the next wave.
-func leavingEngines(targets map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget, desiredWeights map[mulberrybeam.ModelName]mulberrybeam.DesiredWeights) map[mulberrybeam.InstanceID]bool {
-	leaving := map[mulberrybeam.InstanceID]bool{}
-	for model, desired := range desiredWeights {
-		var engines []wavescheduler.Engine
-		for _, pool := range targets {
-			for _, target := range pool {
-				if version, serves := target.Versions[model]; serves {
-					engines = append(engines, wavescheduler.Engine{ID: target.ID, Version: version})
-				}
-			}
-		}
-		for _, id := range wavescheduler.CurrentAndNextWave(model, desired.Version, engines) {
-			leaving[id] = true
+	if t.stale.hosts {
+		t.fleet.EntryHosts = t.entryHosts()
+		t.fleet.PeerAddresses = t.peerAddresses()
+	}
+	if t.stale.crashes {
+		t.fleet.Crashes = make(map[mulberrybeam.Fingerprint]int, len(t.crashes))
+		for crash := range t.crashes {
+			t.fleet.Crashes[crash.fingerprint]++
 		}
 	}
-	return leaving
+	wavesChanged := t.refreshTargets()
+	if t.stale.weights {
+		t.scheduleNewWeights()
+	}
+	if t.stale.weights || wavesChanged {
+		t.refreshLeaving()
+	}
+	clear(t.stale.targets)
+	t.stale = staleParts{targets: t.stale.targets}
 }
 
 func (t *Tracker) entryHosts() []mulberrybeam.ProcessID {
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -49,6 +49,10 @@
 	// Memory limits the memory of requests. It may be nil.
 	Memory *reserver.Reserver
 
+	// MaxConfigAge is how old the last confirmation of the configuration may be for
+	// an unknown route or key to be answered with 404 or 401. 0 means no limit.
+	MaxConfigAge time.Duration
+
 	claims trialClaims
 }
 
--- a/version/upgrader/upgrader.go
+++ b/version/upgrader/upgrader.go
@@ -33,8 +33,14 @@
 	// orderGap is the minimum time between orders of two lease holders.
 	orderGap time.Duration
 	engines  map[mulberrybeam.InstanceID]*engine
-	desired  map[mulberrybeam.ModelName]int
-	hosts    map[mulberrybeam.ProcessID]bool
+	// outdated are the IDs of the engines that lack desired weights.
+	outdated map[mulberrybeam.InstanceID]bool
+	// active are the IDs of the engines whose upgrade has begun.
+	active map[mulberrybeam.InstanceID]bool
+	// schedules are the waves of the desired weights.
+	schedules map[mulberrybeam.ModelName]*wavescheduler.Schedule
+	desired   map[mulberrybeam.ModelName]int
+	hosts     map[mulberrybeam.ProcessID]bool
 
 	lease      mulberrybeam.LeaderLease
 	leaseKnown bool
@@ -89,6 +95,9 @@
 	return &Upgrader{
 		self: self, encoder: encoder, orderGap: gap,
 		engines:        map[mulberrybeam.InstanceID]*engine{},
+		outdated:       map[mulberrybeam.InstanceID]bool{},
+		active:         map[mulberrybeam.InstanceID]bool{},
+		schedules:      map[mulberrybeam.ModelName]*wavescheduler.Schedule{},
 		desired:        map[mulberrybeam.ModelName]int{},
 		hosts:          map[mulberrybeam.ProcessID]bool{},
 		orderedEngines: map[mulberrybeam.Ticket]mulberrybeam.InstanceID{},
@@ -126,7 +135,7 @@
 	if event.Kind == mulberrybeam.ObjectTarget {
 		for id := range u.engines {
 			if _, kept := event.Records[string(id)]; !kept {
-				delete(u.engines, id)
+				u.removeEngine(id)
 			}
 		}
 	}
@@ -143,7 +152,7 @@
 	case kind == mulberrybeam.ObjectTarget:
 		u.applyTarget(mulberrybeam.InstanceID(name), record.Target)
 	case record.Weights != nil:
-		u.desired[record.Weights.Model] = max(u.desired[record.Weights.Model], record.Weights.Version)
+		u.setDesired(*record.Weights)
 	case kind == mulberrybeam.ObjectHost && !removed:
 		u.hosts[mulberrybeam.ProcessID(name)] = true
 	case kind == mulberrybeam.ObjectHost:
@@ -155,33 +164,10 @@
 	}
 }
 
-func (u *Upgrader) applyTarget(id mulberrybeam.InstanceID, target *mulberrybeam.LiveTarget) {
-	if target == nil || target.Draining || len(target.Versions) == 0 {
-		delete(u.engines, id)
-		return
-	}
-	known := u.engines[id]
-	if known == nil || known.target.StartedAt != target.StartedAt {
-		u.engines[id] = &engine{target: *target, knownVersions: map[mulberrybeam.ModelName]int{}}
-		return
-	}
-	known.target = *target
-}
-
-// applyUpgraded adopts the versions of upgraded engines that the lease lists.
-func (u *Upgrader) applyUpgraded(changed []mulberrybeam.UpgradedEngine) {
-	for _, c := range changed {
-		if e := u.engines[c.Engine]; e != nil {
-			e.knownVersions[c.Model] = max(e.knownVersions[c.Model], c.Version)
-		}
-	}
-}
-
 // reconcile claims or renews the lease while upgrades are pending, and upgrades
 // engines while the lease is held.
 func (u *Upgrader) reconcile(turn mulberrybeam.Turn) []mulberrybeam.Action {
-	pending := u.pending()
-	if len(pending) == 0 {
+	if len(u.outdated) == 0 {
 		u.pendingSince = 0
 		if turn.Now < u.validUntil && u.unannounced {
 			return u.maintainLease(turn)
@@ -195,61 +181,19 @@
 	if turn.Now >= u.validUntil {
 		return actions
 	}
-	return append(actions, u.requestReports(turn, pending)...)
-}
-
-// pending returns the engines that lack desired weights, ordered by ID.
-func (u *Upgrader) pending() []*engine {
-	var pending []*engine
-	for _, id := range slices.Sorted(maps.Keys(u.engines)) {
-		if model, _ := u.missingVersion(u.engines[id]); model != "" {
-			pending = append(pending, u.engines[id])
-		}
-	}
-	return pending
+	return append(actions, u.requestReports(turn)...)
 }
 
-// missingVersion returns the first model whose desired version the engine does
-// not have, and that version.
-func (u *Upgrader) missingVersion(e *engine) (mulberrybeam.ModelName, int) {
-	for _, model := range slices.Sorted(maps.Keys(e.target.Versions)) {
-		if desired := u.desired[model]; max(e.target.Versions[model], e.knownVersions[model]) < desired {
-			return model, desired
-		}
-	}
-	return "", 0
-}
-
-// currentWave returns the engines of the current wave of each model.
-func (u *Upgrader) currentWave() map[mulberrybeam.InstanceID]bool {
-	wave := map[mulberrybeam.InstanceID]bool{}
-	for model, desired := range u.desired {
-		var engines []wavescheduler.Engine
-		for id, e := range u.engines {
-			if version, serves := e.target.Versions[model]; serves {
-				engines = append(engines, wavescheduler.Engine{ID: id, Version: max(version, e.knownVersions[model])})
-			}
-		}
-		for _, id := range wavescheduler.CurrentWave(model, desired, engines) {
-			wave[id] = true
-		}
-	}
-	return wave
-}
-
-// requestReports requests load reports from the pending engines that are due.
-// Engines that have not begun their upgrade must be in the current wave.
-func (u *Upgrader) requestReports(turn mulberrybeam.Turn, pending []*engine) []mulberrybeam.Action {
-	wave := u.currentWave()
+// requestReports requests load reports from the engines that are due: the outdated
+// ones of the current waves and those that have begun their upgrade.
+func (u *Upgrader) requestReports(turn mulberrybeam.Turn) []mulberrybeam.Action {
 	var actions []mulberrybeam.Action
-	for _, e := range pending {
+	for _, id := range u.upgradeCandidates() {
+		e := u.engines[id]
 		if turn.Now < e.nextAt || e.state == stateQuerying || e.state == stateOrdering {
 			continue
 		}
-		if e.state == stateIdle && !wave[e.target.ID] {
-			continue
-		}
-		e.state = stateQuerying
+		u.setState(e, stateQuerying)
 		actions = append(actions, mulberrybeam.Observe{Target: toTarget(e.target)})
 	}
 	return actions
@@ -262,7 +206,8 @@
 	if e == nil || e.state != stateQuerying {
 		return nil
 	}
-	e.state, e.nextAt = stateIdle, turn.Now+retryDelay
+	e.nextAt = turn.Now + retryDelay
+	u.setState(e, stateIdle)
 	if event.Err != nil {
 		return []mulberrybeam.Action{timelineNote("engine " + string(event.Target) + " returned no load report: " + event.Err.Error())}
 	}
@@ -271,6 +216,7 @@
 			e.knownVersions[model] = max(e.knownVersions[model], number)
 		}
 	}
+	u.updateOutdated(mulberrybeam.InstanceID(event.Target), e)
 	model, desired := u.missingVersion(e)
 	if model == "" {
 		u.renewAt = min(u.renewAt, u.renewedAt+announceInterval)
@@ -278,13 +224,14 @@
 		return nil
 	}
 	if event.Report.OrderBusy {
-		e.state, e.nextAt = stateLoading, turn.Now+checkDelay
+		e.nextAt = turn.Now + checkDelay
+		u.setState(e, stateLoading)
 		return nil
 	}
 	if turn.Now >= u.validUntil {
 		return nil
 	}
-	e.state = stateOrdering
+	u.setState(e, stateOrdering)
 	ticket := mulberrybeam.Ticket(turn.Rand.Uint64())
 	u.orderedEngines[ticket] = e.target.ID
 	return []mulberrybeam.Action{mulberrybeam.SendOrder{
@@ -310,7 +257,8 @@
 	if !known || e == nil || e.state != stateOrdering {
 		return nil
 	}
-	e.state, e.nextAt = stateLoading, turn.Now+checkDelay
+	e.nextAt = turn.Now + checkDelay
+	u.setState(e, stateLoading)
 	if event.Err == nil {
 		return []mulberrybeam.Action{timelineNote("engine " + string(id) + " accepted an order")}
 	}
@@ -319,7 +267,7 @@
 		// holds the lease now.
 		u.validUntil = 0
 		u.nextWriteAt = turn.Now + writeRetryDelay
-		e.state = stateIdle
+		u.setState(e, stateIdle)
 	}
 	return []mulberrybeam.Action{timelineNote("engine " + string(id) + " did not accept an order: " + event.Err.Error())}
 }
