controller: keep the order of all events of targets

Removals went before older registrations and the confirmation of the feed went before changes, so that a batch of removals could empty a service before the registrations that follow it, and a confirmation told of a state from which changes were missing. Found in the review of the lanes.

All events of a feed are now in one lane, in their order: the configuration and evacuations first, targets next, the rest in turns. The bookkeeping of overtaken events is gone.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -28,10 +28,8 @@
 	// request handling never waits for the control goroutine.
 	postBacklog = 4096
 	// deliveryBacklog is the buffer size for results of actions and for events
-	// passed to Deliver, in each lane. It holds the changes of all targets of a
-	// large deployment, since a feed that waits for room cannot deliver the urgent
-	// changes among them.
-	deliveryBacklog = 4096
+	// passed to Deliver, in each lane.
+	deliveryBacklog = 256
 )
 
 // Controller owns the control goroutine. Its exported methods are safe for
@@ -42,8 +40,8 @@
 
 	snapshot   atomic.Pointer[mulberrybeam.Snapshot]
 	dropped    atomic.Uint64
-	sequence   atomic.Uint64
 	urgent     chan delivery
+	targets    chan delivery
 	posted     chan delivery
 	requests   chan pendingRequest
 	deliveries chan delivery
@@ -53,7 +51,6 @@
 	// Only the control goroutine uses the fields below. dirty is set when
 	// the published snapshot is out of date.
 	dirty       bool
-	overtaking  overtaking
 	draining    bool
 	publishedAt time.Duration
 	lastTicket  mulberrybeam.Ticket
@@ -79,6 +76,7 @@
 		dependencies: defaultDependencies(),
 		machines:     machines,
 		urgent:       make(chan delivery, deliveryBacklog),
+		targets:      make(chan delivery, deliveryBacklog),
 		posted:       make(chan delivery, postBacklog),
 		requests:     make(chan pendingRequest),
 		deliveries:   make(chan delivery, deliveryBacklog),
@@ -155,11 +153,8 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for c.ctx.Err() == nil {
-		select {
-		case next := <-c.urgent:
-			c.processUrgent(next)
+		if c.processFirst(c.urgent, LaneUrgent) || c.processFirst(c.targets, LaneTargets) {
 			continue
-		default:
 		}
 		select {
 		case <-c.ctx.Done():
@@ -167,32 +162,33 @@
 			c.expireRequests()
 			c.processTurn(delivery{recipient: allMachines, event: mulberrybeam.Tick{}})
 		case next := <-c.urgent:
-			c.processUrgent(next)
+			c.processWaiting(next, LaneUrgent)
+		case next := <-c.targets:
+			c.processWaiting(next, LaneTargets)
 		case next := <-c.posted:
-			c.observeWait(LanePosted, c.now()-next.queuedAt)
-			c.processTurn(next)
+			c.processWaiting(next, LanePosted)
 		case request := <-c.requests:
 			c.processTurn(delivery{recipient: allMachines, event: c.addRequest(request)})
 		case next := <-c.deliveries:
-			c.processDelivered(next)
+			c.processWaiting(next, LaneDelivered)
 		}
 	}
 }
 
-func (c *Controller) processUrgent(next delivery) {
-	c.observeWait(LaneUrgent, c.now()-next.queuedAt)
-	c.overtaking.record(next)
-	c.processTurn(next)
+// processFirst processes the first event of a lane. It returns false if none waits.
+func (c *Controller) processFirst(queue <-chan delivery, lane Lane) bool {
+	select {
+	case next := <-queue:
+		c.processWaiting(next, lane)
+		return true
+	default:
+		return false
+	}
 }
 
-func (c *Controller) processDelivered(next delivery) {
-	c.observeWait(LaneDelivered, c.now()-next.queuedAt)
-	if !c.overtaking.isOutdated(next) {
-		c.processTurn(next)
-	}
-	if len(c.deliveries) == 0 {
-		c.overtaking.forget()
-	}
+func (c *Controller) processWaiting(next delivery, lane Lane) {
+	c.observeWait(lane, c.now()-next.queuedAt)
+	c.processTurn(next)
 }
 
 // processTurn runs one turn: it passes the event, and the events that machines
--- a/process/controller/execute.go
+++ b/process/controller/execute.go
@@ -58,10 +58,13 @@
 
 func (c *Controller) deliver(recipient int, event mulberrybeam.Event) {
 	queue := c.deliveries
-	if LaneOf(event) == LaneUrgent {
+	switch LaneOf(event) {
+	case LaneUrgent:
 		queue = c.urgent
+	case LaneTargets:
+		queue = c.targets
 	}
-	item := delivery{recipient: recipient, event: event, queuedAt: c.now(), sequence: c.sequence.Add(1)}
+	item := delivery{recipient: recipient, event: event, queuedAt: c.now()}
 	select {
 	case queue <- item:
 	case <-c.ctx.Done():
--- a/process/starter/feeds.go
+++ b/process/starter/feeds.go
@@ -82,13 +82,15 @@
 
 // MaxConfigAge returns the greatest age that the last confirmation of the configuration
 // has while the store answers. A confirmation counts from when its call was sent, so
-// that it is two waits old when the next one comes. The age is 0, for no limit, if the
-// settings do not bound how late a configuration may take effect.
+// that it is two waits old when the next one comes, and somewhat older if one call is
+// lost. The age is 0, for no limit, if the settings do not bound how late a configuration
+// may take effect.
 func MaxConfigAge(bounds mulberrybeam.HostBounds) time.Duration {
 	if bounds.ConfigWithin <= 0 {
 		return 0
 	}
-	return 2*configWait(bounds) + pollMargin
+	const lostCallMargin = 500 * time.Millisecond
+	return 2*configWait(bounds) + pollMargin + lostCallMargin
 }
 
 func orDefault(value, fallback time.Duration) time.Duration {
--- a/request/chooser/candidates.go
+++ b/request/chooser/candidates.go
@@ -28,6 +28,14 @@
 
 var bufferPool = sync.Pool{New: func() any { return new(buffers) }}
 
+// release returns the buffers to the pool without what they refer to, so that they keep
+// no fleet of the past.
+func (b *buffers) release() {
+	clear(b.eligible)
+	clear(b.warm)
+	bufferPool.Put(b)
+}
+
 // findCandidates finds the targets that the request may be sent to. It returns when
 // the first pause ends that keeps others out, or 0 if a target is kept out for another
 // reason.
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -112,7 +112,7 @@
 // Choose returns a target, or a Failure with CodeNoTarget.
 func Choose(now time.Duration, random *rand.Rand, fleet *mulberrybeam.Fleet, view View, query Query) (Choice, error) {
 	b := bufferPool.Get().(*buffers)
-	defer bufferPool.Put(b)
+	defer b.release()
 	pauseEnd := b.findCandidates(now, fleet, view, query)
 	switch {
 	case len(b.eligible) > 0:
