--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -28,7 +28,7 @@
 	// request handling never waits for the control goroutine.
 	postBacklog = 4096
 	// deliveryBacklog is the buffer size for results of actions and for events
-	// passed to Deliver.
+	// passed to Deliver, in each lane.
 	deliveryBacklog = 256
 )
 
@@ -40,7 +40,9 @@
 
 	snapshot   atomic.Pointer[mulberrybeam.Snapshot]
 	dropped    atomic.Uint64
-	posted     chan mulberrybeam.Event
+	urgent     chan delivery
+	targets    chan delivery
+	posted     chan delivery
 	requests   chan pendingRequest
 	deliveries chan delivery
 	ctx        context.Context
@@ -63,13 +65,6 @@
 	reply   chan mulberrybeam.Message
 }
 
-// delivery is an event with its recipient, which is the index of one machine or
-// allMachines.
-type delivery struct {
-	recipient int
-	event     mulberrybeam.Event
-}
-
 // allMachines addresses an event to every machine.
 const allMachines = -1
 
@@ -80,7 +75,9 @@
 	c := &Controller{
 		dependencies: defaultDependencies(),
 		machines:     machines,
-		posted:       make(chan mulberrybeam.Event, postBacklog),
+		urgent:       make(chan delivery, deliveryBacklog),
+		targets:      make(chan delivery, deliveryBacklog),
+		posted:       make(chan delivery, postBacklog),
 		requests:     make(chan pendingRequest),
 		deliveries:   make(chan delivery, deliveryBacklog),
 		ctx:          ctx,
@@ -109,7 +106,7 @@
 // full, the event is dropped and counted.
 func (c *Controller) Post(event mulberrybeam.Event) {
 	select {
-	case c.posted <- event:
+	case c.posted <- delivery{recipient: allMachines, event: event, queuedAt: c.now()}:
 	default:
 		c.dropped.Add(1)
 	}
@@ -118,7 +115,7 @@
 // Deliver queues an event for all machines. It blocks while the buffer is full,
 // until the controller stops. Use it for events that must not be lost.
 func (c *Controller) Deliver(event mulberrybeam.Event) {
-	c.deliver(delivery{allMachines, event})
+	c.deliver(allMachines, event)
 }
 
 // Ask passes a message from a peer, or from this process's own request
@@ -155,23 +152,45 @@
 func (c *Controller) run() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
+	for c.ctx.Err() == nil {
+		if c.processFirst(c.urgent, LaneUrgent) || c.processFirst(c.targets, LaneTargets) {
+			continue
+		}
 		select {
 		case <-c.ctx.Done():
-			return
 		case <-ticker.C:
 			c.expireRequests()
-			c.processTurn(delivery{allMachines, mulberrybeam.Tick{}})
-		case event := <-c.posted:
-			c.processTurn(delivery{allMachines, event})
+			c.processTurn(delivery{recipient: allMachines, event: mulberrybeam.Tick{}})
+		case next := <-c.urgent:
+			c.processWaiting(next, LaneUrgent)
+		case next := <-c.targets:
+			c.processWaiting(next, LaneTargets)
+		case next := <-c.posted:
+			c.processWaiting(next, LanePosted)
 		case request := <-c.requests:
-			c.processTurn(delivery{allMachines, c.addRequest(request)})
+			c.processTurn(delivery{recipient: allMachines, event: c.addRequest(request)})
 		case next := <-c.deliveries:
-			c.processTurn(next)
+			c.processWaiting(next, LaneDelivered)
 		}
 	}
 }
 
+// processFirst processes the first event of a lane. It returns false if none waits.
+func (c *Controller) processFirst(queue <-chan delivery, lane Lane) bool {
+	select {
+	case next := <-queue:
+		c.processWaiting(next, lane)
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *Controller) processWaiting(next delivery, lane Lane) {
+	c.observeWait(lane, c.now()-next.queuedAt)
+	c.processTurn(next)
+}
+
 // processTurn runs one turn: it passes the event, and the events that machines
 // emit in response, to the machines and publishes a snapshot if one is due.
 func (c *Controller) processTurn(first delivery) {
@@ -199,7 +218,7 @@
 		}
 		for _, action := range machine.Step(turn, next.event) {
 			if emit, ok := action.(mulberrybeam.EmitEvent); ok {
-				emitted = append(emitted, delivery{allMachines, emit.Event})
+				emitted = append(emitted, delivery{recipient: allMachines, event: emit.Event})
 				continue
 			}
 			c.execute(i, turn, action)
