Let a feed tell when its result was current

A host that gets changes through another host must not date their confirmation by its own call: the keys of the configuration are refused by that time. A feed may now say when its last result was current, and the feeder confirms that time.

The tests of connection/feeder, platform and process/tracker pass with the race detector.

--- a/connection/feeder/feeder.go
+++ b/connection/feeder/feeder.go
@@ -123,6 +123,9 @@
 		}
 		f.Deliver(changed)
 	}
+	if source, ok := f.Objects.(mulberrybeam.ConfirmedFeed); ok {
+		sentAt = source.ConfirmedAt(f.Kind)
+	}
 	// The confirmation must come after the changes. Otherwise it would confirm
 	// a state from which they are missing.
 	f.Deliver(mulberrybeam.FeedConfirmed{Kind: f.Kind, SentAt: sentAt})
--- a/connection/feeder/feeder_test.go
+++ b/connection/feeder/feeder_test.go
@@ -111,6 +111,26 @@
 	is.Equal(lost, 1)
 }
 
+// relayedStore is a fake feed whose result was confirmed before its call.
+type relayedStore struct{ *scriptedStore }
+
+func (relayedStore) ConfirmedAt(mulberrybeam.ObjectKind) time.Duration { return time.Second / 2 }
+
+// Guards against a confirmation that has the time of the feed's own call although
+// the result is from an earlier call of another host.
+func TestConfirmationHasTimeOfResult(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var events []mulberrybeam.Event
+	feeder.Feed{
+		Kind: mulberrybeam.ObjectHost, Decoder: fakeDecoder{}, Recheck: &feeder.RecheckSignal{},
+		Objects:    relayedStore{&scriptedStore{responses: []storeResponse{{version: "1"}, {version: "2"}}, cancel: cancel}},
+		BatchDelay: func() time.Duration { return 0 }, Now: func() time.Duration { return time.Second },
+		Deliver: func(event mulberrybeam.Event) { events = append(events, event) },
+	}.Run(ctx)
+	is.Equal(events[1], mulberrybeam.FeedConfirmed{Kind: mulberrybeam.ObjectHost, SentAt: time.Second / 2})
+}
+
 // unresponsiveStore is a fake store that does not respond to calls that wait for
 // changes, and whose history is gone. It records the wait time of each call.
 type unresponsiveStore struct {
--- a/fleet.go
+++ b/fleet.go
@@ -267,6 +267,8 @@
 	// PeerAddresses are the addresses of the other entry hosts, in a fixed
 	// order.
 	PeerAddresses []string
+	// Peers are the registered entry hosts, including this one, ordered by ID.
+	Peers []EntryHost
 	// Regions maps zones to their regions.
 	Regions map[ZoneName]RegionName
 	// Crashes counts the targets whose connection broke during a request, by
@@ -344,4 +346,7 @@
 	// configuration and an evacuation must take effect.
 	ConfigWithin   time.Duration
 	EvacuateWithin time.Duration
+	// DrainWithin is the time within which a target that drains must get no more
+	// requests.
+	DrainWithin time.Duration
 }
--- a/interface.go
+++ b/interface.go
@@ -89,6 +89,17 @@
 	Changes(ctx context.Context, kind ObjectKind, version string, wait time.Duration) ([]ObjectChanged, string, error)
 }
 
+// ConfirmedFeed is an ObjectFeed whose results may be older than the call that
+// returned them.
+type ConfirmedFeed interface {
+	ObjectFeed
+	// ConfirmedAt returns the local monotonic time at which the result of the last
+	// successful call of Changes for a kind was current. It is never later than
+	// the call to the store that the result is from. Only the goroutine that calls
+	// Changes for the kind may use it.
+	ConfirmedAt(kind ObjectKind) time.Duration
+}
+
 // RecordDecoder decodes the content of objects.
 type RecordDecoder interface {
 	Decode(object Object) (Record, error)
--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -23,6 +23,7 @@
 		EntryHosts:    t.entryHosts(),
 
 		PeerAddresses: t.peerAddresses(),
+		Peers:         t.peers(),
 		Crashes:       make(map[mulberrybeam.Fingerprint]int, len(t.crashes)),
 	}
 	t.fleet.Leaving = leavingEngines(t.fleet.Targets, t.desiredWeights)
@@ -94,6 +95,11 @@
 	return addresses
 }
 
+// peers returns the registered entry hosts, ordered by ID.
+func (t *Tracker) peers() []mulberrybeam.EntryHost {
+	return slices.SortedFunc(maps.Values(t.hosts), func(a, b mulberrybeam.EntryHost) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 func workspacesByKey(deployment *mulberrybeam.Deployment) map[string]*mulberrybeam.WorkspaceSpec {
 	keys := map[string]*mulberrybeam.WorkspaceSpec{}
 	for i := range deployment.Workspaces {
