--- /dev/null
+++ b/connection/historykeeper/historykeeper.go
@@ -0,0 +1,143 @@
+// Package historykeeper keeps the recent changes of one kind of objects that a
+// follower received from the store, and decides what the follower may answer to
+// another host.
+package historykeeper
+
+import (
+	"strconv"
+	"time"
+
+	"mulberrybeam"
+)
+
+const (
+	// maxBytes and maxChanges limit the changes that are kept of a kind. A host that
+	// is further behind asks the store.
+	maxBytes   = 1 << 20
+	maxChanges = 2000
+	// objectOverhead is the assumed size of a change without its content in bytes.
+	objectOverhead = 128
+)
+
+// History has the changes after the version floor up to the version top. It is
+// not safe for concurrent use.
+type History struct {
+	known       bool
+	lost        bool
+	floor       uint64
+	top         uint64
+	confirmedAt time.Duration
+	batches     []batch
+	changes     int
+	bytes       int
+}
+
+// batch has the changes that one call returned. They were made after the version
+// from, up to the version to.
+type batch struct {
+	from    uint64
+	to      uint64
+	changes []mulberrybeam.ObjectChanged
+	bytes   int
+}
+
+// Restart discards the history after a list of all objects that was requested at
+// sentAt and has the given version.
+func (h *History) Restart(version string, sentAt time.Duration) {
+	*h = History{}
+	if revision, err := strconv.ParseUint(version, 10, 64); err == nil {
+		h.known, h.floor, h.top, h.confirmedAt = true, revision, revision, sentAt
+	}
+}
+
+// Record adds the result of a call for the changes after a version, which was
+// sent at sentAt. The history begins anew if the result does not continue it.
+func (h *History) Record(version, next string, changes []mulberrybeam.ObjectChanged, sentAt time.Duration) {
+	from, errFrom := strconv.ParseUint(version, 10, 64)
+	to, errTo := strconv.ParseUint(next, 10, 64)
+	if errFrom != nil || errTo != nil || to < from {
+		*h = History{}
+		return
+	}
+	if !h.known || from != h.top {
+		h.Restart(version, sentAt)
+	}
+	h.lost, h.top, h.confirmedAt = false, to, sentAt
+	if len(changes) == 0 {
+		return
+	}
+	added := batch{from: from, to: to, changes: changes, bytes: size(changes)}
+	h.batches = append(h.batches, added)
+	h.changes += len(changes)
+	h.bytes += added.bytes
+	for len(h.batches) > 0 && (h.bytes > maxBytes || h.changes > maxChanges) {
+		h.bytes -= h.batches[0].bytes
+		h.changes -= len(h.batches[0].changes)
+		h.floor = h.batches[0].to
+		h.batches = h.batches[1:]
+	}
+}
+
+// Lose records that a call to the store failed. The history is answered from again
+// after the next successful call.
+func (h *History) Lose() { h.lost = true }
+
+// Answer returns the state for a cursor of an ask that was read at readAt.
+func (h *History) Answer(cursor mulberrybeam.PropagationCursor, readAt time.Duration) mulberrybeam.PropagationState {
+	state := mulberrybeam.PropagationState{Kind: cursor.Kind, Since: cursor.Version}
+	version, err := strconv.ParseUint(cursor.Version, 10, 64)
+	switch {
+	case h.lost:
+		state.Status = mulberrybeam.StatusLost
+		return state
+	case !h.known || err != nil || version < h.floor || version > h.top:
+		return state
+	}
+	changes, complete := h.after(version)
+	if !complete {
+		return state
+	}
+	state.Status = mulberrybeam.StatusCurrent
+	state.Next = strconv.FormatUint(h.top, 10)
+	state.Offset = h.confirmedAt - readAt
+	if !cursor.Probe {
+		state.Changes = changes
+	}
+	return state
+}
+
+// after returns the changes after a version. The version may be within a batch if
+// the asker got it from the store itself. Changes up to it are then left out,
+// since the asker has seen them and an older content must not follow a newer
+// one. The result is false if they cannot be told apart: the version of a removed
+// object may be that of its last content.
+func (h *History) after(version uint64) ([]mulberrybeam.ObjectChanged, bool) {
+	var result []mulberrybeam.ObjectChanged
+	for _, batch := range h.batches {
+		switch {
+		case batch.to <= version:
+			continue
+		case batch.from >= version:
+			result = append(result, batch.changes...)
+			continue
+		}
+		for _, change := range batch.changes {
+			revision, err := strconv.ParseUint(change.Object.Version, 10, 64)
+			switch {
+			case err != nil || change.Deleted && revision <= version:
+				return nil, false
+			case revision > version:
+				result = append(result, change)
+			}
+		}
+	}
+	return result, true
+}
+
+func size(changes []mulberrybeam.ObjectChanged) int {
+	total := 0
+	for _, change := range changes {
+		total += objectOverhead + len(change.Object.Data)
+	}
+	return total
+}
