Limit the pause between calls for targets in large fleets

The pause after changes grows with the number of hosts and was 3.6 s at 380 hosts, longer than a drained target may get requests: in a model of 380 hosts in virtual time, hosts that follow the store learned of targets' changes after up to 3.6 s. It is now 1 s at most for targets. Fleets of up to 106 hosts are not affected. The same file says how old a follower's confirmation of each kind may be.

--- a/process/starter/feeds.go
+++ b/process/starter/feeds.go
@@ -33,6 +33,30 @@
 	defaultVersionWithin  = 8 * time.Second
 )
 
+// Ages that a follower's confirmation of a kind may have.
+const (
+	// recheckMargin is the part of a deadline that is left for a call to the store
+	// when a follower's confirmation has become too old.
+	recheckMargin = time.Second
+	// relayMargin is the time that a confirmation may be under way: a follower keeps
+	// an ask for 400 ms, and the rest is for a slow store and busy hosts.
+	relayMargin = 900 * time.Millisecond
+	// minFollowerWait is the shortest wait of a follower. Kinds whose deadlines need
+	// a shorter one are not passed on.
+	minFollowerWait = 250 * time.Millisecond
+	// unboundedWait is the wait of a follower for kinds without a deadline, and of
+	// other hosts until they rely on a follower.
+	unboundedWait = 5 * time.Second
+	// maxConfirmAge limits the age for kinds with long deadlines, so that followers
+	// rarely pass on a wait that the store has dropped.
+	maxConfirmAge = 4 * time.Second
+	// revokeAgeFraction is the fraction of the deadline for revoked API keys that a
+	// confirmation may be old. Requests are refused from 0.95 of it on.
+	revokeAgeFraction = 0.4
+	// defaultDrainWithin replaces a deadline that the settings do not set.
+	defaultDrainWithin = 2 * time.Second
+)
+
 // Pauses after a call that returned changes, so that changes in quick succession
 // are fetched with one call.
 const (
@@ -41,6 +65,9 @@
 	// request that was in flight, and no deadline depends on the records.
 	crashPause = 400 * time.Millisecond
 	hostPause  = time.Second
+	// maxTargetPause limits the pause for targets in a large fleet. With 380 hosts it
+	// would be 3.6 s, longer than a drained target may get requests.
+	maxTargetPause = time.Second
 	// maxUnscaledHosts is the number of entry hosts up to which the pauses apply
 	// unchanged. With more hosts they grow in proportion, because each change
 	// costs one call by every host.
@@ -55,6 +82,8 @@
 	// BatchDelay is the pause after a call that returned changes, in a fleet of at
 	// most maxUnscaledHosts entry hosts.
 	BatchDelay time.Duration
+	// MaxBatchDelay limits the pause in larger fleets, unless it is 0.
+	MaxBatchDelay time.Duration
 }
 
 // Feeds returns the feeds for all kinds of objects, with wait times that meet the
@@ -65,14 +94,40 @@
 		configWait = clampWait(min(configWait, time.Duration(revokeFraction*float64(bounds.RevokeWithin))))
 	}
 	return []Feed{
-		{mulberrybeam.ObjectDeployment, configWait, 0},
-		{mulberrybeam.ObjectTarget, targetWait, changePause},
-		{mulberrybeam.ObjectEvacuation, clampWait(orDefault(bounds.EvacuateWithin, defaultEvacuateWithin) - retryMargin), 0},
-		{mulberrybeam.ObjectWeights, clampWait(orDefault(bounds.VersionWithin, defaultVersionWithin) - retryMargin), 0},
-		{mulberrybeam.ObjectHost, maxWait, hostPause},
-		{mulberrybeam.ObjectLease, maxWait, changePause},
-		{mulberrybeam.ObjectCrash, maxWait, crashPause},
+		{mulberrybeam.ObjectDeployment, configWait, 0, 0},
+		{mulberrybeam.ObjectTarget, targetWait, changePause, maxTargetPause},
+		{mulberrybeam.ObjectEvacuation, clampWait(orDefault(bounds.EvacuateWithin, defaultEvacuateWithin) - retryMargin), 0, 0},
+		{mulberrybeam.ObjectWeights, clampWait(orDefault(bounds.VersionWithin, defaultVersionWithin) - retryMargin), 0, 0},
+		{mulberrybeam.ObjectHost, maxWait, hostPause, 0},
+		{mulberrybeam.ObjectLease, maxWait, changePause, 0},
+		{mulberrybeam.ObjectCrash, maxWait, crashPause, 0},
+	}
+}
+
+// Policies returns how the kinds are passed on between hosts so that the deadlines in
+// bounds are met. Kinds that are missing are followed by every host itself.
+func Policies(bounds mulberrybeam.HostBounds) map[mulberrybeam.ObjectKind]mulberrybeam.PropagationPolicy {
+	configAge := orDefault(bounds.ConfigWithin, defaultConfigWithin) - recheckMargin
+	if bounds.FailClosed && bounds.RevokeWithin > 0 {
+		configAge = min(configAge, time.Duration(revokeAgeFraction*float64(bounds.RevokeWithin)))
+	}
+	unbounded := mulberrybeam.PropagationPolicy{FollowerWait: unboundedWait, MaxAge: 2*unboundedWait + 2*relayMargin}
+	policies := map[mulberrybeam.ObjectKind]mulberrybeam.PropagationPolicy{
+		mulberrybeam.ObjectHost: unbounded, mulberrybeam.ObjectLease: unbounded, mulberrybeam.ObjectCrash: unbounded,
+	}
+	for kind, age := range map[mulberrybeam.ObjectKind]time.Duration{
+		mulberrybeam.ObjectDeployment: configAge,
+		mulberrybeam.ObjectTarget:     orDefault(bounds.DrainWithin, defaultDrainWithin) - recheckMargin,
+		mulberrybeam.ObjectEvacuation: orDefault(bounds.EvacuateWithin, defaultEvacuateWithin) - recheckMargin,
+		mulberrybeam.ObjectWeights:    orDefault(bounds.VersionWithin, defaultVersionWithin) - recheckMargin,
+	} {
+		age = min(age, maxConfirmAge)
+		// A confirmation may be two waits old when the next one comes.
+		if wait := (age - relayMargin) / 2; wait >= minFollowerWait {
+			policies[kind] = mulberrybeam.PropagationPolicy{FollowerWait: wait, MaxAge: age, Bounded: true}
+		}
 	}
+	return policies
 }
 
 func orDefault(value, fallback time.Duration) time.Duration {
@@ -86,6 +141,16 @@
 	return min(max(wait, minWait), maxWait)
 }
 
+// Pause returns the pause after a call that returned changes, if a number of hosts
+// call the store for each change.
+func (f Feed) Pause(hosts int) time.Duration {
+	pause := ScaleBatchDelay(f.BatchDelay, hosts)
+	if f.MaxBatchDelay > 0 {
+		pause = min(pause, f.MaxBatchDelay)
+	}
+	return pause
+}
+
 // ScaleBatchDelay scales a feed's pause to the number of entry hosts.
 func ScaleBatchDelay(pause time.Duration, hosts int) time.Duration {
 	return max(pause, pause*time.Duration(hosts)/maxUnscaledHosts)
--- a/process/starter/feeds_test.go
+++ b/process/starter/feeds_test.go
@@ -45,4 +45,37 @@
 	is.Equal(starter.ScaleBatchDelay(100*time.Millisecond, 9), 100*time.Millisecond)
 	is.Equal(starter.ScaleBatchDelay(100*time.Millisecond, 80), 500*time.Millisecond)
 	is.Equal(starter.ScaleBatchDelay(0, 80), time.Duration(0))
+	for _, feed := range starter.Feeds(mulberrybeam.HostBounds{}) {
+		// A pause beyond this would delay a drained target past its deadline.
+		if feed.Kind == mulberrybeam.ObjectTarget {
+			is.Equal(feed.Pause(16), 150*time.Millisecond)
+			is.Equal(feed.Pause(380), time.Second)
+		}
+	}
+}
+
+// Guards against a host that relies on a follower for so long that a call to the
+// store afterwards comes too late, and against followers whose confirmations are
+// regularly too old.
+func TestPoliciesMeetDeadlines(t *testing.T) {
+	is := is.New(t)
+	const directCall = 700 * time.Millisecond
+	bounds := mulberrybeam.HostBounds{
+		FailClosed: true, RevokeWithin: 5 * time.Second, ConfigWithin: 3 * time.Second, DrainWithin: 3 * time.Second,
+		EvacuateWithin: 5 * time.Second, VersionWithin: 8 * time.Second,
+	}
+	policies := starter.Policies(bounds)
+	is.Equal(len(policies), len(starter.Feeds(bounds)))
+	is.True(policies[mulberrybeam.ObjectDeployment].MaxAge+directCall < bounds.ConfigWithin)
+	is.True(policies[mulberrybeam.ObjectTarget].MaxAge+directCall < bounds.DrainWithin)
+	is.True(policies[mulberrybeam.ObjectEvacuation].MaxAge+directCall < bounds.EvacuateWithin)
+	is.True(policies[mulberrybeam.ObjectWeights].MaxAge+directCall < bounds.VersionWithin)
+	for _, policy := range policies {
+		is.True(2*policy.FollowerWait+500*time.Millisecond < policy.MaxAge)
+	}
+	// Deadlines that leave no time for it keep the kind with every host.
+	bounds.DrainWithin, bounds.ConfigWithin = 2*time.Second, time.Second
+	policies = starter.Policies(bounds)
+	is.Equal(policies[mulberrybeam.ObjectTarget], mulberrybeam.PropagationPolicy{})
+	is.Equal(policies[mulberrybeam.ObjectDeployment], mulberrybeam.PropagationPolicy{})
 }
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -162,7 +162,7 @@
 	for _, feed := range Feeds(p.settings.Load().Bounds) {
 		feedLoop := feeder.Feed{
 			Kind: feed.Kind, Objects: store, Decoder: platform.Decoder{}, MaxWait: feed.Wait,
-			BatchDelay: func() time.Duration { return ScaleBatchDelay(feed.BatchDelay, p.entryHostCount()) },
+			BatchDelay: func() time.Duration { return feed.Pause(p.entryHostCount()) },
 			Now:        p.now, Deliver: p.control.Deliver, Recheck: recheck,
 			OnDecodeError: func(err error) { p.recordEvent("skipped", err.Error()) },
 		}
