Pass on what the store says between the hosts of a zone

connection/propagator is an ObjectFeed that gets changes from a follower of the zone while its answers are recent enough, and from the store otherwise.

--- a/connection/propagationencoder/propagationencoder_test.go
+++ b/connection/propagationencoder/propagationencoder_test.go
@@ -64,3 +64,21 @@
 		_, _ = propagationencoder.ReadAnswer(bytes.NewReader(data))
 	})
 }
+
+// BenchmarkExchange measures both ends of one ask for seven kinds without changes,
+// apart from the system calls.
+func BenchmarkExchange(b *testing.B) {
+	var ask mulberrybeam.PropagationAsk
+	var reply mulberrybeam.PropagationAnswer
+	for _, kind := range []mulberrybeam.ObjectKind{"deployment", "target", "evacuation", "weights", "entry-host", "duty-lease", "crash"} {
+		ask.Cursors = append(ask.Cursors, mulberrybeam.PropagationCursor{Kind: kind, Version: "1234567"})
+		reply.States = append(reply.States, mulberrybeam.PropagationState{Kind: kind, Since: "1234567", Next: "1234567", Offset: -time.Second})
+	}
+	var buffer bytes.Buffer
+	for b.Loop() {
+		_ = propagationencoder.WriteAsk(&buffer, ask)
+		_, _ = propagationencoder.ReadAsk(&buffer)
+		_ = propagationencoder.WriteAnswer(&buffer, reply)
+		_, _ = propagationencoder.ReadAnswer(&buffer)
+	}
+}
--- /dev/null
+++ b/connection/propagator/fake_test.go
@@ -0,0 +1,219 @@
+package propagator_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"mulberrybeam"
+)
+
+// fakeStore is a store in virtual time. It keeps all changes.
+type fakeStore struct {
+	mutex   sync.Mutex
+	log     []storedChange
+	forgot  int
+	changed chan struct{}
+	down    bool
+	calls   map[string]int
+}
+
+// storedChange is a change with its time. Its revision is its index plus one.
+type storedChange struct {
+	mulberrybeam.ObjectChanged
+	at time.Time
+}
+
+func (s *fakeStore) put(kind mulberrybeam.ObjectKind, name string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	object := mulberrybeam.Object{Kind: kind, Name: name, Version: strconv.Itoa(len(s.log) + 1)}
+	s.log = append(s.log, storedChange{mulberrybeam.ObjectChanged{Object: object}, time.Now()})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// after returns the changes of a kind after a revision, the last revision and a
+// channel that is closed at the next change, or nil if the revision was forgotten.
+func (s *fakeStore) after(kind mulberrybeam.ObjectKind, revision int) ([]mulberrybeam.ObjectChanged, string, chan struct{}) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if revision > 0 && revision < s.forgot {
+		return nil, "", nil
+	}
+	var changes []mulberrybeam.ObjectChanged
+	for _, change := range s.log[revision:] {
+		if change.Object.Kind == kind {
+			changes = append(changes, change.ObjectChanged)
+		}
+	}
+	return changes, strconv.Itoa(len(s.log)), s.changed
+}
+
+func (s *fakeStore) count(name string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls[name]++
+	return s.down
+}
+
+func (s *fakeStore) counts() (lists, changes int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls["lists"], s.calls["changes"]
+}
+
+// faults are the faults of one host, which the test switches on and off.
+type faults struct {
+	mutex    sync.Mutex
+	thawed   chan struct{}
+	rejected bool
+	// deaf loses what is sent to the host, and dead closes its connections.
+	deaf, dead bool
+}
+
+func (f *faults) set(change func(f *faults)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	change(f)
+}
+
+func (f *faults) freeze(duration time.Duration) {
+	thawed := make(chan struct{})
+	f.set(func(f *faults) { f.thawed = thawed })
+	time.Sleep(duration)
+	f.set(func(f *faults) { f.thawed = nil })
+	close(thawed)
+}
+
+// pass waits while the host is frozen.
+func (f *faults) pass() (deaf, dead, rejected bool) {
+	f.mutex.Lock()
+	thawed := f.thawed
+	f.mutex.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.deaf, f.dead, f.rejected
+}
+
+// hostStore is the store as one host reaches it.
+type hostStore struct {
+	*fakeStore
+	faults *faults
+}
+
+var errDown = &mulberrybeam.Failure{Code: mulberrybeam.CodePlatformDown}
+
+// latency is the time of a call in each direction.
+const latency = 5 * time.Millisecond
+
+func (h hostStore) ListAt(_ context.Context, kind mulberrybeam.ObjectKind) ([]mulberrybeam.Object, string, error) {
+	h.faults.pass()
+	down := h.count("lists")
+	time.Sleep(latency)
+	if _, _, rejected := h.faults.pass(); down || rejected {
+		return nil, "", errDown
+	}
+	changes, next, _ := h.after(kind, 0)
+	var objects []mulberrybeam.Object
+	for _, change := range changes {
+		objects = append(objects, change.Object)
+	}
+	return objects, next, nil
+}
+
+func (h hostStore) Changes(ctx context.Context, kind mulberrybeam.ObjectKind, version string, wait time.Duration) ([]mulberrybeam.ObjectChanged, string, error) {
+	h.faults.pass()
+	down := h.count("changes")
+	_, _, rejected := h.faults.pass()
+	time.Sleep(latency)
+	if down || rejected {
+		return nil, "", errDown
+	}
+	revision, _ := strconv.Atoi(version)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for over := false; ; {
+		changes, next, changed := h.after(kind, revision)
+		if changed == nil {
+			return nil, "", &mulberrybeam.Failure{Code: mulberrybeam.CodeExpiredVersion}
+		}
+		if len(changes) > 0 || over {
+			time.Sleep(latency)
+			if deaf, _, _ := h.faults.pass(); !deaf {
+				return changes, next, nil
+			}
+			// The response is lost, which shows at the client's time limit.
+			time.Sleep(700 * time.Millisecond)
+			return nil, "", errDown
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			return nil, "", errDown
+		}
+	}
+}
+
+// fakeConn is one end of a connection between two hosts. Messages are lost while
+// the other end is deaf.
+type fakeConn struct {
+	net.Conn
+	own, peer *faults
+	in, out   chan []byte
+	rest      []byte
+	closed    chan struct{}
+	close     func()
+}
+
+// connect returns the two ends of a connection.
+func connect(a, b *faults) (*fakeConn, *fakeConn) {
+	there, back, closed := make(chan []byte, 64), make(chan []byte, 64), make(chan struct{})
+	closeOnce := sync.OnceFunc(func() { close(closed) })
+	return &fakeConn{own: a, peer: b, in: back, out: there, closed: closed, close: closeOnce},
+		&fakeConn{own: b, peer: a, in: there, out: back, closed: closed, close: closeOnce}
+}
+
+func (c *fakeConn) Read(data []byte) (int, error) {
+	if len(c.rest) == 0 {
+		select {
+		case c.rest = <-c.in:
+		case <-c.closed:
+			return 0, io.EOF
+		}
+		if deaf, _, _ := c.own.pass(); deaf {
+			c.rest = nil
+			return c.Read(data)
+		}
+	}
+	n := copy(data, c.rest)
+	c.rest = c.rest[n:]
+	return n, nil
+}
+
+func (c *fakeConn) Write(data []byte) (int, error) {
+	c.own.pass()
+	select {
+	case c.out <- append([]byte(nil), data...):
+		return len(data), nil
+	case <-c.closed:
+		return 0, io.ErrClosedPipe
+	}
+}
+
+func (c *fakeConn) Close() error {
+	c.close()
+	return nil
+}
+
+func (c *fakeConn) RemoteAddr() net.Addr           { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+func (*fakeConn) SetReadDeadline(time.Time) error  { return nil }
+func (*fakeConn) SetWriteDeadline(time.Time) error { return nil }
--- /dev/null
+++ b/connection/propagator/waiter.go
@@ -0,0 +1,140 @@
+package propagator
+
+import (
+	"context"
+	"time"
+
+	"mulberrybeam"
+)
+
+// waiter is a call for changes that waits for a follower's answer.
+type waiter struct {
+	// until is when the call returns without changes.
+	until time.Duration
+	// next and answered are those of the answers without changes so far.
+	next     string
+	answered bool
+	// done gets the result if the call ends before until.
+	done chan result
+}
+
+// result is the result of a waiter. If it is doubtful the store must be asked.
+type result struct {
+	changes  []mulberrybeam.ObjectChanged
+	next     string
+	doubtful bool
+}
+
+// register adds a waiter. The mutex must be held.
+func (p *Propagator) register(state *kindState, wait, now time.Duration) *waiter {
+	if state.policy.Bounded {
+		wait = min(wait, confirmInterval)
+	}
+	state.check.Begin(now)
+	state.waiter = &waiter{until: now + wait, next: state.version, done: make(chan result, 1)}
+	select {
+	case p.askNow <- struct{}{}:
+	default:
+	}
+	return state.waiter
+}
+
+// await waits for the end of a waiter.
+func (p *Propagator) await(ctx context.Context, state *kindState, waiting *waiter) (result, error) {
+	for {
+		timer := time.NewTimer(p.pause(state, waiting))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			p.mutex.Lock()
+			state.waiter = nil
+			p.mutex.Unlock()
+			return result{}, &mulberrybeam.Failure{
+				Code: mulberrybeam.CodePlatformDown, Step: mulberrybeam.StepPlatform, Message: "the wait was ended", Cause: ctx.Err(),
+			}
+		case ended := <-waiting.done:
+			timer.Stop()
+			return ended, nil
+		case <-timer.C:
+		}
+		if ended, over := p.expire(state, waiting); over {
+			return ended, nil
+		}
+	}
+}
+
+// pause returns the time until the waiter may expire.
+func (p *Propagator) pause(state *kindState, waiting *waiter) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now, deadline := p.Now(), state.check.Deadline()
+	if now < waiting.until {
+		deadline = min(deadline, waiting.until)
+	}
+	return max(0, deadline-now)
+}
+
+// expire ends the waiter if its time is over or the answers are too old.
+func (p *Propagator) expire(state *kindState, waiting *waiter) (result, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := p.Now()
+	select {
+	case ended := <-waiting.done:
+		return ended, true
+	default:
+	}
+	switch {
+	case now >= state.check.Deadline():
+		state.waiter = nil
+		state.check.Lose()
+		return result{doubtful: true}, true
+	case waiting.answered && now >= waiting.until:
+		p.finish(state, result{next: waiting.next}, now)
+		return <-waiting.done, true
+	}
+	return result{}, false
+}
+
+// finish ends the waiter of a kind with the result of a follower. The mutex must be
+// held.
+func (p *Propagator) finish(state *kindState, ended result, now time.Duration) {
+	state.version, state.source = ended.next, SourceFollower
+	state.check.Advance(ended.next, len(ended.changes) > 0)
+	state.waiter.done <- ended
+	state.waiter = nil
+	p.OnResult(state.kind, SourceFollower, now-state.confirmedAt)
+}
+
+// doubt ends the waiter of a kind, so that it asks the store. The mutex must be
+// held.
+func (s *kindState) doubt() {
+	s.check.Lose()
+	if s.waiter != nil {
+		s.waiter.done <- result{doubtful: true}
+		s.waiter = nil
+	}
+}
+
+// accept applies a follower's state for the kind. It reports false if changes were
+// sent that cannot be used. The mutex must be held.
+func (p *Propagator) accept(state *kindState, told mulberrybeam.PropagationState, probe bool, sentAt time.Duration) bool {
+	now := p.Now()
+	if told.Status == mulberrybeam.StatusLost {
+		state.doubt()
+		return true
+	}
+	// Without a waiter the changes are dropped, so that the answer confirms nothing.
+	probe = probe || state.waiter == nil
+	confirmedAt, usable := state.check.Accept(told, probe, sentAt, now)
+	if !usable {
+		return probe || len(told.Changes) == 0
+	}
+	state.confirmedAt = confirmedAt
+	if len(told.Changes) > 0 || now >= state.waiter.until {
+		p.finish(state, result{changes: told.Changes, next: told.Next}, now)
+		return true
+	}
+	state.waiter.next, state.waiter.answered = told.Next, true
+	return true
+}
