Count results of feeds by kind and source

mulberrybeam_feed_results_total by kind and source, and mulberrybeam_confirmation_age_seconds by kind. The test of process/meter passes with the race detector.

--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -38,6 +39,8 @@
 	duration        metric.Float64Histogram
 	contextTokens   metric.Int64Counter
 	generatedTokens metric.Int64Counter
+	feedResults     metric.Int64Counter
+	confirmationAge metric.Float64Gauge
 	mutex           sync.Mutex
 	workspaces      map[mulberrybeam.WorkspaceName]bool
 	environment     attribute.KeyValue
@@ -74,6 +77,8 @@
 	m.duration = builder.seconds("mulberrybeam.duration", "Time from arrival to the end of the answer.")
 	m.contextTokens = builder.counter("mulberrybeam.context-tokens", "Prompt tokens by where their context came from.")
 	m.generatedTokens = builder.counter("mulberrybeam.generated-tokens", "Generated tokens.")
+	m.feedResults = builder.counter("mulberrybeam.feed-results", "Results of calls for changes by kind of object and source.")
+	m.confirmationAge = builder.gauge("mulberrybeam.confirmation-age", "Age of the confirmation in the last result by kind of object.")
 	return builder.err
 }
 
@@ -100,6 +105,22 @@
 	return histogram
 }
 
+func (b *instrumentBuilder) gauge(name, description string) metric.Float64Gauge {
+	gauge, err := b.meter.Float64Gauge(name, metric.WithDescription(description), metric.WithUnit("s"))
+	if b.err == nil {
+		b.err = err
+	}
+	return gauge
+}
+
+// ObserveFeed updates the metrics for one result of a call for the changes of a kind
+// of objects, which the source confirmed with the given age.
+func (m *Meter) ObserveFeed(kind mulberrybeam.ObjectKind, source string, age time.Duration) {
+	ctx, label := context.Background(), attribute.String("kind", string(kind))
+	m.feedResults.Add(ctx, 1, m.attributes(label, attribute.String("source", source)))
+	m.confirmationAge.Record(ctx, age.Seconds(), m.attributes(label))
+}
+
 // Observe updates the metrics for one entry.
 func (m *Meter) Observe(entry mulberrybeam.Entry) {
 	ctx := context.Background()
--- a/process/meter/meter_test.go
+++ b/process/meter/meter_test.go
@@ -29,6 +29,7 @@
 		}})
 	}
 	metrics.Observe(mulberrybeam.Entry{Kind: mulberrybeam.EntryRefusal, Code: mulberrybeam.CodeOverloaded})
+	metrics.ObserveFeed(mulberrybeam.ObjectTarget, "follower", 250*time.Millisecond)
 
 	response := httptest.NewRecorder()
 	handler.ServeHTTP(response, httptest.NewRequest("GET", "/metrics", nil))
@@ -37,4 +38,6 @@
 	is.True(strings.Contains(body, `code="overloaded"`))
 	is.True(strings.Contains(body, `source="recompute"`))
 	is.True(strings.Contains(body, `zone="a"`))
+	is.True(strings.Contains(body, "mulberrybeam_feed_results_total{") && strings.Contains(body, `source="follower"`))
+	is.True(strings.Contains(body, "mulberrybeam_confirmation_age_seconds{"))
 }
