Ignore a lease that was replaced since

A process took any other version of the lease over from the feed, also one older than its own last write, and its next renewal failed with that version. A direct watch is late by milliseconds only; a change that another host passes on can be late by the pause of that host's feed, 150 ms, while renewals are 200 to 600 ms apart. The counter of renewals now tells an older lease. A list is taken over in any case, so that a store that lost its history is followed.

The tests of version/upgrader pass with the race detector; the new one fails without the check.

--- a/version/upgrader/upgrader.go
+++ b/version/upgrader/upgrader.go
@@ -105,6 +105,9 @@
 	case mulberrybeam.RecordsListed:
 		u.applyList(turn, event)
 	case mulberrybeam.RecordChanged:
+		if u.isOlderLease(event) {
+			return nil
+		}
 		u.applyRecord(turn, event.Kind, event.Name, event.Record, event.Removed)
 	case mulberrybeam.ObjectReplied:
 		if event.Ticket != u.leaseTicket || u.leaseTicket == 0 {
@@ -155,6 +158,14 @@
 	}
 }
 
+// isOlderLease reports whether a change is a lease that this process has replaced
+// since. Changes may arrive later than the response to a write, and with the version
+// of an older lease the next renewal would fail.
+func (u *Upgrader) isOlderLease(event mulberrybeam.RecordChanged) bool {
+	lease := event.Record.Lease
+	return lease != nil && event.Name == LeaseName && lease.Renewals < u.lease.Renewals
+}
+
 func (u *Upgrader) applyTarget(id mulberrybeam.InstanceID, target *mulberrybeam.LiveTarget) {
 	if target == nil || target.Draining || len(target.Versions) == 0 {
 		delete(u.engines, id)
--- a/version/upgrader/upgrader_test.go
+++ b/version/upgrader/upgrader_test.go
@@ -283,3 +283,19 @@
 		is.Equal(e.orders, uint64(1))
 	}
 }
+
+// Guards against a renewal that fails because an older lease of this process, which
+// it has replaced since, arrived late.
+func TestLateChangeDoesNotReplaceNewerLease(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 9, true)
+	s.setDesiredVersion(2)
+	is.True(!s.run(900*time.Millisecond, 2))
+	first, _ := platform.Decoder{}.Decode(*s.lease)
+	first.Lease.Renewals--
+	first.Lease.Version = "0"
+	s.broadcast(mulberrybeam.RecordChanged{Kind: mulberrybeam.ObjectLease, Name: upgrader.LeaseName, Record: first})
+	revision := s.revision
+	s.run(700*time.Millisecond, 2)
+	is.True(s.revision > revision)
+}
