Get the store's changes from a follower of the zone

The feeds of an entry process now go through connection/propagator, which listens on TCP at the peer address.

TestHostAsksFollower runs two processes of a fleet of 17 hosts on loopback: in 3 s with one change the host that asks made 0 calls to the store and its follower 20, and a change reached it within 3 s after its follower had lost the store. process/starter, process/soaker, process/broadcaster, process/controller, request/relayer and cmd/mulberryentry pass with the race detector.

--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -3,7 +3,9 @@
 package starter
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +18,7 @@
 	"mulberrybeam/connection/dialer"
 	"mulberrybeam/connection/drainer"
 	"mulberrybeam/connection/feeder"
+	"mulberrybeam/connection/propagator"
 	"mulberrybeam/connection/requester"
 	"mulberrybeam/platform"
 	"mulberrybeam/process/broadcaster"
@@ -55,9 +58,12 @@
 	monitor   *monitor.Monitor
 	requester *requester.Requester
 	catalog   *cataloger.Cataloger
-	shutdown  atomic.Pointer[relayer.Shutdown]
-	servers   []*http.Server
-	drainer   *drainer.Drainer
+	// propagator is the source of the feeds. observeFeed counts their results.
+	propagator  *propagator.Propagator
+	observeFeed func(kind mulberrybeam.ObjectKind, source string, age time.Duration)
+	shutdown    atomic.Pointer[relayer.Shutdown]
+	servers     []*http.Server
+	drainer     *drainer.Drainer
 	// cleanups run in reverse order when the process stops.
 	cleanups []func()
 	workers  sync.WaitGroup
@@ -89,7 +95,7 @@
 		p.runCleanups()
 		return nil, err
 	}
-	if err := p.startBroadcaster(settings); err != nil {
+	if err := errors.Join(p.startBroadcaster(settings), p.servePropagation(settings)); err != nil {
 		p.runCleanups()
 		return nil, err
 	}
@@ -138,7 +144,8 @@
 	)
 	p.control = control
 	p.cleanups = append(p.cleanups, closeClient, stopControl)
-	p.startFollowers(store, &cataloger.Follower{
+	p.propagator = p.newPropagator(settings, store)
+	p.startFollowers(&cataloger.Follower{
 		Catalog: p.catalog, Client: platform.NewContextStores(client), Self: settings.ID, Fleet: p.fleet, RecordEntry: p.recordEvent,
 	})
 }
@@ -156,18 +163,21 @@
 
 // startFollowers starts the feeds, the follower of the context stores and the
 // sweep.
-func (p *Process) startFollowers(store *platform.Store, stores *cataloger.Follower) {
+func (p *Process) startFollowers(stores *cataloger.Follower) {
 	ctx, cancel := context.WithCancel(context.Background())
 	recheck := &feeder.RecheckSignal{}
 	for _, feed := range Feeds(p.settings.Load().Bounds) {
 		feedLoop := feeder.Feed{
-			Kind: feed.Kind, Objects: store, Decoder: platform.Decoder{}, MaxWait: feed.Wait,
-			BatchDelay: func() time.Duration { return feed.Pause(p.entryHostCount()) },
-			Now:        p.now, Deliver: p.control.Deliver, Recheck: recheck,
+			Kind: feed.Kind, Objects: p.propagator, Decoder: platform.Decoder{}, MaxWait: feed.Wait,
+			BatchDelay: func() time.Duration {
+				return feed.Pause(cmp.Or(p.propagator.Callers(feed.Kind), p.entryHostCount()))
+			},
+			Now: p.now, Deliver: p.control.Deliver, Recheck: recheck,
 			OnDecodeError: func(err error) { p.recordEvent("skipped", err.Error()) },
 		}
 		p.workers.Go(func() { feedLoop.Run(ctx) })
 	}
+	p.workers.Go(func() { p.propagator.Run(ctx) })
 	p.workers.Go(func() { p.sweep(ctx) })
 	p.workers.Go(func() { stores.Run(ctx) })
 	p.cleanups = append(p.cleanups, func() {
