--- a/process/starter/listen.go
+++ b/process/starter/listen.go
@@ -45,6 +45,7 @@
 		return nil, nil, err
 	}
 	p.cleanups = append(p.cleanups, stop)
+	p.observeFeed = metrics.ObserveFeed
 	return handler, metrics, metrics.AddGauges(p.limitGauges()...)
 }
 
--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -35,6 +35,7 @@
 	if t.stale.hosts {
 		t.fleet.EntryHosts = t.entryHosts()
 		t.fleet.PeerAddresses = t.peerAddresses()
+		t.fleet.Peers = t.peers()
 	}
 	if t.stale.crashes {
 		t.fleet.Crashes = make(map[mulberrybeam.Fingerprint]int, len(t.crashes))
@@ -70,6 +71,11 @@
 	return addresses
 }
 
+// peers returns the registered entry hosts, ordered by ID.
+func (t *Tracker) peers() []mulberrybeam.EntryHost {
+	return slices.SortedFunc(maps.Values(t.hosts), func(a, b mulberrybeam.EntryHost) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 func workspacesByKey(deployment *mulberrybeam.Deployment) map[string]*mulberrybeam.WorkspaceSpec {
 	keys := map[string]*mulberrybeam.WorkspaceSpec{}
 	for i := range deployment.Workspaces {
--- a/version/upgrader/upgrader.go
+++ b/version/upgrader/upgrader.go
@@ -114,6 +114,9 @@
 	case mulberrybeam.RecordsListed:
 		u.applyList(turn, event)
 	case mulberrybeam.RecordChanged:
+		if u.isOlderLease(event) {
+			return nil
+		}
 		u.applyRecord(turn, event.Kind, event.Name, event.Record, event.Removed)
 	case mulberrybeam.ObjectReplied:
 		if event.Ticket != u.leaseTicket || u.leaseTicket == 0 {
@@ -164,6 +167,14 @@
 	}
 }
 
+// isOlderLease reports whether a change is a lease that this process has replaced
+// since. Changes may arrive later than the response to a write, and with the version
+// of an older lease the next renewal would fail.
+func (u *Upgrader) isOlderLease(event mulberrybeam.RecordChanged) bool {
+	lease := event.Record.Lease
+	return lease != nil && event.Name == LeaseName && lease.Renewals < u.lease.Renewals
+}
+
 // reconcile claims or renews the lease while upgrades are pending, and upgrades
 // engines while the lease is held.
 func (u *Upgrader) reconcile(turn mulberrybeam.Turn) []mulberrybeam.Action {
