Bound the memory for answers to other hosts

An ask of 16 KB could name one kind hundreds of times, and a follower encoded its history once for each before the limit of 16 MB applied. Asks with a kind twice or an unknown kind are now rejected, an answer has 1 MB of changes at most, and at most four answers with more than 16 KB are built and written at once. Encoding ends at the limit.

The new tests fail without the change, and connection/propagationencoder, connection/historykeeper and connection/propagator pass with the race detector.

--- a/connection/historykeeper/historykeeper.go
+++ b/connection/historykeeper/historykeeper.go
@@ -11,11 +11,12 @@
 )
 
 const (
-	// maxBytes and maxChanges limit the changes that are kept of a kind. A host that
+	// MaxBytes and maxChanges limit the changes that are kept of a kind. A host that
 	// is further behind asks the store.
-	maxBytes   = 1 << 20
+	MaxBytes   = 1 << 20
 	maxChanges = 2000
-	// objectOverhead is the assumed size of a change without its content in bytes.
+	// objectOverhead is the assumed size of a change without its name and content in
+	// bytes. It is more than the size of its encoding.
 	objectOverhead = 128
 )
 
@@ -70,7 +71,7 @@
 	h.batches = append(h.batches, added)
 	h.changes += len(changes)
 	h.bytes += added.bytes
-	for len(h.batches) > 0 && (h.bytes > maxBytes || h.changes > maxChanges) {
+	for len(h.batches) > 0 && (h.bytes > MaxBytes || h.changes > maxChanges) {
 		h.bytes -= h.batches[0].bytes
 		h.changes -= len(h.batches[0].changes)
 		h.floor = h.batches[0].to
@@ -106,6 +107,22 @@
 	return state
 }
 
+// PendingBytes returns an upper limit for the size of the changes in the answer for a
+// cursor, without building the answer.
+func (h *History) PendingBytes(cursor mulberrybeam.PropagationCursor) int {
+	version, err := strconv.ParseUint(cursor.Version, 10, 64)
+	if cursor.Probe || h.lost || !h.known || err != nil || version < h.floor {
+		return 0
+	}
+	total := 0
+	for _, batch := range h.batches {
+		if batch.to > version {
+			total += batch.bytes
+		}
+	}
+	return total
+}
+
 // after returns the changes after a version. The version may be within a batch if
 // the asker got it from the store itself. Changes up to it are then left out,
 // since the asker has seen them and an older content must not follow a newer
@@ -137,7 +154,7 @@
 func size(changes []mulberrybeam.ObjectChanged) int {
 	total := 0
 	for _, change := range changes {
-		total += objectOverhead + len(change.Object.Data)
+		total += objectOverhead + len(change.Object.Name) + len(change.Object.Data)
 	}
 	return total
 }
--- a/connection/propagationencoder/propagationencoder.go
+++ b/connection/propagationencoder/propagationencoder.go
@@ -21,17 +21,22 @@
 	// rejected.
 	version    = 1
 	headerSize = 4
-	// maxAskBytes and maxAnswerBytes limit the bodies. An answer has at most the
-	// changes that a follower keeps, one megabyte for each kind.
+	// maxAskBytes and maxAnswerBytes limit the bodies. A follower puts one megabyte of
+	// changes into an answer at most.
 	maxAskBytes    = 16 << 10
-	maxAnswerBytes = 16 << 20
-	// maxElements limits the elements of a list.
-	maxElements = 1 << 16
+	maxAnswerBytes = 2 << 20
+	// maxKinds limits the kinds of a message, and maxChanges the changes of a kind. A
+	// follower keeps 2,000 of a kind.
+	maxKinds   = 64
+	maxChanges = 1 << 12
 )
 
+// element is an element of a list, with the largest number of elements.
+type element interface{ maxCount() int }
+
 // wireList decodes its elements one by one. The decoder of the library allocates
 // memory for as many elements as the message states, whatever its size.
-type wireList[T any] []T
+type wireList[T element] []T
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (l *wireList[T]) DecodeMsgpack(decoder *msgpack.Decoder) error {
@@ -39,15 +44,16 @@
 	if err != nil {
 		return err
 	}
-	if count > maxElements {
-		return fmt.Errorf("%d elements are more than %d", count, maxElements)
+	var next T
+	if limit := next.maxCount(); count > limit {
+		return fmt.Errorf("%d elements are more than %d", count, limit)
 	}
 	for range count {
-		var element T
-		if err := decoder.Decode(&element); err != nil {
+		var next T
+		if err := decoder.Decode(&next); err != nil {
 			return err
 		}
-		*l = append(*l, element)
+		*l = append(*l, next)
 	}
 	return nil
 }
@@ -89,6 +95,10 @@
 	Data    []byte
 }
 
+func (wireCursor) maxCount() int { return maxKinds }
+func (wireState) maxCount() int  { return maxKinds }
+func (wireChange) maxCount() int { return maxChanges }
+
 // WriteAsk writes an ask.
 func WriteAsk(writer io.Writer, ask mulberrybeam.PropagationAsk) error {
 	wire := wireAsk{Version: version, ID: ask.ID, From: string(ask.From)}
@@ -167,19 +177,38 @@
 	return microseconds
 }
 
+// limitedBuffer fails as soon as its content would become larger than the limit, so
+// that a message that is too large is not encoded as a whole first.
+type limitedBuffer struct {
+	buffer bytes.Buffer
+	limit  int
+}
+
+// Write implements io.Writer.
+func (b *limitedBuffer) Write(data []byte) (int, error) {
+	if b.buffer.Len()+len(data) > b.limit {
+		return 0, fmt.Errorf("message is larger than %d bytes", b.limit)
+	}
+	return b.buffer.Write(data)
+}
+
+// WriteByte implements io.ByteWriter.
+func (b *limitedBuffer) WriteByte(value byte) error {
+	_, err := b.Write([]byte{value})
+	return err
+}
+
 func write(writer io.Writer, wire any, limit int) error {
-	message := bytes.NewBuffer(make([]byte, headerSize))
+	message := &limitedBuffer{limit: headerSize + limit}
+	var header [headerSize]byte
+	message.buffer.Write(header[:])
 	encoder := msgpack.NewEncoder(message)
 	encoder.UseArrayEncodedStructs(true)
 	if err := encoder.Encode(wire); err != nil {
 		return fmt.Errorf("encode message: %w", err)
 	}
-	body := message.Len() - headerSize
-	if body > limit {
-		return fmt.Errorf("message of %d bytes is larger than %d", body, limit)
-	}
-	binary.BigEndian.PutUint32(message.Bytes(), uint32(body))
-	_, err := writer.Write(message.Bytes())
+	binary.BigEndian.PutUint32(message.buffer.Bytes(), uint32(message.buffer.Len()-headerSize))
+	_, err := writer.Write(message.buffer.Bytes())
 	return err
 }
 
--- a/connection/propagationencoder/propagationencoder_test.go
+++ b/connection/propagationencoder/propagationencoder_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"io"
+	"runtime"
 	"testing"
 	"time"
 
@@ -52,6 +54,30 @@
 	}
 }
 
+// Guards against a message that is encoded as a whole before it proves too large.
+func TestLargeMessageIsNotEncodedAsAWhole(t *testing.T) {
+	is := is.New(t)
+	large := answer()
+	large.States[0].Changes[0].Object.Data = make([]byte, 1<<20)
+	for range 1000 {
+		large.States[0].Changes = append(large.States[0].Changes, large.States[0].Changes[0])
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	is.True(propagationencoder.WriteAnswer(io.Discard, large) != nil)
+	runtime.ReadMemStats(&after)
+	is.True(after.TotalAlloc-before.TotalAlloc < 16<<20)
+}
+
+// Guards against memory for many small elements of a short message.
+func TestListsAreLimited(t *testing.T) {
+	is := is.New(t)
+	var buffer bytes.Buffer
+	is.NoErr(propagationencoder.WriteAsk(&buffer, mulberrybeam.PropagationAsk{Cursors: make([]mulberrybeam.PropagationCursor, 1000)}))
+	_, err := propagationencoder.ReadAsk(&buffer)
+	is.True(err != nil)
+}
+
 // Guards against a crash, or memory for what a message only announces.
 func FuzzRead(f *testing.F) {
 	var buffer bytes.Buffer
--- a/connection/propagator/server.go
+++ b/connection/propagator/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/historykeeper"
 	"mulberrybeam/connection/pauser"
 	"mulberrybeam/connection/propagationencoder"
 )
@@ -18,6 +19,14 @@
 	idleTimeout = 10 * time.Second
 	// maxConnections limits the connections of askers.
 	maxConnections = 256
+	// maxAnswerBytes limits the changes in an answer. All that is kept of one kind fits.
+	maxAnswerBytes = historykeeper.MaxBytes
+	// smallAnswerBytes is the size of changes from which on an answer is large, and
+	// maxLargeAnswers the number of large answers that are written at once. They limit
+	// the memory for answers on a small host to about 8 MB, while a few hosts that read
+	// slowly do not delay the small answers, which are nearly all.
+	smallAnswerBytes = 16 << 10
+	maxLargeAnswers  = 4
 	// acceptRetryDelay is the pause after a connection could not be accepted.
 	acceptRetryDelay = 100 * time.Millisecond
 )
@@ -85,7 +94,7 @@
 		var states []mulberrybeam.PropagationState
 		due := false
 		if pending != nil {
-			states, due = p.states(*pending)
+			states, due, _ = p.states(*pending, smallAnswerBytes)
 			due = due || first
 		}
 		if !due {
@@ -99,51 +108,79 @@
 				pending = &ask
 				continue
 			case <-changed:
-				if states, due = p.changedStates(pending, states); !due {
+				if !p.changedStates(pending, states) {
 					continue
 				}
 			case <-hold.C:
 				if pending == nil {
 					continue
 				}
-				states, _ = p.states(*pending)
 			}
 		}
 		hold.Stop()
-		if err := p.write(conn, mulberrybeam.PropagationAnswer{ID: pending.ID, States: states}); err != nil {
+		if p.write(ctx, conn, *pending) != nil {
 			return
 		}
 		first, pending = false, nil
 	}
 }
 
-// changedStates returns the states after a history changed, and whether the asker
-// must learn of them at once: there are changes, or the store was lost.
-func (p *Propagator) changedStates(pending *readAsk, earlier []mulberrybeam.PropagationState) ([]mulberrybeam.PropagationState, bool) {
+// changedStates reports whether the asker must learn at once that a history changed:
+// there are changes, or the store was lost.
+func (p *Propagator) changedStates(pending *readAsk, earlier []mulberrybeam.PropagationState) bool {
 	if pending == nil {
-		return nil, false
+		return false
 	}
-	states, due := p.states(*pending)
+	states, due, _ := p.states(*pending, smallAnswerBytes)
 	for i := range states {
 		due = due || states[i].Status == mulberrybeam.StatusLost && earlier[i].Status != mulberrybeam.StatusLost
 	}
-	return states, due
+	return due
 }
 
-// states returns the states for an ask, and whether there are changes.
-func (p *Propagator) states(ask readAsk) ([]mulberrybeam.PropagationState, bool) {
+// states returns the states for an ask with at most maxBytes of changes, whether there
+// are changes, and whether all of them fit. A kind whose changes do not fit has
+// StatusUnknown, so that the asker asks for it again.
+func (p *Propagator) states(ask readAsk, maxBytes int) (states []mulberrybeam.PropagationState, due, complete bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	states := make([]mulberrybeam.PropagationState, len(ask.Cursors))
-	due := false
+	states = make([]mulberrybeam.PropagationState, len(ask.Cursors))
+	complete = true
 	for i, cursor := range ask.Cursors {
 		states[i] = mulberrybeam.PropagationState{Kind: cursor.Kind, Since: cursor.Version}
-		if state := p.kinds[cursor.Kind]; state != nil {
-			states[i] = state.history.Answer(cursor, ask.at)
+		state := p.kinds[cursor.Kind]
+		if state == nil {
+			continue
+		}
+		size := state.history.PendingBytes(cursor)
+		if size > maxBytes {
+			due, complete = true, false
+			continue
 		}
+		maxBytes -= size
+		states[i] = state.history.Answer(cursor, ask.at)
 		due = due || len(states[i].Changes) > 0
 	}
-	return states, due
+	return states, due, complete
+}
+
+// validate rejects an ask that has a kind twice or one that this host does not
+// follow.
+func (p *Propagator) validate(ask mulberrybeam.PropagationAsk) error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	asked := map[mulberrybeam.ObjectKind]bool{}
+	for _, cursor := range ask.Cursors {
+		_, passedOn := p.Policies[cursor.Kind]
+		if !passedOn && p.kinds[cursor.Kind] == nil {
+			return fmt.Errorf("%s asks for the unknown kind %q", ask.From, cursor.Kind)
+		}
+		if asked[cursor.Kind] {
+			return fmt.Errorf("%s asks for the kind %s twice", ask.From, cursor.Kind)
+		}
+		asked[cursor.Kind] = true
+	}
+	return nil
 }
 
 // nextChange returns a channel that is closed when a history changes.
@@ -153,11 +190,26 @@
 	return p.changed
 }
 
-func (*Propagator) write(conn net.Conn, answer mulberrybeam.PropagationAnswer) error {
+// write answers an ask. A large answer is built only when few others are being
+// written. If that takes too long, the changes that fit a small answer are sent.
+func (p *Propagator) write(ctx context.Context, conn net.Conn, ask readAsk) error {
+	states, _, complete := p.states(ask, smallAnswerBytes)
+	if !complete {
+		timer := time.NewTimer(holdTime)
+		defer timer.Stop()
+		select {
+		case p.largeAnswers <- struct{}{}:
+			defer func() { <-p.largeAnswers }()
+			states, _, _ = p.states(ask, maxAnswerBytes)
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	return propagationencoder.WriteAnswer(conn, answer)
+	return propagationencoder.WriteAnswer(conn, mulberrybeam.PropagationAnswer{ID: ask.ID, States: states})
 }
 
 // readAsks passes the asks of a connection on until it fails.
@@ -167,7 +219,7 @@
 			return
 		}
 		ask, err := propagationencoder.ReadAsk(conn)
-		if err != nil {
+		if err != nil || p.validate(ask) != nil {
 			return
 		}
 		at := p.Now()
