Start although the peer port cannot be listened at

A process did not start if another one had the TCP port of its peer address, although it can serve callers and follow the store without other hosts. It now logs this and has no part in the propagation.

TestHostWithoutPeerPortFollowsStore fails without the change and also if the host asks others nevertheless. process/starter passes with the race detector.

--- a/process/starter/propagation.go
+++ b/process/starter/propagation.go
@@ -17,6 +17,9 @@
 	return propagator.New(propagator.Config{
 		Self: settings.ID, Store: store, Policies: Policies(settings.Bounds), Now: p.now,
 		Plan: func() mulberrybeam.PropagationPlan {
+			if !p.propagates.Load() {
+				return mulberrybeam.PropagationPlan{}
+			}
 			return followerchooser.Plan(settings.ID, settings.Zone, p.peers())
 		},
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
@@ -33,17 +36,18 @@
 }
 
 // servePropagation answers the asks of other entry hosts. Without a peer address
-// this host has no part in the propagation.
-func (p *Process) servePropagation(settings mulberrybeam.HostSettings) error {
+// or with one that another process listens at, this host has no part in the propagation.
+func (p *Process) servePropagation(settings mulberrybeam.HostSettings) {
 	if settings.PeerAddress == "" {
-		return nil
+		return
 	}
 	listener, err := net.Listen("tcp", settings.PeerAddress)
 	if err != nil {
-		return err
+		p.recordEvent("propagation", "follows the store by itself, since other hosts cannot ask it: "+err.Error())
+		return
 	}
 	p.cleanups = append(p.cleanups, p.propagator.Serve(listener))
-	return nil
+	p.propagates.Store(true)
 }
 
 // peers returns the registered entry hosts.
--- a/process/starter/propagation_test.go
+++ b/process/starter/propagation_test.go
@@ -1,9 +1,12 @@
 package starter_test
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -67,13 +70,9 @@
 	t.Fatalf("%q is not in the log:\n%s", text, h.log.String())
 }
 
-// Guards against hosts that do not reach their follower at its peer address, that
-// call the store nevertheless, or that miss changes when the follower loses the
-// store.
-func TestHostAsksFollower(t *testing.T) {
-	is := is.New(t)
-	store := metastore.New()
-	store.Put("config", "main", `{"version":3,"routes":[],"services":[],"tenants":[]}`)
+// register adds 17 hosts of a zone to the store. It returns one that is not a follower
+// and the hosts that it asks.
+func register(t *testing.T, store *metastore.Store) (mulberrybeam.EntryHost, []mulberrybeam.EntryHost) {
 	var peers []mulberrybeam.EntryHost
 	for i := range 17 {
 		host := mulberrybeam.EntryHost{ID: mulberrybeam.ProcessID(fmt.Sprint("front-", i)), Zone: "a", Address: address(freePort(t))}
@@ -86,8 +85,19 @@
 			asker = host
 		}
 	}
+	return asker, followerchooser.Plan(asker.ID, "a", peers).Sources
+}
+
+// Guards against hosts that do not reach their follower at its peer address, that
+// call the store nevertheless, or that miss changes when the follower loses the
+// store.
+func TestHostAsksFollower(t *testing.T) {
+	is := is.New(t)
+	store := metastore.New()
+	store.Put("config", "main", `{"version":3,"routes":[],"services":[],"tenants":[]}`)
+	asker, sources := register(t, store)
 	// The other follower and all other hosts are gone.
-	follower := startSharedHost(t, store, followerchooser.Plan(asker.ID, "a", peers).Sources[1])
+	follower := startSharedHost(t, store, sources[1])
 	asking := startSharedHost(t, store, asker)
 	asking.awaitLog(t, "asks the host for the store's changes")
 	time.Sleep(6 * time.Second) // the calls to the store that wait for changes end
@@ -106,3 +116,25 @@
 	asking.awaitLog(t, "zone brought back")
 	is.True(time.Since(changedAt) < 3*time.Second)
 }
+
+// Guards against a host that does not start, or that asks others but cannot be asked,
+// because another process has its peer port.
+func TestHostWithoutPeerPortFollowsStore(t *testing.T) {
+	is := is.New(t)
+	store := metastore.New()
+	store.Put("config", "main", `{"version":3,"routes":[],"services":[],"tenants":[]}`)
+	asker, sources := register(t, store)
+	taken, err := net.Listen("tcp", asker.Address)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = taken.Close() })
+	follower, err := net.Listen("tcp", sources[0].Address)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = follower.Close() })
+	host := startSharedHost(t, store, asker)
+	host.awaitLog(t, "follows the store by itself")
+	is.NoErr(follower.(*net.TCPListener).SetDeadline(time.Now().Add(4 * time.Second)))
+	_, err = follower.Accept()
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	store.Put("evacuations", "b", `{}`)
+	host.awaitLog(t, "zone taken out")
+}
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -61,9 +60,11 @@
 	// propagator is the source of the feeds. observeFeed counts their results.
 	propagator  *propagator.Propagator
 	observeFeed func(kind mulberrybeam.ObjectKind, source string, age time.Duration)
-	shutdown    atomic.Pointer[relayer.Shutdown]
-	servers     []*http.Server
-	drainer     *drainer.Drainer
+	// propagates reports that other entry hosts can ask this host.
+	propagates atomic.Bool
+	shutdown   atomic.Pointer[relayer.Shutdown]
+	servers    []*http.Server
+	drainer    *drainer.Drainer
 	// cleanups run in reverse order when the process stops.
 	cleanups []func()
 	workers  sync.WaitGroup
@@ -95,10 +96,11 @@
 		p.runCleanups()
 		return nil, err
 	}
-	if err := errors.Join(p.startBroadcaster(settings), p.servePropagation(settings)); err != nil {
+	if err := p.startBroadcaster(settings); err != nil {
 		p.runCleanups()
 		return nil, err
 	}
+	p.servePropagation(settings)
 	return p, nil
 }
 
