Limit how often a peer is answered

A peer could ask without a pause and on as many connections as it liked, and each ask with changes was answered at once. A peer now has one connection with one answer in work, and its asks wait until 10 ms after the one before.

TestPeerHasOneAnswerInWork and TestAsksAreLimited fail without the change. The package passes with the race detector.

--- a/connection/propagator/propagator.go
+++ b/connection/propagator/propagator.go
@@ -77,6 +77,8 @@
 	demandedUntil time.Duration
 	// changed is closed when a history changes.
 	changed chan struct{}
+	// askers are the connections on which this host is asked.
+	askers map[askerKey]*asker
 	// largeAnswers has an element for each large answer that is being written.
 	largeAnswers chan struct{}
 	// askNow wakes the link when a kind must be asked for.
@@ -104,7 +106,7 @@
 func New(config Config) *Propagator {
 	return &Propagator{
 		Config: config, kinds: map[mulberrybeam.ObjectKind]*kindState{},
-		changed: make(chan struct{}), askNow: make(chan struct{}, 1), largeAnswers: make(chan struct{}, maxLargeAnswers),
+		askers: map[askerKey]*asker{}, changed: make(chan struct{}), askNow: make(chan struct{}, 1), largeAnswers: make(chan struct{}, maxLargeAnswers),
 	}
 }
 
--- a/connection/propagator/server.go
+++ b/connection/propagator/server.go
@@ -27,6 +27,8 @@
 	// slowly do not delay the small answers, which are nearly all.
 	smallAnswerBytes = 16 << 10
 	maxLargeAnswers  = 4
+	// minAskInterval is the time between two asks of a peer. Askers pause for askPause.
+	minAskInterval = 10 * time.Millisecond
 	// acceptRetryDelay is the pause after a connection could not be accepted.
 	acceptRetryDelay = 100 * time.Millisecond
 )
@@ -63,7 +65,7 @@
 			defer func() { <-slots }()
 			defer func() { _ = conn.Close() }()
 			if host, _, err := net.SplitHostPort(conn.RemoteAddr().String()); err == nil && p.IsPeer(host) {
-				p.answer(ctx, conn)
+				p.answer(ctx, conn, host)
 			}
 		})
 	}
@@ -75,14 +77,16 @@
 	at time.Duration
 }
 
-// answer answers the asks of a connection.
-func (p *Propagator) answer(ctx context.Context, conn net.Conn) {
+// answer answers the asks of a connection from an address.
+func (p *Propagator) answer(ctx context.Context, conn net.Conn, address string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	a := &asker{conn: conn, key: askerKey{address: address}, done: make(chan struct{})}
+	defer p.removeAsker(a)
 	asks := make(chan readAsk)
 	go func() {
 		defer cancel()
-		p.readAsks(ctx, conn, asks)
+		p.readAsks(ctx, a, asks)
 	}()
 	// The connection is closed on return, which ends the goroutine.
 	hold := time.NewTimer(0)
@@ -212,17 +216,21 @@
 	return propagationencoder.WriteAnswer(conn, mulberrybeam.PropagationAnswer{ID: ask.ID, States: states})
 }
 
-// readAsks passes the asks of a connection on until it fails.
-func (p *Propagator) readAsks(ctx context.Context, conn net.Conn, asks chan<- readAsk) {
+// readAsks passes the asks of a connection on until it fails. Asks that come too fast
+// wait.
+func (p *Propagator) readAsks(ctx context.Context, a *asker, asks chan<- readAsk) {
 	for {
-		if conn.SetReadDeadline(time.Now().Add(idleTimeout)) != nil {
+		if a.conn.SetReadDeadline(time.Now().Add(idleTimeout)) != nil {
 			return
 		}
-		ask, err := propagationencoder.ReadAsk(conn)
+		ask, err := propagationencoder.ReadAsk(a.conn)
 		if err != nil || p.validate(ask) != nil {
 			return
 		}
 		at := p.Now()
+		if !p.admit(ctx, a, ask.From) {
+			return
+		}
 		p.demand(ask.From, at)
 		select {
 		case asks <- readAsk{ask, at}:
--- a/connection/propagator/server_test.go
+++ b/connection/propagator/server_test.go
@@ -162,7 +162,7 @@
 		for i := range 20 {
 			is.NoErr(ask(f.connect(t), mulberrybeam.ProcessID(rune('a'+i)), 1, mulberrybeam.ObjectTarget))
 		}
-		synctest.Wait()
+		time.Sleep(100 * time.Millisecond)
 		is.Equal(f.most.Load(), int64(4))
 		conn := f.connect(t)
 		is.NoErr(ask(conn, "front-2", 1, mulberrybeam.ObjectLease))
@@ -179,3 +179,53 @@
 		is.Equal(len(answer.States[0].Changes), 1)
 	})
 }
+
+// Guards against a peer that takes all large answers, or more memory than another,
+// by asking on several connections.
+func TestPeerHasOneAnswerInWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFollower(t, 700<<10, mulberrybeam.ObjectTarget)
+		var conn net.Conn
+		for range 5 {
+			conn = f.connect(t)
+			is.NoErr(ask(conn, "front-2", 1, mulberrybeam.ObjectTarget))
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.Equal(f.most.Load(), int64(1))
+		answer, err := propagationencoder.ReadAnswer(conn)
+		is.NoErr(err)
+		is.Equal(len(answer.States[0].Changes), 1)
+		other := f.connect(t)
+		is.NoErr(ask(other, "front-3", 1))
+		_, err = propagationencoder.ReadAnswer(other)
+		is.NoErr(err)
+		is.NoErr(ask(conn, "front-2", 2)) // the connection of another peer does not end this one
+	})
+}
+
+// Guards against a peer that keeps a follower busy by asking without a pause, on one
+// connection or on new ones.
+func TestAsksAreLimited(t *testing.T) {
+	for name, count := range map[string]int{"on one connection": 100, "on new connections": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := startFollower(t, 10, mulberrybeam.ObjectTarget)
+				startedAt := time.Now()
+				for range 100 / count {
+					conn := f.connect(t)
+					for id := range uint64(count) {
+						is.NoErr(ask(conn, "front-2", id, mulberrybeam.ObjectTarget))
+						answer, err := propagationencoder.ReadAnswer(conn)
+						is.NoErr(err)
+						is.Equal(answer.ID, id)
+					}
+					_ = conn.Close()
+				}
+				is.True(time.Since(startedAt) >= 990*time.Millisecond)
+				is.True(time.Since(startedAt) <= 1100*time.Millisecond)
+			})
+		})
+	}
+}
