Log when a kind changes between a follower and the store

The log told when a host began and stopped to ask another, but not that a single kind went to the store because answers were too old, the follower had lost the store or did not know the version. There is now a line for each change of the source of a kind, with the reason and the age of the last confirmation.

The package passes with the race detector.

--- a/connection/propagator/link.go
+++ b/connection/propagator/link.go
@@ -56,7 +56,7 @@
 		index := attempt % len(sources)
 		startedAt := p.Now()
 		err := p.ask(ctx, sources[index], index)
-		p.leaveLink()
+		p.leaveLink(err)
 		if ctx.Err() == nil {
 			p.OnEvent(string(sources[index].ID), fmt.Sprintf("stopped asking the host for the store's changes after %v: %v", p.Now()-startedAt, err))
 		}
@@ -80,11 +80,11 @@
 }
 
 // leaveLink makes all kinds that rely on followers ask the store.
-func (p *Propagator) leaveLink() {
+func (p *Propagator) leaveLink(reason error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for _, state := range p.kinds {
-		state.doubt()
+		state.doubt(reason.Error())
 	}
 }
 
--- a/connection/propagator/propagator.go
+++ b/connection/propagator/propagator.go
@@ -98,6 +98,10 @@
 	// confirmedAt and source are those of the last result.
 	confirmedAt time.Duration
 	source      string
+	// relying reports that the last call that waited for changes relied on a follower,
+	// and reason why followers cannot be relied on since, if it is known.
+	relying bool
+	reason  string
 	// waiter is set while a call waits for a follower's answer.
 	waiter *waiter
 }
@@ -135,8 +139,9 @@
 	now := p.Now()
 	plan := p.currentPlan(now)
 	follower := p.follows(now)
+	checksOnce := wait == 0
 	switch {
-	case wait == 0 || state.policy.MaxAge == 0:
+	case checksOnce || state.policy.MaxAge == 0:
 	case follower:
 		wait = min(wait, state.policy.FollowerWait)
 	case plan.Active && state.version == version && state.check.Usable(now):
@@ -153,6 +158,9 @@
 		wait = min(wait, state.policy.FollowerWait)
 	}
 	state.check.Leave()
+	if !checksOnce {
+		p.logLeave(state, plan, follower)
+	}
 	p.mutex.Unlock()
 	return p.askStore(ctx, state, kind, version, wait)
 }
--- a/connection/propagator/waiter.go
+++ b/connection/propagator/waiter.go
@@ -1,7 +1,9 @@
 package propagator
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"time"
 
 	"mulberrybeam"
@@ -31,6 +33,7 @@
 		wait = min(wait, confirmInterval)
 	}
 	state.check.Begin(now)
+	state.reason = ""
 	state.waiter = &waiter{until: now + wait, next: state.version, done: make(chan result, 1)}
 	select {
 	case p.askNow <- struct{}{}:
@@ -88,6 +91,7 @@
 	case now >= state.check.Deadline():
 		state.waiter = nil
 		state.check.Lose()
+		state.reason = cmp.Or(state.reason, "no answer in time")
 		return result{doubtful: true}, true
 	case waiting.answered && now >= waiting.until:
 		p.finish(state, result{next: waiting.next}, now)
@@ -99,6 +103,10 @@
 // finish ends the waiter of a kind with the result of a follower. The mutex must be
 // held.
 func (p *Propagator) finish(state *kindState, ended result, now time.Duration) {
+	if !state.relying {
+		state.relying = true
+		p.OnEvent(string(state.kind), fmt.Sprintf("relies on a follower, confirmed %v ago", (now-state.confirmedAt).Round(time.Millisecond)))
+	}
 	state.version, state.source = ended.next, SourceFollower
 	state.check.Advance(ended.next, len(ended.changes) > 0)
 	state.waiter.done <- ended
@@ -106,11 +114,30 @@
 	p.OnResult(state.kind, SourceFollower, now-state.confirmedAt)
 }
 
-// doubt ends the waiter of a kind, so that it asks the store. The mutex must be
-// held.
-func (s *kindState) doubt() {
+// logLeave records that a kind asks the store after it relied on a follower. The mutex
+// must be held.
+func (p *Propagator) logLeave(state *kindState, plan mulberrybeam.PropagationPlan, follower bool) {
+	if !state.relying {
+		return
+	}
+	state.relying = false
+	reason := cmp.Or(state.reason, "the follower's last confirmation is too old")
+	switch {
+	case follower:
+		reason = "this host follows it for others"
+	case !plan.Active:
+		reason = "every host follows it"
+	}
+	p.OnEvent(string(state.kind), fmt.Sprintf("asks the store: %s, confirmed %v ago", reason, (p.Now()-state.confirmedAt).Round(time.Millisecond)))
+}
+
+// doubt ends the waiter of a kind, so that it asks the store for the reason. The mutex
+// must be held.
+func (s *kindState) doubt(reason string) {
 	s.check.Lose()
+	s.reason = cmp.Or(s.reason, reason)
 	if s.waiter != nil {
+		s.reason = reason
 		s.waiter.done <- result{doubtful: true}
 		s.waiter = nil
 	}
@@ -121,15 +148,19 @@
 func (p *Propagator) accept(state *kindState, told mulberrybeam.PropagationState, probe bool, sentAt time.Duration) bool {
 	now := p.Now()
 	if told.Status == mulberrybeam.StatusLost {
-		state.doubt()
+		state.doubt("the follower lost the store")
 		return true
 	}
 	// Without a waiter the changes are dropped, so that the answer confirms nothing.
 	probe = probe || state.waiter == nil
 	confirmedAt, usable := state.check.Accept(told, probe, sentAt, now)
 	if !usable {
+		if !probe {
+			state.reason = refusalReason(state, told, now-sentAt-told.Offset)
+		}
 		return probe || len(told.Changes) == 0
 	}
+	state.reason = ""
 	state.confirmedAt = confirmedAt
 	if len(told.Changes) > 0 || now >= state.waiter.until {
 		p.finish(state, result{changes: told.Changes, next: told.Next}, now)
@@ -138,3 +169,16 @@
 	state.waiter.next, state.waiter.answered = told.Next, true
 	return true
 }
+
+// refusalReason returns why an answer of an age could not be used.
+func refusalReason(state *kindState, told mulberrybeam.PropagationState, age time.Duration) string {
+	switch {
+	case told.Status == mulberrybeam.StatusUnknown:
+		return "the follower cannot answer from version " + told.Since
+	case age >= state.policy.MaxAge:
+		return fmt.Sprintf("the follower's answer was %v old", age.Round(time.Millisecond))
+	default:
+		return fmt.Sprintf("the follower's answer from version %s to %s does not continue version %s, or was from before the last list",
+			told.Since, told.Next, state.version)
+	}
+}
