Avoid timers that crash the race detector in the model

In a bubble of testing/synctest, Go 1.26 runs a timer that is due when a goroutine receives from it with the race context of the bubble, on several threads at once. This crashed the race detector in tests that open many connections: the hold timer of a connection began with a duration of 0 that was received at once. No timer of the package or its fakes now has a duration of 0. All cases and checks are as before.

--- a/connection/propagator/fake_test.go
+++ b/connection/propagator/fake_test.go
@@ -137,9 +137,15 @@
 		return nil, "", errDown
 	}
 	revision, _ := strconv.Atoi(version)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for over := false; ; {
+	// With Go 1.26, timers that are due before several goroutines of a synctest bubble
+	// receive from them crash the race detector, so that there is none without a wait.
+	var ended <-chan time.Time
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		ended = timer.C
+	}
+	for over := wait <= 0; ; {
 		changes, next, changed := h.after(kind, revision)
 		if changed == nil {
 			return nil, "", &mulberrybeam.Failure{Code: mulberrybeam.CodeExpiredVersion}
@@ -155,7 +161,7 @@
 		}
 		select {
 		case <-changed:
-		case <-timer.C:
+		case <-ended:
 			over = true
 		case <-ctx.Done():
 			return nil, "", errDown
--- a/connection/propagator/server.go
+++ b/connection/propagator/server.go
@@ -89,8 +89,8 @@
 		p.readAsks(ctx, a, asks)
 	}()
 	// The connection is closed on return, which ends the goroutine.
-	hold := time.NewTimer(0)
-	<-hold.C
+	hold := time.NewTimer(holdTime)
+	hold.Stop()
 	first := true
 	var pending *readAsk
 	for {
--- a/connection/propagator/source_test.go
+++ b/connection/propagator/source_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/pauser"
 	"mulberrybeam/connection/propagationencoder"
 	"mulberrybeam/connection/propagator"
 	"mulberrybeam/process/starter"
@@ -25,10 +26,7 @@
 }
 
 func (quietStore) Changes(ctx context.Context, _ mulberrybeam.ObjectKind, _ string, wait time.Duration) ([]mulberrybeam.ObjectChanged, string, error) {
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-	}
+	pauser.Pause(ctx, wait)
 	return nil, "1", ctx.Err()
 }
 
--- a/connection/propagator/waiter.go
+++ b/connection/propagator/waiter.go
@@ -45,6 +45,9 @@
 // await waits for the end of a waiter.
 func (p *Propagator) await(ctx context.Context, state *kindState, waiting *waiter) (result, error) {
 	for {
+		if ended, over := p.expire(state, waiting); over {
+			return ended, nil
+		}
 		timer := time.NewTimer(p.pause(state, waiting))
 		select {
 		case <-ctx.Done():
@@ -60,9 +63,6 @@
 			return ended, nil
 		case <-timer.C:
 		}
-		if ended, over := p.expire(state, waiting); over {
-			return ended, nil
-		}
 	}
 }
 
