Use one word for each state of what is relied on

A follower is usable, a call relies on it, answers are invalidated, and only the store is lost. Comments on the spare hosts, the wait of bounded kinds and the plan's interval now say what the code does. No behaviour changes. connection/agechecker and connection/propagator pass with the race detector.

--- a/connection/agechecker/agechecker.go
+++ b/connection/agechecker/agechecker.go
@@ -22,7 +22,7 @@
 	listedAt time.Duration
 	// usableUntil is until when a follower could answer, by its last answer.
 	usableUntil time.Duration
-	// relying is set from Begin to the next call to the store. completeAt is then
+	// relying is set from Begin to End. completeAt is then
 	// when this host's records were last confirmed, and enteredAt when it began to
 	// rely on followers.
 	relying    bool
@@ -52,11 +52,11 @@
 	}
 }
 
-// Lose ends the reliance on followers until the next answer.
-func (c *Check) Lose() { c.usableUntil = 0 }
+// Invalidate makes followers unusable until the next answer.
+func (c *Check) Invalidate() { c.usableUntil = 0 }
 
-// Leave records that this host asks the store.
-func (c *Check) Leave() { c.relying = false }
+// End records that this host does not rely on a follower any more, but asks the store.
+func (c *Check) End() { c.relying = false }
 
 // Usable reports whether a follower can be relied on.
 func (c *Check) Usable(now time.Duration) bool { return now < c.usableUntil }
--- a/connection/agechecker/agechecker_test.go
+++ b/connection/agechecker/agechecker_test.go
@@ -73,7 +73,7 @@
 	is.Equal(check.Deadline(), 102*second+second/2)
 	is.True(check.Usable(102 * second))
 	is.True(!check.Usable(103 * second))
-	check.Lose()
+	check.Invalidate()
 	is.True(!check.Usable(102 * second))
 }
 
--- a/connection/propagator/link.go
+++ b/connection/propagator/link.go
@@ -30,10 +30,11 @@
 	// minLinkDelay and maxLinkDelay limit the pause before the next link.
 	minLinkDelay = 100 * time.Millisecond
 	maxLinkDelay = 5 * time.Second
-	// spareLinkTime is how long a host that is not among the first choices is asked
-	// before those are tried again.
+	// spareLinkTime is how long a host other than the first choice is asked before that
+	// is tried again.
 	spareLinkTime = 30 * time.Second
-	// planInterval is the time between two looks at the plan while there is no link.
+	// planInterval is how long a plan is used before Config.Plan is called again, and
+	// the pause of Run while there is no host to ask.
 	planInterval = time.Second
 )
 
@@ -56,7 +57,7 @@
 		index := attempt % len(sources)
 		startedAt := p.Now()
 		err := p.ask(ctx, sources[index], index)
-		p.leaveLink(err)
+		p.invalidateAll(err)
 		if ctx.Err() == nil {
 			p.OnEvent(string(sources[index].ID), fmt.Sprintf("stopped asking the host for the store's changes after %v: %v", p.Now()-startedAt, err))
 		}
@@ -79,12 +80,12 @@
 	return nil
 }
 
-// leaveLink makes all kinds that rely on followers ask the store.
-func (p *Propagator) leaveLink(reason error) {
+// invalidateAll makes all kinds that rely on followers ask the store.
+func (p *Propagator) invalidateAll(reason error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for _, state := range p.kinds {
-		state.doubt(reason.Error())
+		state.invalidate(reason.Error())
 	}
 }
 
--- a/connection/propagator/propagator.go
+++ b/connection/propagator/propagator.go
@@ -23,8 +23,8 @@
 	// silenceTime is the longest time that an answer may take before the follower
 	// counts as silent. It covers a missed time slice of a throttled host.
 	silenceTime = holdTime + 500*time.Millisecond
-	// confirmInterval is how often the confirmation of a kind with a deadline is
-	// passed to the control loop.
+	// confirmInterval is the longest time that a call for a bounded kind waits for a
+	// follower, so that its feed delivers a confirmation at least this often.
 	confirmInterval = time.Second
 	// demandTime is how long a host stays a follower after it was asked.
 	demandTime = 10 * time.Second
@@ -148,7 +148,7 @@
 		waiting := p.register(state, wait, now)
 		p.mutex.Unlock()
 		result, err := p.await(ctx, state, waiting)
-		if err != nil || !result.doubtful {
+		if err != nil || !result.invalidated {
 			return result.changes, result.next, err
 		}
 		wait = 0
@@ -157,9 +157,9 @@
 		// Shorter waits let hosts that start begin to rely on followers soon.
 		wait = min(wait, state.policy.FollowerWait)
 	}
-	state.check.Leave()
+	state.check.End()
 	if !checksOnce {
-		p.logLeave(state, plan, follower)
+		p.logEnd(state, plan, follower)
 	}
 	p.mutex.Unlock()
 	return p.askStore(ctx, state, kind, version, wait)
--- a/connection/propagator/server.go
+++ b/connection/propagator/server.go
@@ -247,7 +247,7 @@
 	if !p.follows(now) {
 		p.OnEvent(string(p.Self), fmt.Sprintf("follows the store for other hosts, asked by %s", from))
 		for _, state := range p.kinds {
-			state.doubt("this host was asked to follow it")
+			state.invalidate("this host was asked to follow it")
 		}
 	}
 	p.demandedUntil = now + demandTime
--- a/connection/propagator/waiter.go
+++ b/connection/propagator/waiter.go
@@ -20,11 +20,11 @@
 	done chan result
 }
 
-// result is the result of a waiter. If it is doubtful the store must be asked.
+// result is the result of a waiter. If it is invalidated the store must be asked.
 type result struct {
-	changes  []mulberrybeam.ObjectChanged
-	next     string
-	doubtful bool
+	changes     []mulberrybeam.ObjectChanged
+	next        string
+	invalidated bool
 }
 
 // register adds a waiter. The mutex must be held.
@@ -90,9 +90,9 @@
 	switch {
 	case now >= state.check.Deadline():
 		state.waiter = nil
-		state.check.Lose()
+		state.check.Invalidate()
 		state.reason = cmp.Or(state.reason, "no answer in time")
-		return result{doubtful: true}, true
+		return result{invalidated: true}, true
 	case waiting.answered && now >= waiting.until:
 		p.finish(state, result{next: waiting.next}, now)
 		return <-waiting.done, true
@@ -114,9 +114,9 @@
 	p.OnResult(state.kind, SourceFollower, now-state.confirmedAt)
 }
 
-// logLeave records that a kind asks the store after it relied on a follower. The mutex
+// logEnd records that a kind asks the store after it relied on a follower. The mutex
 // must be held.
-func (p *Propagator) logLeave(state *kindState, plan mulberrybeam.PropagationPlan, follower bool) {
+func (p *Propagator) logEnd(state *kindState, plan mulberrybeam.PropagationPlan, follower bool) {
 	if !state.relying {
 		return
 	}
@@ -131,14 +131,14 @@
 	p.OnEvent(string(state.kind), fmt.Sprintf("asks the store: %s, confirmed %v ago", reason, (p.Now()-state.confirmedAt).Round(time.Millisecond)))
 }
 
-// doubt ends the waiter of a kind, so that it asks the store for the reason. The mutex
+// invalidate ends the waiter of a kind, so that it asks the store for the reason. The mutex
 // must be held.
-func (s *kindState) doubt(reason string) {
-	s.check.Lose()
+func (s *kindState) invalidate(reason string) {
+	s.check.Invalidate()
 	s.reason = cmp.Or(s.reason, reason)
 	if s.waiter != nil {
 		s.reason = reason
-		s.waiter.done <- result{doubtful: true}
+		s.waiter.done <- result{invalidated: true}
 		s.waiter = nil
 	}
 }
@@ -148,7 +148,7 @@
 func (p *Propagator) accept(state *kindState, told mulberrybeam.PropagationState, probe bool, sentAt time.Duration) bool {
 	now := p.Now()
 	if told.Status == mulberrybeam.StatusLost {
-		state.doubt("the follower lost the store")
+		state.invalidate("the follower lost the store")
 		return true
 	}
 	// Without a waiter the changes are dropped, so that the answer confirms nothing.
