Log rejected asks

An ask with a kind twice or an unknown kind closed the connection without a line in the log. TestInvalidAskIsRejected also checks the line and fails without the change. The package passes with the race detector.

--- a/connection/propagator/server.go
+++ b/connection/propagator/server.go
@@ -177,10 +177,10 @@
 	for _, cursor := range ask.Cursors {
 		_, passedOn := p.Policies[cursor.Kind]
 		if !passedOn && p.kinds[cursor.Kind] == nil {
-			return fmt.Errorf("%s asks for the unknown kind %q", ask.From, cursor.Kind)
+			return fmt.Errorf("unknown kind %q", cursor.Kind)
 		}
 		if asked[cursor.Kind] {
-			return fmt.Errorf("%s asks for the kind %s twice", ask.From, cursor.Kind)
+			return fmt.Errorf("kind %s is asked for twice", cursor.Kind)
 		}
 		asked[cursor.Kind] = true
 	}
@@ -224,13 +224,17 @@
 			return
 		}
 		ask, err := propagationencoder.ReadAsk(a.conn)
-		if err != nil || p.validate(ask) != nil {
+		if err != nil {
 			return
 		}
 		at := p.Now()
 		if !p.admit(ctx, a, ask.From) {
 			return
 		}
+		if err := p.validate(ask); err != nil {
+			p.OnEvent(string(ask.From), "ask rejected: "+err.Error())
+			return
+		}
 		p.demand(ask.From, at)
 		select {
 		case asks <- readAsk{ask, at}:
--- a/connection/propagator/server_test.go
+++ b/connection/propagator/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -34,6 +35,8 @@
 	// writing is the number of large messages that are being written, and most the
 	// largest number so far.
 	writing, most atomic.Int64
+	// rejections is the number of lines about rejected asks.
+	rejections atomic.Int64
 }
 
 func (f *follower) Accept() (net.Conn, error) {
@@ -72,17 +75,22 @@
 // startFollower starts a follower that has a change of the size of each kind.
 func startFollower(t *testing.T, size int, kinds ...mulberrybeam.ObjectKind) *follower {
 	startedAt := time.Now()
+	f := &follower{incoming: make(chan net.Conn, 100), closed: make(chan struct{})}
 	p := propagator.New(propagator.Config{
 		Self: "front-1", Store: filledStore{size}, Policies: starter.Policies(bounds),
 		Plan:   func() mulberrybeam.PropagationPlan { return mulberrybeam.PropagationPlan{Active: true, Follower: true} },
 		IsPeer: func(string) bool { return true }, Now: func() time.Duration { return time.Since(startedAt) },
-		OnResult: func(mulberrybeam.ObjectKind, string, time.Duration) {}, OnEvent: func(string, string) {},
+		OnResult: func(mulberrybeam.ObjectKind, string, time.Duration) {},
+		OnEvent: func(_, text string) {
+			if strings.HasPrefix(text, "ask rejected: ") {
+				f.rejections.Add(1)
+			}
+		},
 	})
 	for _, kind := range kinds {
 		_, version, _ := p.ListAt(t.Context(), kind)
 		_, _, _ = p.Changes(t.Context(), kind, version, 0)
 	}
-	f := &follower{incoming: make(chan net.Conn, 100), closed: make(chan struct{})}
 	t.Cleanup(p.Serve(f))
 	return f
 }
@@ -105,7 +113,7 @@
 }
 
 // Guards against an ask that makes a follower send one history many times, or that
-// has kinds without end.
+// has kinds without end, and against a rejection without a trace in the log.
 func TestInvalidAskIsRejected(t *testing.T) {
 	for name, kinds := range map[string][]mulberrybeam.ObjectKind{
 		"a kind twice":    {mulberrybeam.ObjectTarget, mulberrybeam.ObjectTarget},
@@ -115,10 +123,12 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				conn := startFollower(t, 10, mulberrybeam.ObjectTarget).connect(t)
+				f := startFollower(t, 10, mulberrybeam.ObjectTarget)
+				conn := f.connect(t)
 				is.NoErr(ask(conn, "front-2", 1, kinds...))
 				_, err := propagationencoder.ReadAnswer(conn)
 				is.True(err != nil)
+				is.Equal(f.rejections.Load(), int64(1))
 			})
 		})
 	}
