--- a/connection/propagator/propagator.go
+++ b/connection/propagator/propagator.go
@@ -23,8 +23,8 @@
 	// silenceTime is the longest time that an answer may take before the follower
 	// counts as silent. It covers a missed time slice of a throttled host.
 	silenceTime = holdTime + 500*time.Millisecond
-	// confirmInterval is how often the confirmation of a kind with a deadline is
-	// passed to the control loop.
+	// confirmInterval is the longest time that a call for a bounded kind waits for a
+	// follower, so that its feed delivers a confirmation at least this often.
 	confirmInterval = time.Second
 	// demandTime is how long a host stays a follower after it was asked.
 	demandTime = 10 * time.Second
@@ -77,6 +77,10 @@
 	demandedUntil time.Duration
 	// changed is closed when a history changes.
 	changed chan struct{}
+	// askers are the connections on which this host is asked.
+	askers map[askerKey]*asker
+	// largeAnswers has an element for each large answer that is being written.
+	largeAnswers chan struct{}
 	// askNow wakes the link when a kind must be asked for.
 	askNow chan struct{}
 }
@@ -94,6 +98,10 @@
 	// confirmedAt and source are those of the last result.
 	confirmedAt time.Duration
 	source      string
+	// relying reports that the last call that waited for changes relied on a follower,
+	// and reason why followers cannot be relied on since, if it is known.
+	relying bool
+	reason  string
 	// waiter is set while a call waits for a follower's answer.
 	waiter *waiter
 }
@@ -102,7 +110,7 @@
 func New(config Config) *Propagator {
 	return &Propagator{
 		Config: config, kinds: map[mulberrybeam.ObjectKind]*kindState{},
-		changed: make(chan struct{}), askNow: make(chan struct{}, 1),
+		askers: map[askerKey]*asker{}, changed: make(chan struct{}), askNow: make(chan struct{}, 1), largeAnswers: make(chan struct{}, maxLargeAnswers),
 	}
 }
 
@@ -131,15 +139,16 @@
 	now := p.Now()
 	plan := p.currentPlan(now)
 	follower := p.follows(now)
+	checksOnce := wait == 0
 	switch {
-	case wait == 0 || state.policy.MaxAge == 0:
+	case checksOnce || state.policy.MaxAge == 0:
 	case follower:
 		wait = min(wait, state.policy.FollowerWait)
 	case plan.Active && state.version == version && state.check.Usable(now):
 		waiting := p.register(state, wait, now)
 		p.mutex.Unlock()
 		result, err := p.await(ctx, state, waiting)
-		if err != nil || !result.doubtful {
+		if err != nil || !result.invalidated {
 			return result.changes, result.next, err
 		}
 		wait = 0
@@ -148,7 +157,10 @@
 		// Shorter waits let hosts that start begin to rely on followers soon.
 		wait = min(wait, state.policy.FollowerWait)
 	}
-	state.check.Leave()
+	state.check.End()
+	if !checksOnce {
+		p.logEnd(state, plan, follower)
+	}
 	p.mutex.Unlock()
 	return p.askStore(ctx, state, kind, version, wait)
 }
