Decode rollout orders and write their status

The platform stores orders of kind rollouts, whose status the system has to write, and the software version of targets. Neither was read.

The adapter decodes both, and the bounds of rollouts in the settings. A status is replaced with PUT /NAME/status under the revision of the order. The lease record holds the stages of rollouts; the tracker ignores the lease of rollouts, since it would clear the upgraded engines.

--- a/action.go
+++ b/action.go
@@ -33,6 +33,8 @@
 	OpUpdate ObjectOp = "update"
 	OpDelete ObjectOp = "delete"
 	OpWatch  ObjectOp = "watch"
+	// OpStatus replaces the status of an object.
+	OpStatus ObjectOp = "status"
 )
 
 // CallObject runs an operation of the object API. The result arrives as an
--- a/fleet.go
+++ b/fleet.go
@@ -135,6 +135,8 @@
 	StartedAt int64
 	// Versions are the weight versions of an engine by model.
 	Versions map[ModelName]int
+	// Software is the version of the target's software.
+	Software SoftwareVersion
 }
 
 // Incarnation identifies one start of the target, which may start again under the
@@ -174,6 +176,8 @@
 	// Upgraded lists the engines that already have the newest weights. Their own
 	// registrations show that only later.
 	Upgraded []UpgradedEngine
+	// Rollouts are the rollouts in progress.
+	Rollouts []RolloutProgress
 	// Version is the object version of the lease.
 	Version string
 }
@@ -226,6 +230,7 @@
 	Lease      *LeaderLease
 	Crash      *CrashRecord
 	Clearance  *PartClearance
+	Rollout    *RolloutOrder
 }
 
 // Kinds of objects that make up the state of the fleet.
@@ -237,6 +242,7 @@
 	ObjectHost       ObjectKind = "entry-host"
 	ObjectLease      ObjectKind = "duty-lease"
 	ObjectCrash      ObjectKind = "crash"
+	ObjectRollout    ObjectKind = "rollout"
 )
 
 // Fleet is the part of a snapshot that requests are routed by. It is immutable.
@@ -274,6 +280,10 @@
 	Crashes map[Fingerprint]int
 	// Suspects are the prompt parts that may crash targets.
 	Suspects map[SharedPart]PartSuspicion
+	// Rollouts are the rollouts in progress by service.
+	Rollouts map[ServiceName]*FleetRollout
+	// RolloutLeader is the peer address of the leader of the rollouts, or empty.
+	RolloutLeader string
 	// ConfirmedAt is when the deployment was last known to be the newest.
 	ConfirmedAt time.Duration
 	// Complete reports that objects of every kind were read at least once.
@@ -344,4 +354,16 @@
 	// configuration and an evacuation must take effect.
 	ConfigWithin   time.Duration
 	EvacuateWithin time.Duration
+	// ExposureShare is the fraction of a service's requests that a version may
+	// get before it is judged good, and ExposureSlack a number of requests
+	// allowed on top of it. RollbackWithin is the time within which requests to a
+	// bad version must end. Rollouts are not in use without them.
+	ExposureShare  float64
+	ExposureSlack  float64
+	RollbackWithin time.Duration
+}
+
+// UsesRollouts reports whether versions of targets are rolled out by orders.
+func (b HostBounds) UsesRollouts() bool {
+	return b.ExposureShare > 0 && b.RollbackWithin > 0
 }
--- a/interface.go
+++ b/interface.go
@@ -100,6 +100,15 @@
 	Host(host EntryHost) Object
 	Crash(crash CrashRecord) Object
 	Clearance(clearance PartClearance) Object
+	// RolloutStatus returns the object with the new status of an order.
+	RolloutStatus(order RolloutOrder, status RolloutStatus) Object
+}
+
+// StatusClient replaces the status of objects. If the object has a version, the
+// call succeeds only if that is the current one. Errors are those of
+// ObjectClient.
+type StatusClient interface {
+	UpdateStatus(ctx context.Context, object Object) (Object, error)
 }
 
 // PeerClient sends messages to other entry processes. Errors are of type
--- a/object.go
+++ b/object.go
@@ -21,4 +21,6 @@
 	Version string
 	// Data is the content, at most one megabyte.
 	Data []byte
+	// Status is the status of an object whose writer is not that of its content.
+	Status []byte
 }
--- a/process/controller/execute.go
+++ b/process/controller/execute.go
@@ -88,6 +88,8 @@
 		event.Object, event.Err = c.objects.Create(ctx, call.Object)
 	case mulberrybeam.OpUpdate:
 		event.Object, event.Err = c.objects.Update(ctx, call.Object)
+	case mulberrybeam.OpStatus:
+		event.Object, event.Err = c.statuses.UpdateStatus(ctx, call.Object)
 	case mulberrybeam.OpDelete:
 		event.Err = c.objects.Delete(ctx, call.Object)
 	default:
--- a/process/controller/option.go
+++ b/process/controller/option.go
@@ -15,6 +15,7 @@
 	objects  mulberrybeam.ObjectClient
 	peers    mulberrybeam.PeerClient
 	engines  mulberrybeam.OrderClient
+	statuses mulberrybeam.StatusClient
 	observe  ObserveFunc
 	recorder mulberrybeam.Recorder
 	now      func() time.Duration
@@ -57,6 +58,11 @@
 	return func(d *dependencies) { d.engines = engines }
 }
 
+// WithStatusClient sets the client that replaces the status of objects.
+func WithStatusClient(statuses mulberrybeam.StatusClient) Option {
+	return func(d *dependencies) { d.statuses = statuses }
+}
+
 // WithObserveFunc sets the function that polls targets for their load reports and
 // cache events.
 func WithObserveFunc(observe ObserveFunc) Option {
--- a/process/standin/metastore/metastore.go
+++ b/process/standin/metastore/metastore.go
@@ -40,6 +40,7 @@
 type object struct {
 	Metadata metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status,omitempty"`
 }
 
 type metadata struct {
@@ -104,6 +105,13 @@
 	return string(found.Spec), ok
 }
 
+// Status returns the status of an object.
+func (s *Store) Status(kind, name string) string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return string(s.objects[kind][name].Status)
+}
+
 // ServeHTTP answers a call, subject to the configured faults.
 func (s *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	s.mutex.Lock()
@@ -134,6 +142,9 @@
 		}
 		return s.read(request, kind, name)
 	case http.MethodPost, http.MethodPut:
+		if objectName, found := strings.CutSuffix(name, "/status"); found {
+			return s.replaceStatus(request, kind, objectName)
+		}
 		return s.createOrUpdate(request, kind, name)
 	case http.MethodDelete:
 		s.Remove(kind, name)
@@ -195,6 +206,27 @@
 	return http.StatusOK, s.write(kind, name, sent.Spec)
 }
 
+// replaceStatus replaces the status of an object and leaves its spec as it is.
+func (s *Store) replaceStatus(request *http.Request, kind, name string) (int, any) {
+	body, err := io.ReadAll(request.Body)
+	var sent object
+	if err != nil || json.Unmarshal(body, &sent) != nil || request.Method != http.MethodPut {
+		return http.StatusBadRequest, nil
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	found, exists := s.objects[kind][name]
+	switch {
+	case !exists:
+		return http.StatusNotFound, nil
+	case sent.Metadata.Revision != 0 && sent.Metadata.Revision != found.Metadata.Revision:
+		return http.StatusConflict, found
+	}
+	found.Status = sent.Status
+	s.objects[kind][name] = found
+	return http.StatusOK, s.write(kind, name, found.Spec)
+}
+
 func (s *Store) watch(request *http.Request, kind string) (int, any) {
 	query := request.URL.Query()
 	from, err := strconv.ParseUint(query.Get("watch"), 10, 64)
--- a/process/tracker/tracker.go
+++ b/process/tracker/tracker.go
@@ -212,7 +212,10 @@
 			t.hosts[record.Host.ID] = *record.Host
 		}
 	case mulberrybeam.ObjectLease:
-		t.setUpgradedEngines(record.Lease)
+		// The lease of rollouts lists no engines.
+		if name != mulberrybeam.RolloutLeaseName {
+			t.setUpgradedEngines(record.Lease)
+		}
 	case mulberrybeam.ObjectCrash:
 		if record.Crash != nil {
 			t.crashes[crashKey{record.Crash.Fingerprint, record.Crash.Target}] = turn.Now
--- a/snapshot.go
+++ b/snapshot.go
@@ -76,6 +76,7 @@
 	EntryTrial         EntryKind = "trial"
 	EntryPlatform      EntryKind = "platform"
 	EntryShutdown      EntryKind = "shutdown"
+	EntryRollout       EntryKind = "rollout"
 )
 
 // Entry is one event on the timeline.
--- a/stats.go
+++ b/stats.go
@@ -56,6 +56,9 @@
 	// Sequence increases with each message of one run of the process.
 	Sequence uint64
 	Targets  []SharedLoad
+	// Incarnation identifies the run of the process. It is set with Rollouts.
+	Incarnation uint64
+	Rollouts    []RolloutReport
 }
 
 // SharedLoad is the load that an entry host puts on one target.
