Count attempts by version and exchange the counts

The library rejects structs with another number of fields, so the datagram is decoded field by field. Datagrams without rollouts keep their bytes. A salt of stored context can name the software version.

--- a/connection/loadencoder/loadencoder.go
+++ b/connection/loadencoder/loadencoder.go
@@ -22,6 +22,9 @@
 	From     string
 	Sequence uint64
 	Targets  wireLoads
+	// The fields below are missing in a datagram without rollouts.
+	Incarnation uint64
+	Rollouts    wireReports
 }
 
 // maxTargets is the largest number of targets in a datagram.
@@ -69,7 +72,7 @@
 	var datagram bytes.Buffer
 	encoder := msgpack.NewEncoder(&datagram)
 	encoder.UseArrayEncodedStructs(true)
-	if err := encoder.Encode(&wire); err != nil {
+	if err := encoder.Encode(withRollouts(wire, share)); err != nil {
 		return nil, fmt.Errorf("encode load share: %w", err)
 	}
 	return datagram.Bytes(), nil
@@ -85,6 +88,11 @@
 		return mulberrybeam.LoadUpdate{}, fmt.Errorf("load share has unsupported version %d", wire.Version)
 	}
 	share := mulberrybeam.LoadUpdate{From: mulberrybeam.ProcessID(wire.From), Sequence: wire.Sequence}
+	share.Incarnation = wire.Incarnation
+	var err error
+	if share.Rollouts, err = wire.Rollouts.reports(); err != nil {
+		return mulberrybeam.LoadUpdate{}, fmt.Errorf("load share from %q: %w", wire.From, err)
+	}
 	for _, load := range wire.Targets {
 		if load.Requests < 0 || load.PrefillTokens < 0 || load.HeldTokens < 0 {
 			return mulberrybeam.LoadUpdate{}, fmt.Errorf("load share from %q has a negative load", wire.From)
--- a/request/fetcher/salt.go
+++ b/request/fetcher/salt.go
@@ -12,9 +12,11 @@
 
 const (
 	// workspaceSeparator and groupSeparator separate the weight version in a salt
-	// from the workspace and from the sharing group.
+	// from the workspace and from the sharing group. softwareSeparator comes before
+	// the hash of a software version.
 	workspaceSeparator = "/"
 	groupSeparator     = "+"
+	softwareSeparator  = "~"
 	// groupBytes is the length of the hash in a sharing group.
 	groupBytes = 8
 )
@@ -51,13 +53,27 @@
 	return salt
 }
 
+// WithSoftware returns a salt for context that a software version computes.
+func WithSoftware(salt string, software mulberrybeam.SoftwareVersion) string {
+	if software == "" {
+		return salt
+	}
+	end := digitsOf(salt)
+	digest := sha256.Sum256([]byte(software))
+	return salt[:end] + softwareSeparator + hex.EncodeToString(digest[:groupBytes]) + salt[end:]
+}
+
+// digitsOf returns the length of the weight version at the beginning of a salt.
+func digitsOf(salt string) int {
+	if end := strings.IndexAny(salt, workspaceSeparator+groupSeparator+softwareSeparator); end >= 0 {
+		return end
+	}
+	return len(salt)
+}
+
 // VersionOf returns the weight version of a salt, or false if the salt was not
-// created by Salt.
+// created by Salt or WithSoftware.
 func VersionOf(salt string) (int, bool) {
-	digits := salt
-	if end := strings.IndexAny(salt, workspaceSeparator+groupSeparator); end >= 0 {
-		digits = salt[:end]
-	}
-	version, err := strconv.Atoi(digits)
+	version, err := strconv.Atoi(salt[:digitsOf(salt)])
 	return version, err == nil
 }
--- a/request/fetcher/salt_test.go
+++ b/request/fetcher/salt_test.go
@@ -62,3 +62,18 @@
 		}
 	}
 }
+
+// Guards against stored context of two software versions that mixes, and against
+// a salt whose weight version is not found, so that old context is not removed.
+func TestSaltWithSoftware(t *testing.T) {
+	is := is.New(t)
+	workspace := &mulberrybeam.WorkspaceSpec{Name: "w", Isolated: true}
+	for _, salt := range []string{fetcher.Salt(12, workspace, ""), fetcher.Salt(12, nil, "group"), fetcher.Salt(12, nil, "")} {
+		is.Equal(fetcher.WithSoftware(salt, ""), salt)
+		first, second := fetcher.WithSoftware(salt, "v1"), fetcher.WithSoftware(salt, "v1/w")
+		is.True(first != second && first != salt)
+		version, valid := fetcher.VersionOf(second)
+		is.True(valid)
+		is.Equal(version, 12)
+	}
+}
