Use rollouts on the request path

Where the settings have the bounds of rollouts, hosts follow orders, requests choose among the targets of the version that a rollout allows, and attempts are counted; without the bounds no feed, machine, lock or filter exists.

A sampled request that fails or finds no target of the new version goes to the old one. A response that breaks because its target crashed counts for no version. Salts of stored context name the software version. Datagrams go on while a rollout runs, and each round reaches the leader. The feed of leases pauses 50 ms after a change and waits no longer than a rollback may take.

--- a/process/broadcaster/broadcaster.go
+++ b/process/broadcaster/broadcaster.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"mulberrybeam"
@@ -38,6 +39,9 @@
 	Fleet func() *mulberrybeam.Fleet
 	// Loads returns the current load of this process on each target.
 	Loads func() []mulberrybeam.SharedLoad
+	// Rollouts returns the reports of this process on rollouts, and the incarnation
+	// that they belong to. It is nil where rollouts are not in use.
+	Rollouts func() (incarnation uint64, reports []mulberrybeam.RolloutReport)
 	// Receive is called with the loads received from a peer.
 	Receive func(share mulberrybeam.LoadUpdate)
 	// OnError is called when loads cannot be sent, received or decoded.
@@ -85,12 +89,17 @@
 		peers := b.selectPeers()
 		timer.Reset(max(minInterval, time.Duration(len(peers))*intervalPerPeer))
 		loads := b.Loads()
-		if len(loads) == 0 && idle {
+		share := mulberrybeam.LoadUpdate{From: b.Self, Targets: loads[:min(len(loads), maxTargetsPerDatagram)]}
+		if b.Rollouts != nil {
+			share.Incarnation, share.Rollouts = b.Rollouts()
+		}
+		unused := len(loads) == 0 && len(share.Rollouts) == 0
+		if unused && idle {
 			continue
 		}
-		idle = len(loads) == 0
+		idle = unused
 		sequence++
-		share := mulberrybeam.LoadUpdate{From: b.Self, Sequence: sequence, Targets: loads[:min(len(loads), maxTargetsPerDatagram)]}
+		share.Sequence = sequence
 		datagram, err := loadencoder.Encode(share)
 		if err != nil {
 			b.OnError(err)
@@ -128,6 +137,10 @@
 	for _, at := range rand.Perm(len(peers))[:maxPeersPerRound] {
 		selected = append(selected, peers[at])
 	}
+	// The leader of rollouts must know of all hosts within a round.
+	if leader := fleet.RolloutLeader; leader != "" && len(fleet.Rollouts) > 0 && slices.Contains(peers, leader) && !slices.Contains(selected, leader) {
+		selected = append(selected, leader)
+	}
 	return selected
 }
 
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -31,6 +31,7 @@
 
 // Meter updates metrics from timeline entries. It is safe for concurrent use.
 type Meter struct {
+	meter           metric.Meter
 	events          metric.Int64Counter
 	refusals        metric.Int64Counter
 	firstToken      metric.Float64Histogram
@@ -54,11 +55,12 @@
 	}
 	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
 	m := &Meter{
+		meter:       provider.Meter("mulberrybeam"),
 		workspaces:  map[mulberrybeam.WorkspaceName]bool{},
 		environment: attribute.String("environment", string(environment)),
 		zone:        attribute.String("zone", string(zone)),
 	}
-	if err := m.createInstruments(provider.Meter("mulberrybeam")); err != nil {
+	if err := m.createInstruments(m.meter); err != nil {
 		return nil, nil, nil, err
 	}
 	cleanup := func() { _ = provider.Shutdown(context.Background()) }
--- a/process/starter/feeds.go
+++ b/process/starter/feeds.go
@@ -41,6 +41,8 @@
 	// request that was in flight, and no deadline depends on the records.
 	crashPause = 400 * time.Millisecond
 	hostPause  = time.Second
+	// renewalPause is the pause after a renewal of the leader of rollouts.
+	renewalPause = 50 * time.Millisecond
 	// maxUnscaledHosts is the number of entry hosts up to which the pauses apply
 	// unchanged. With more hosts they grow in proportion, because each change
 	// costs one call by every host.
@@ -64,15 +66,28 @@
 	if bounds.FailClosed && bounds.RevokeWithin > 0 {
 		configWait = clampWait(min(configWait, time.Duration(revokeFraction*float64(bounds.RevokeWithin))))
 	}
-	return []Feed{
+	feeds := []Feed{
 		{mulberrybeam.ObjectDeployment, configWait, 0},
 		{mulberrybeam.ObjectTarget, targetWait, changePause},
 		{mulberrybeam.ObjectEvacuation, clampWait(orDefault(bounds.EvacuateWithin, defaultEvacuateWithin) - retryMargin), 0},
 		{mulberrybeam.ObjectWeights, clampWait(orDefault(bounds.VersionWithin, defaultVersionWithin) - retryMargin), 0},
 		{mulberrybeam.ObjectHost, maxWait, hostPause},
-		{mulberrybeam.ObjectLease, maxWait, changePause},
+		leaseFeed(bounds),
 		{mulberrybeam.ObjectCrash, maxWait, crashPause},
 	}
+	if bounds.UsesRollouts() {
+		feeds = append(feeds, Feed{mulberrybeam.ObjectRollout, clampWait(bounds.RollbackWithin), 0})
+	}
+	return feeds
+}
+
+// leaseFeed returns the feed for leases. Where rollouts are in use, hosts stop
+// sending to the new version unless they see its leader's renewals in time.
+func leaseFeed(bounds mulberrybeam.HostBounds) Feed {
+	if !bounds.UsesRollouts() {
+		return Feed{mulberrybeam.ObjectLease, maxWait, changePause}
+	}
+	return Feed{mulberrybeam.ObjectLease, clampWait(bounds.RollbackWithin), renewalPause}
 }
 
 func orDefault(value, fallback time.Duration) time.Duration {
--- a/process/starter/listen.go
+++ b/process/starter/listen.go
@@ -46,6 +46,7 @@
 		return nil, nil, err
 	}
 	p.cleanups = append(p.cleanups, stop)
+	p.meter = meter
 	return handler, meter.Observe, nil
 }
 
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -22,12 +23,15 @@
 	"mulberrybeam/process/cataloger"
 	"mulberrybeam/process/controller"
 	"mulberrybeam/process/logger"
+	"mulberrybeam/process/meter"
 	"mulberrybeam/process/monitor"
 	"mulberrybeam/process/parttracker"
 	"mulberrybeam/process/recorder"
 	"mulberrybeam/process/registrar"
+	"mulberrybeam/process/tallier"
 	"mulberrybeam/process/tracker"
 	"mulberrybeam/request/relayer"
+	"mulberrybeam/version/promoter"
 	"mulberrybeam/version/upgrader"
 )
 
@@ -48,16 +52,21 @@
 
 // Process is a running entry process.
 type Process struct {
-	settings  atomic.Pointer[mulberrybeam.HostSettings]
-	now       func() time.Duration
-	control   *controller.Controller
-	recorder  *recorder.Ring
-	monitor   *monitor.Monitor
-	requester *requester.Requester
-	catalog   *cataloger.Cataloger
-	shutdown  atomic.Pointer[relayer.Shutdown]
-	servers   []*http.Server
-	drainer   *drainer.Drainer
+	settings atomic.Pointer[mulberrybeam.HostSettings]
+	now      func() time.Duration
+	control  *controller.Controller
+	recorder *recorder.Ring
+	monitor  *monitor.Monitor
+	// tallier is nil where rollouts are not in use. incarnation identifies this run
+	// in its reports on rollouts.
+	tallier     *tallier.Tallier
+	meter       *meter.Meter
+	incarnation uint64
+	requester   *requester.Requester
+	catalog     *cataloger.Cataloger
+	shutdown    atomic.Pointer[relayer.Shutdown]
+	servers     []*http.Server
+	drainer     *drainer.Drainer
 	// cleanups run in reverse order when the process stops.
 	cleanups []func()
 	workers  sync.WaitGroup
@@ -84,7 +93,15 @@
 		observe(entry)
 	}))
 	p.recordEvent("start", "zone "+string(settings.Zone)+", caller address "+settings.CallerAddress)
+	if settings.Bounds.UsesRollouts() {
+		p.tallier = tallier.New()
+		p.incarnation = rand.Uint64()
+	}
 	p.startControl(settings)
+	if err := p.exportRollouts(); err != nil {
+		p.runCleanups()
+		return nil, err
+	}
 	if err := p.listen(settings, metricsPort, metrics); err != nil {
 		p.runCleanups()
 		return nil, err
@@ -105,6 +122,9 @@
 		Self: settings.ID, Fleet: p.fleet, Loads: p.monitor.OwnLoads, Receive: p.monitor.ReceiveUpdate,
 		OnError: func(err error) { p.recordEvent("load share dropped", err.Error()) },
 	}
+	if p.tallier != nil {
+		b.Rollouts, b.Receive = p.rolloutReports, p.receiveUpdate
+	}
 	stop, err := b.Listen(settings.PeerAddress)
 	if err != nil {
 		return err
@@ -125,9 +145,14 @@
 		upgrader.New(settings.ID, settings.Bounds, platform.Encoder{}),
 		registrar.New(mulberrybeam.EntryHost{ID: settings.ID, Zone: settings.Zone, Address: settings.PeerAddress}, platform.Encoder{}),
 	}
+	if p.tallier != nil {
+		// After the tracker, whose fleet it filters.
+		machines = append(machines, promoter.New(settings.ID, settings.Bounds, platform.Encoder{}))
+	}
 	control, stopControl := controller.New(machines,
 		controller.WithIdentity(settings.ID, settings.Zone),
 		controller.WithObjects(store),
+		controller.WithStatusClient(store),
 		controller.WithOrderClient(engines),
 		controller.WithObserveFunc(func(ctx context.Context, target mulberrybeam.Target, _ uint64) mulberrybeam.TargetObserved {
 			report, err := engines.Report(ctx, target)
@@ -168,6 +193,9 @@
 		}
 		p.workers.Go(func() { feedLoop.Run(ctx) })
 	}
+	if p.tallier != nil {
+		p.workers.Go(func() { p.reportRollouts(ctx) })
+	}
 	p.workers.Go(func() { p.sweep(ctx) })
 	p.workers.Go(func() { stores.Run(ctx) })
 	p.cleanups = append(p.cleanups, func() {
@@ -218,6 +246,7 @@
 		Codec:    platform.Codec{},
 		Sender:   p.requester,
 		Monitor:  p.monitor,
+		Tallier:  p.tallier,
 		Budgets:  monitor.NewBudgets(retryBudgetFraction*bounds.RetryBudgetRatio, minRetriesPerSecond),
 		Recorder: p.recorder,
 		Catalog:  p.catalog,
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -83,6 +83,8 @@
 	// MinVersion excludes engines that report an older weight version. 0 excludes none.
 	MinVersion int
 	Tried      []mulberrybeam.InstanceID
+	// Usable reports whether the request may use a target. Nil allows all.
+	Usable func(target mulberrybeam.FleetTarget) bool
 	// MayWait reports that the request can wait until an engine has capacity.
 	MayWait bool
 	// ColdOvershoot is a factor on a cold target's rate, and ColdSlack a number
@@ -148,7 +150,7 @@
 		if !regionAllowed(fleet, query.Rule, target.Zone) {
 			continue
 		}
-		if hasWeightsBefore(query.MinVersion, query.Model, target) {
+		if hasWeightsBefore(query.MinVersion, query.Model, target) || query.Usable != nil && !query.Usable(target) {
 			continue
 		}
 		stats := view.TargetStats(target.ID)
--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -93,6 +93,7 @@
 // last one.
 func (a *attempt) forwardReceived(ctx context.Context, w *watch, flusher *http.ResponseController, response *requester.Answer, received chunk) (bool, error) {
 	if len(received.data) > 0 {
+		a.recordFirstResponse()
 		if err := a.forwardChunk(w, flusher, response, received.data); err != nil {
 			return false, a.callerDisconnected(err)
 		}
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -8,6 +8,7 @@
 
 	"mulberrybeam"
 	"mulberrybeam/connection/requester"
+	"mulberrybeam/process/tallier"
 	"mulberrybeam/request/chooser"
 	"mulberrybeam/request/fetcher"
 )
@@ -45,8 +46,13 @@
 // of another target which takes over from a silent one. It returns a Failure if
 // the caller did not get a complete response.
 func (e *exchange) runAttempt(ctx context.Context) error {
+	e.decideSide(true)
 	query := e.chooserQuery()
 	choice, err := chooser.Choose(e.Now(), e.random, e.fleet, e.Monitor, query)
+	if err != nil && e.leaveSample() {
+		query = e.chooserQuery()
+		choice, err = chooser.Choose(e.Now(), e.random, e.fleet, e.Monitor, query)
+	}
 	if err != nil {
 		return err
 	}
@@ -70,7 +76,11 @@
 		sentAt: e.Now(), minVersion: minVersion, sent: make(chan sendResult, 1),
 	}
 	message := a.buildMessage()
+	if !a.beginTally() {
+		return nil, oldTargetFailure(a.target.ID)
+	}
 	if !e.Monitor.Reserve(a.target.ID, a.load, choice.ColdLimit) {
+		a.tallied.End(tallier.Outcome{})
 		return nil, &mulberrybeam.Failure{
 			Code: mulberrybeam.CodeNoTarget, Step: mulberrybeam.StepRoute, Peer: string(a.target.ID),
 			Message: "request rate limit of the cold target is reached", NotRun: true,
@@ -98,13 +108,14 @@
 
 // end removes the attempt's load from its target.
 func (a *attempt) end(ctx context.Context, err error) {
+	a.tallied.End(a.outcome(err))
 	a.Monitor.RecordEnd(a.target.ID, a.load, err != nil && ctx.Err() == nil && !isRefusal(err))
 }
 
 func (e *exchange) chooserQuery() chooser.Query {
 	query := chooser.Query{
 		Rule: e.match.Rule, Service: e.service, Zone: e.settings.Zone, Self: e.settings.ID,
-		Model: e.inbound.Model, Tried: e.tried,
+		Model: e.inbound.Model, Tried: e.tried, Usable: e.usable(),
 		MayWait:      e.match.Rule.Streaming && !e.headerWritten && e.Now()+waitInterval <= e.waitDeadline(),
 		PromptTokens: e.inbound.PromptTokens, MemoryTokens: e.fleet.Deployment.Pools[e.service].MemoryTokens,
 		ColdOvershoot: e.settings.Bounds.ColdOvershoot, ColdSlack: e.settings.Bounds.ColdSlack,
@@ -132,7 +143,7 @@
 		version = defaultVersion
 	}
 	_, query.Stored = e.Catalog.StoreOf(mulberrybeam.PartKey{
-		Salt: fetcher.Salt(version, e.match.Workspace, e.fleet.SharingGroup), Model: e.inbound.Model, ID: last.ID,
+		Salt: e.salt(version, e.sideSoftware()), Model: e.inbound.Model, ID: last.ID,
 	})
 }
 
@@ -158,6 +169,11 @@
 	// the response.
 	cancel context.CancelFunc
 	sent   chan sendResult
+	// tallied is the attempt as rollouts count it, or nil. firstResponse is the time
+	// until the first byte of the answer, and status that of the response.
+	tallied       *tallier.Attempt
+	firstResponse time.Duration
+	status        int
 }
 
 // sendResult is the head of a target's response, or why there is none.
@@ -176,6 +192,7 @@
 	}
 	defer response.Close()
 	a.firstByteAt = a.Now()
+	a.recordStatus(response.Status)
 	a.Monitor.RecordFirstByte(a.target.ID, a.load.PrefillTokens, a.firstByteAt-a.sentAt)
 	a.load.PrefillTokens = 0
 	return a.handleResponse(ctx, response)
@@ -268,7 +285,7 @@
 	}
 	goal := a.fleet.Weights[a.inbound.Model].Version
 	version := a.target.Versions[a.inbound.Model]
-	call.Salt = fetcher.Salt(version, a.match.Workspace, a.fleet.SharingGroup)
+	call.Salt = a.salt(version, a.target.Software)
 	// The salt contains the weight version. An engine that ran the request on
 	// other weights would store context under the wrong salt, and engines that
 	// fetch it would use context computed with different weights.
@@ -284,7 +301,7 @@
 		TimeToGoal: a.timeToGoal(),
 		Backlog:    a.Monitor.TargetStats(a.target.ID).Load().PrefillTokens,
 	}
-	if a.preferred.Versions[a.inbound.Model] == version {
+	if a.preferred.Versions[a.inbound.Model] == version && (a.Tallier == nil || a.preferred.Software == a.target.Software) {
 		query.Peer = a.preferred.Address
 	}
 	plan := fetcher.Decide(a.Catalog, query)
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -55,7 +55,9 @@
 	history     retrier.History
 	tried       []mulberrybeam.InstanceID
 	waitCount   int
-	mayHaveRun  bool
+	// sample is the part of a rollout that the request takes.
+	sample     sample
+	mayHaveRun bool
 	// trials are the convicted prompt parts that this request tries.
 	trials []mulberrybeam.SharedPart
 	// firstByteAt is when the response header of the last attempt arrived.
--- a/request/relayer/outcome.go
+++ b/request/relayer/outcome.go
@@ -8,6 +8,7 @@
 
 	"mulberrybeam"
 	"mulberrybeam/connection/requester"
+	"mulberrybeam/process/tallier"
 	"mulberrybeam/request/retrier"
 )
 
@@ -143,11 +144,16 @@
 // lost.
 func (a *attempt) reportCrash() {
 	crash := mulberrybeam.CrashRecord{Fingerprint: a.requestInfo.Fingerprint, Target: a.target.Incarnation(), Parts: a.crashParts()}
-	address, post, sender := a.target.Address, a.Post, a.Sender
+	address, post, sender, tallied := a.target.Address, a.Post, a.Sender, a.tallied
+	a.tallied = nil
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 		defer cancel()
-		if sender.RefusesConnections(ctx, address) {
+		crashed := sender.RefusesConnections(ctx, address)
+		// A crash of one target, which breaks all its requests at once, is no evidence
+		// against the version of its software.
+		tallied.End(tallier.Outcome{Failed: !crashed})
+		if crashed {
 			post(mulberrybeam.TargetCrashed{Crash: crash})
 		}
 	}()
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"mulberrybeam"
 	"mulberrybeam/connection/requester"
 	"mulberrybeam/process/monitor"
+	"mulberrybeam/process/tallier"
 	"mulberrybeam/request/fetcher"
 )
 
@@ -33,6 +34,9 @@
 	Codec    mulberrybeam.CallCodec
 	Sender   Sender
 	Monitor  *monitor.Monitor
+	// Tallier counts what rollouts are judged by. It is nil where rollouts are not
+	// in use.
+	Tallier  *tallier.Tallier
 	Budgets  *monitor.Budgets
 	Catalog  fetcher.Catalog
 	Recorder mulberrybeam.Recorder
--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -19,6 +19,7 @@
 	"mulberrybeam/connection/requester"
 	"mulberrybeam/platform"
 	"mulberrybeam/process/monitor"
+	"mulberrybeam/process/tallier"
 	"mulberrybeam/request/relayer"
 )
 
@@ -47,6 +48,8 @@
 	completions atomic.Int32
 	start       time.Time
 	prompts     int
+	// tally counts the attempts for rollouts.
+	tally *tallier.Tallier
 	// control gets the events that the Relayer posts, if it is set.
 	control atomic.Pointer[controlLoop]
 }
@@ -59,7 +62,7 @@
 }
 
 func newHarnessWithBudgets(t *testing.T, rule mulberrybeam.Rule, budgets *monitor.Budgets, handlers ...http.HandlerFunc) *harness {
-	h := &harness{t: t, crashes: make(chan mulberrybeam.TargetCrashed, 10)}
+	h := &harness{t: t, tally: tallier.New(), crashes: make(chan mulberrybeam.TargetCrashed, 10)}
 	rule.Host, rule.Prefix = "h", "/"
 	rule.Shares = []mulberrybeam.Share{{Service: "s", Weight: 1}}
 	fleet := &mulberrybeam.Fleet{
@@ -115,7 +118,7 @@
 	settings := &mulberrybeam.HostSettings{ID: "self", Zone: "z0", Bounds: mulberrybeam.HostBounds{VersionWithin: 8 * time.Second}}
 	server := httptest.NewServer(&relayer.Relayer{
 		Settings: func() *mulberrybeam.HostSettings { return settings },
-		Codec:    platform.Codec{}, Sender: connections, Monitor: monitor.New(now), Budgets: budgets,
+		Codec:    platform.Codec{}, Sender: connections, Monitor: monitor.New(now), Tallier: h.tally, Budgets: budgets,
 		Catalog: emptyCatalog{}, Recorder: discardRecorder{}, Fleet: h.fleet.Load, Now: now,
 		Post: func(event mulberrybeam.Event) {
 			if control := h.control.Load(); control != nil {
--- a/request/relayer/watch.go
+++ b/request/relayer/watch.go
@@ -9,6 +9,7 @@
 
 	"mulberrybeam"
 	"mulberrybeam/connection/requester"
+	"mulberrybeam/process/tallier"
 	"mulberrybeam/request/chooser"
 	"mulberrybeam/request/quarantiner"
 	"mulberrybeam/request/retrier"
@@ -157,6 +158,7 @@
 	if a.decideParts(true).Verdict != quarantiner.RunNormally {
 		return nil
 	}
+	a.decideSide(false)
 	query := a.chooserQuery()
 	query.Tried = append(slices.Clone(a.tried), a.target.ID)
 	query.MayWait = true
@@ -200,6 +202,7 @@
 // the request.
 func (a *attempt) discard() {
 	a.recordAttempt(true, false)
+	a.tallied.End(tallier.Outcome{})
 	a.Monitor.RecordEnd(a.target.ID, a.load, false)
 	a.abandon()
 }
