Tell one faulty target from a bad version

A crash, a pause or a slow phase of one target of a small service could be taken for a bad version, above all in the load stage, which used one target.

The load stage uses two targets. A host that does not know the other hosts yet gets no part of the slack.

Measured: go test -race of the packages passes.

--- a/connection/loadencoder/rollout.go
+++ b/connection/loadencoder/rollout.go
@@ -11,7 +11,7 @@
 const (
 	// maxRollouts and maxCounts limit what a datagram may hold.
 	maxRollouts = 16
-	maxCounts   = 64
+	maxCounts   = 128
 )
 
 // wireShareWithoutRollouts is the form of a datagram without rollouts, which hosts of
@@ -41,6 +41,7 @@
 	Responses     uint64
 	Failures      uint64
 	FirstResponse wireBuckets
+	Target        string
 }
 
 type (
@@ -93,7 +94,7 @@
 		encoded := wireReport{Service: string(report.Service), Order: report.Order, Drained: int(report.Drained), Bad: report.Bad}
 		for _, counts := range report.Counts[:min(len(report.Counts), maxCounts)] {
 			encoded.Counts = append(encoded.Counts, wireCount{
-				counts.Route, counts.New, counts.Streaming, counts.Responses, counts.Failures, trim(counts.FirstResponse),
+				counts.Route, counts.New, counts.Streaming, counts.Responses, counts.Failures, trim(counts.FirstResponse), string(counts.Target),
 			})
 		}
 		wire.Rollouts = append(wire.Rollouts, encoded)
@@ -122,6 +123,7 @@
 			}
 			decoded := mulberrybeam.RolloutCounts{
 				Route: counts.Route, New: counts.New, Streaming: counts.Streaming, Responses: counts.Responses, Failures: counts.Failures,
+				Target: mulberrybeam.InstanceID(counts.Target),
 			}
 			copy(decoded.FirstResponse[:], counts.FirstResponse)
 			report.Counts = append(report.Counts, decoded)
--- a/process/tallier/tallier.go
+++ b/process/tallier/tallier.go
@@ -36,8 +36,9 @@
 }
 
 type row struct {
-	route string
-	isNew bool
+	route  string
+	isNew  bool
+	target mulberrybeam.InstanceID
 }
 
 // New returns a Tallier without counts.
@@ -64,6 +65,7 @@
 	Service   mulberrybeam.ServiceName
 	Route     string
 	Streaming bool
+	Target    mulberrybeam.InstanceID
 	Software  mulberrybeam.SoftwareVersion
 	// Rollout is the rollout by which the target was chosen, or nil.
 	Rollout *mulberrybeam.FleetRollout
@@ -117,7 +119,7 @@
 		report.Counts = append(report.Counts, *counts)
 	}
 	slices.SortFunc(report.Counts, func(a, b mulberrybeam.RolloutCounts) int {
-		return cmp.Or(strings.Compare(a.Route, b.Route), compareBool(a.New, b.New))
+		return cmp.Or(strings.Compare(a.Route, b.Route), compareBool(a.New, b.New), strings.Compare(string(a.Target), string(b.Target)))
 	})
 	return report
 }
@@ -220,10 +222,13 @@
 }
 
 func (s *tally) countsOf(a *Attempt) *mulberrybeam.RolloutCounts {
-	key := row{a.start.Route, a.isNew}
+	key := row{route: a.start.Route, isNew: a.isNew}
+	if a.isNew && a.start.Rollout.ByTarget {
+		key.target = a.start.Target
+	}
 	counts := s.counts[key]
 	if counts == nil {
-		counts = &mulberrybeam.RolloutCounts{Route: a.start.Route, New: a.isNew, Streaming: a.start.Streaming}
+		counts = &mulberrybeam.RolloutCounts{Route: a.start.Route, New: a.isNew, Streaming: a.start.Streaming, Target: key.target}
 		s.counts[key] = counts
 	}
 	return counts
--- a/request/relayer/rollout.go
+++ b/request/relayer/rollout.go
@@ -94,7 +94,7 @@
 	}
 	tallied, allowed := a.Tallier.Begin(tallier.Start{
 		Service: a.service, Route: a.match.Rule.Name, Streaming: a.match.Rule.Streaming,
-		Software: a.target.Software, Rollout: a.sample.rollout,
+		Target: a.target.ID, Software: a.target.Software, Rollout: a.sample.rollout,
 	})
 	a.tallied = tallied
 	return allowed
--- a/rollout.go
+++ b/rollout.go
@@ -96,6 +96,9 @@
 	// Targets are the targets of the new version that may be used. Nil stands
 	// for all.
 	Targets map[InstanceID]bool
+	// ByTarget reports that the counts of the new version are kept by target, so that
+	// one faulty target is not taken for a bad version.
+	ByTarget bool
 	// ValidUntil is the time from which on the new version gets no requests,
 	// because newer information may have been missed.
 	ValidUntil time.Duration
@@ -110,6 +113,8 @@
 	Route     string
 	New       bool
 	Streaming bool
+	// Target is set in counts of the new version that are kept by target.
+	Target    InstanceID
 	Responses uint64
 	Failures  uint64
 	// FirstResponse counts responses by the time until the first byte. Bucket i
--- a/version/promoter/evidence.go
+++ b/version/promoter/evidence.go
@@ -21,8 +21,9 @@
 }
 
 type countKey struct {
-	route string
-	isNew bool
+	route  string
+	isNew  bool
+	target mulberrybeam.InstanceID
 }
 
 // evidence has the counts of all hosts for one order.
@@ -56,7 +57,7 @@
 		e.runs[from] = known
 	}
 	for _, counts := range report.Counts {
-		key := countKey{counts.Route, counts.New}
+		key := countKey{counts.Route, counts.New, counts.Target}
 		last := known[key]
 		if counts.Responses <= last.Responses {
 			continue
@@ -64,7 +65,7 @@
 		known[key] = counts
 		total := e.totals[key]
 		if total == nil {
-			total = &mulberrybeam.RolloutCounts{Route: counts.Route, New: counts.New, Streaming: counts.Streaming}
+			total = &mulberrybeam.RolloutCounts{Route: counts.Route, New: counts.New, Streaming: counts.Streaming, Target: counts.Target}
 			e.totals[key] = total
 		}
 		total.Responses += counts.Responses - last.Responses
@@ -135,7 +136,7 @@
 		if s.active.progress.Order == 0 {
 			continue
 		}
-		s.active.judge.Observe(turn.Now, s.active.evidence.sums())
+		s.active.judge.Observe(turn.Now, s.active.evidence.sums(), len(p.newTargets(s)))
 		if verdict := s.active.judge.Verdict(); verdict.Bad {
 			actions = append(actions, p.markBad(s, verdict.Text)...)
 		}
--- a/version/promoter/model_test.go
+++ b/version/promoter/model_test.go
@@ -39,6 +39,9 @@
 	runTime time.Duration
 	isBad   func(m *model, version mulberrybeam.SoftwareVersion, loaded bool, route string) bool
 
+	// faulty is a target that fails half of its requests.
+	faulty mulberrybeam.InstanceID
+
 	order    *mulberrybeam.RolloutOrder
 	lease    *mulberrybeam.Object
 	revision uint64
--- a/version/promoter/promoter_test.go
+++ b/version/promoter/promoter_test.go
@@ -97,6 +97,7 @@
 		"bad on one route": rolledBack(func(m *model, _ mulberrybeam.SoftwareVersion, _ bool, route string) bool {
 			return route == "b" && m.random.Float64() < 0.6
 		}),
+		"one faulty target":     succeeds(func(m *model) { m.faulty = "v21" }),
 		"few requests":          succeeds(func(m *model) { m.rate = 4 }),
 		"idle":                  succeeds(func(m *model) { m.rate = 0 }),
 		"long requests":         succeeds(func(m *model) { m.runTime = 3 * time.Second }),
--- a/version/promoter/publish.go
+++ b/version/promoter/publish.go
@@ -23,6 +23,13 @@
 	// freshFraction is the fraction of the time for a rollback for which a stage
 	// holds without a renewal. The rest is for requests that are being sent.
 	freshFraction = 0.7
+	// minLoadedTargets is the number of targets of the load stage from which on a
+	// faulty one can be told from a bad version.
+	minLoadedTargets = 2
+	// maxCountedTargets is the number of new targets up to which counts are kept by
+	// target in all stages. More would make datagrams large, and one faulty target
+	// among them is no strong evidence.
+	maxCountedTargets = 12
 )
 
 // publish requests a snapshot if the rollouts have changed.
@@ -53,10 +60,11 @@
 	r := s.active
 	rollout := &mulberrybeam.FleetRollout{
 		To: r.spec.To, Order: r.progress.Order, Stage: r.progress.Stage, Known: s.knows(r.spec.To),
+		ByTarget:   r.progress.Stage == mulberrybeam.StageLoad || len(p.newTargets(s)) <= maxCountedTargets,
 		Credit:     shareMargin * p.bounds.ExposureShare,
 		ValidUntil: p.leader.freshAt + time.Duration(freshFraction*float64(p.bounds.RollbackWithin)),
 	}
-	if r.fromStart {
+	if r.fromStart && p.listed[mulberrybeam.ObjectHost] {
 		rollout.InitialCredit = p.initialCredit(r.progress.Order)
 	}
 	switch {
@@ -87,16 +95,11 @@
 // loadedTargets returns the targets of the load stage, and the share with which
 // each gets as much as if the version had all requests.
 func (p *Promoter) loadedTargets(s *service) (map[mulberrybeam.InstanceID]bool, float64) {
-	var ids []mulberrybeam.InstanceID
-	for id, target := range p.targets {
-		if target.Service == s.name && target.Software == s.active.spec.To && !target.Draining {
-			ids = append(ids, id)
-		}
-	}
+	ids := p.newTargets(s)
 	if len(ids) == 0 {
 		return nil, 0
 	}
-	count := max(int(p.bounds.ExposureShare*float64(len(ids))), 1)
+	count := min(max(int(p.bounds.ExposureShare*float64(len(ids))), minLoadedTargets), len(ids))
 	loaded := map[mulberrybeam.InstanceID]bool{}
 	for _, id := range ranker.Top(strconv.FormatUint(s.active.progress.Order, 10), ids, count) {
 		loaded[id] = true
@@ -104,6 +107,17 @@
 	return loaded, float64(count) / float64(len(ids))
 }
 
+// newTargets returns the targets of the new version that are not draining.
+func (p *Promoter) newTargets(s *service) []mulberrybeam.InstanceID {
+	var ids []mulberrybeam.InstanceID
+	for id, target := range p.targets {
+		if target.Service == s.name && target.Software == s.active.spec.To && !target.Draining {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // FillSnapshot adds the rollouts to the fleet, and leaves out targets of versions
 // that may not be used. It must run after the machine that fills in the fleet.
 func (p *Promoter) FillSnapshot(snapshot *mulberrybeam.Snapshot) {
