Model slow versions, lost zones and restarting hosts

The model of rollouts lacked a version that is late instead of failing, a zone that is cut off and returns, and hosts that restart one after the other.

--- a/version/promoter/model_test.go
+++ b/version/promoter/model_test.go
@@ -39,6 +39,8 @@
 	runTime time.Duration
 	isBad   func(m *model, version mulberrybeam.SoftwareVersion, loaded bool, route string) bool
 
+	// slow is the factor by which bad responses are late instead of failing, or 0.
+	slow time.Duration
 	// faulty is a target that fails half of its requests.
 	faulty mulberrybeam.InstanceID
 
@@ -149,6 +151,16 @@
 	return record
 }
 
+// heal connects a host again, whose feeds list all objects.
+func (m *model) heal(h *host) {
+	h.cut = false
+	m.deliver(h, mulberrybeam.RecordsListed{Kind: mulberrybeam.ObjectRollout, Records: map[string]mulberrybeam.Record{"s": m.orderRecord()}, SentAt: m.now})
+	if m.lease != nil {
+		leases := map[string]mulberrybeam.Record{mulberrybeam.RolloutLeaseName: m.leaseRecord()}
+		m.deliver(h, mulberrybeam.RecordsListed{Kind: mulberrybeam.ObjectLease, Records: leases, SentAt: m.now})
+	}
+}
+
 // putOrder writes the operator's order, with whose targets it starts.
 func (m *model) putOrder(to mulberrybeam.SoftwareVersion) {
 	m.revision++
--- a/version/promoter/promoter_test.go
+++ b/version/promoter/promoter_test.go
@@ -91,6 +91,33 @@
 		"bad later": rolledBack(func(m *model, _ mulberrybeam.SoftwareVersion, _ bool, _ string) bool {
 			return m.now > orderAt+3*time.Second && m.random.Float64() < 0.4
 		}),
+		"slow": {func(m *model) map[time.Duration]func() {
+			m.slow, m.isBad = 4, failing(0.3)
+			return nil
+		}, mulberrybeam.RolloutRolledBack},
+		"zone is cut off": {func(m *model) map[time.Duration]func() {
+			zone := append(m.hosts[:hosts/3:hosts/3], m.leader())
+			return map[time.Duration]func(){
+				2 * time.Second: func() {
+					for _, h := range zone {
+						h.cut = true
+					}
+				},
+				7 * time.Second: func() {
+					for _, h := range zone {
+						m.heal(h)
+					}
+				},
+			}
+		}, mulberrybeam.RolloutSucceeded},
+		"hosts restart": {func(m *model) map[time.Duration]func() {
+			m.isBad = failing(0.15)
+			at := map[time.Duration]func(){}
+			for i, h := range m.hosts {
+				at[2*time.Second+time.Duration(i)*4*step] = func() { m.start(h) }
+			}
+			return at
+		}, mulberrybeam.RolloutRolledBack},
 		"bad under load": rolledBack(func(m *model, _ mulberrybeam.SoftwareVersion, loaded bool, _ string) bool {
 			return loaded && m.random.Float64() < 0.5
 		}),
--- a/version/promoter/traffic_test.go
+++ b/version/promoter/traffic_test.go
@@ -34,7 +34,10 @@
 	outcome := tallier.Outcome{FirstResponse: time.Duration(20+m.random.IntN(20)) * time.Millisecond}
 	isNew := version != "v1"
 	isBad := isNew && (m.isBad(m, version, loaded, route) || target == m.faulty && m.random.IntN(2) == 0)
-	outcome.Failed = isBad || m.random.IntN(500) == 0
+	if isBad && m.slow > 0 {
+		outcome.FirstResponse *= m.slow
+	}
+	outcome.Failed = isBad && m.slow == 0 || m.random.IntN(500) == 0
 	h.attempts = append(h.attempts, running{m.now + m.runTime, attempt, outcome, isBad})
 	if !isNew {
 		m.running = append(m.running, m.now+m.runTime)
