Complete rollouts beside dead hosts and with few requests

A lease that was lost gave each host its part of the slack again.

Hosts without a report are waited for since their registration or the order. A nearly idle service moves to full when it might. Only the first number of an order has slack.

--- a/process/broadcaster/broadcaster_test.go
+++ b/process/broadcaster/broadcaster_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/loadencoder"
 	"mulberrybeam/process/broadcaster"
 )
 
@@ -61,3 +62,47 @@
 	}
 	is.True(len(dropped) > 0)
 }
+
+// Guards against a leader of rollouts that learns of a host only in some rounds,
+// because a round reaches a random part of a large fleet.
+func TestEachRoundReachesTheLeader(t *testing.T) {
+	is := is.New(t)
+	leader, err := net.ListenPacket("udp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = leader.Close() }()
+	address := leader.LocalAddr().String()
+	peers := []string{address}
+	other := freeAddress(t)
+	for range 300 {
+		peers = append(peers, other)
+	}
+	rollout := &mulberrybeam.FleetRollout{}
+	b := &broadcaster.Broadcaster{
+		Self: "a",
+		Fleet: func() *mulberrybeam.Fleet {
+			return &mulberrybeam.Fleet{
+				PeerAddresses: peers, RolloutLeader: address,
+				Rollouts: map[mulberrybeam.ServiceName]*mulberrybeam.FleetRollout{"s": rollout},
+			}
+		},
+		Loads: func() []mulberrybeam.SharedLoad { return nil },
+		Rollouts: func() (uint64, []mulberrybeam.RolloutReport) {
+			return 7, []mulberrybeam.RolloutReport{{Service: "s", Order: 3}}
+		},
+		Receive: func(mulberrybeam.LoadUpdate) {}, OnError: func(error) {},
+	}
+	stop, err := b.Listen(freeAddress(t))
+	is.NoErr(err)
+	defer stop()
+	is.NoErr(leader.SetReadDeadline(time.Now().Add(10 * time.Second)))
+	buffer := make([]byte, 2048)
+	for sequence := uint64(1); sequence <= 5; sequence++ {
+		n, _, err := leader.ReadFrom(buffer)
+		is.NoErr(err)
+		update, err := loadencoder.Decode(buffer[:n])
+		is.NoErr(err)
+		is.Equal(update.Sequence, sequence)
+		is.Equal(update.Incarnation, uint64(7))
+		is.Equal(update.Rollouts[0].Order, uint64(3))
+	}
+}
--- a/process/starter/feeds_test.go
+++ b/process/starter/feeds_test.go
@@ -46,3 +46,22 @@
 	is.Equal(starter.ScaleBatchDelay(100*time.Millisecond, 80), 500*time.Millisecond)
 	is.Equal(starter.ScaleBatchDelay(0, 80), time.Duration(0))
 }
+
+// Guards against an order or a renewal of the leader that is seen too late, and
+// against calls for rollouts where they are not in use.
+func TestFeedsOfRollouts(t *testing.T) {
+	is := is.New(t)
+	for _, feed := range starter.Feeds(mulberrybeam.HostBounds{ExposureSlack: 50}) {
+		is.True(feed.Kind != mulberrybeam.ObjectRollout)
+		is.True(feed.Kind != mulberrybeam.ObjectLease || feed.Wait == 30*time.Second)
+	}
+	found := 0
+	for _, feed := range starter.Feeds(mulberrybeam.HostBounds{ExposureShare: 0.1, RollbackWithin: 5 * time.Second}) {
+		if feed.Kind == mulberrybeam.ObjectRollout || feed.Kind == mulberrybeam.ObjectLease {
+			found++
+			is.True(feed.Wait <= 5*time.Second)
+			is.True(starter.ScaleBatchDelay(feed.BatchDelay, 300) < time.Second)
+		}
+	}
+	is.Equal(found, 2)
+}
--- a/version/promoter/evidence.go
+++ b/version/promoter/evidence.go
@@ -29,6 +29,7 @@
 // evidence has the counts of all hosts for one order.
 type evidence struct {
 	order  uint64
+	since  time.Duration
 	runs   map[run]map[countKey]mulberrybeam.RolloutCounts
 	totals map[countKey]*mulberrybeam.RolloutCounts
 	hosts  map[mulberrybeam.ProcessID]hostReport
@@ -40,9 +41,9 @@
 	drained mulberrybeam.RolloutStage
 }
 
-func newEvidence(order uint64) *evidence {
+func newEvidence(order uint64, since time.Duration) *evidence {
 	return &evidence{
-		order: order, runs: map[run]map[countKey]mulberrybeam.RolloutCounts{},
+		order: order, since: since, runs: map[run]map[countKey]mulberrybeam.RolloutCounts{},
 		totals: map[countKey]*mulberrybeam.RolloutCounts{}, hosts: map[mulberrybeam.ProcessID]hostReport{},
 	}
 }
@@ -97,10 +98,11 @@
 }
 
 // drained reports whether all connected hosts are in a stage and use no old
-// targets. Hosts without a report are waited for from a time on.
-func (e *evidence) drained(stage mulberrybeam.RolloutStage, now, since time.Duration, hosts map[mulberrybeam.ProcessID]mulberrybeam.EntryHost) bool {
-	for id := range hosts {
-		if _, reported := e.hosts[id]; !reported && now-since < silentAfter {
+// targets. Hosts without a report are waited for since they have registered or
+// the order was accepted. Entries of dead hosts stay in the store.
+func (e *evidence) drained(stage mulberrybeam.RolloutStage, now time.Duration, registered map[mulberrybeam.ProcessID]time.Duration) bool {
+	for id, since := range registered {
+		if _, reported := e.hosts[id]; !reported && now-max(since, e.since) < silentAfter {
 			return false
 		}
 	}
--- a/version/promoter/lease.go
+++ b/version/promoter/lease.go
@@ -21,8 +21,11 @@
 	// claimInterval is the interval at which the other processes may claim the
 	// lease, one after the other.
 	claimInterval = 300 * time.Millisecond
-	// writeRetryDelay is the delay after a failed write.
-	writeRetryDelay = 400 * time.Millisecond
+	// writeRetryDelay is the delay after a failed write. After fastRetries failures
+	// of the lease it doubles, since all hosts try to claim it while the store is down.
+	writeRetryDelay   = 400 * time.Millisecond
+	fastRetries       = 4
+	maxRetryDoublings = 3
 )
 
 // leadership is this process's view of the lease of the leader.
@@ -36,6 +39,8 @@
 	validUntil  time.Duration
 	renewAt     time.Duration
 	nextWriteAt time.Duration
+	// failures counts the writes since the last success that the store did not take.
+	failures int
 	// proposed is the lease that the write in flight would store.
 	proposed mulberrybeam.LeaderLease
 	ticket   mulberrybeam.Ticket
@@ -156,12 +161,17 @@
 	l := &p.leader
 	l.ticket = 0
 	if reply.Err != nil {
-		l.nextWriteAt = turn.Now + writeRetryDelay
-		if mulberrybeam.CodeOf(reply.Err) == mulberrybeam.CodeNotFound {
+		l.nextWriteAt = turn.Now + writeRetryDelay<<min(max(l.failures-fastRetries, 0), maxRetryDoublings)
+		switch mulberrybeam.CodeOf(reply.Err) {
+		case mulberrybeam.CodeNotFound:
 			l.lease.Version = ""
+		case mulberrybeam.CodeConflict, mulberrybeam.CodeExists:
+		default:
+			l.failures++
 		}
 		return []mulberrybeam.Action{note(mulberrybeam.RolloutLeaseName, "writing the lease failed: "+reply.Err.Error())}
 	}
+	l.failures = 0
 	acquired := !p.leads(turn.Now)
 	l.lease = l.proposed
 	l.lease.Version = reply.Object.Version
--- a/version/promoter/order.go
+++ b/version/promoter/order.go
@@ -44,7 +44,7 @@
 	}
 	s.active = &rollout{
 		spec: *order, seenAt: turn.Now, fromStart: p.ready(), firstRevision: order.Revision,
-		evidence: newEvidence(0), judge: judge.New(),
+		evidence: newEvidence(0, turn.Now), judge: judge.New(),
 	}
 	text := fmt.Sprintf("order to version %s within %s, revision %d", order.To, order.Duration, order.Revision)
 	return append([]mulberrybeam.Action{note(string(name), text), publish}, p.applyProgress(turn)...)
@@ -89,13 +89,16 @@
 			continue
 		}
 		if next.Order != r.progress.Order {
-			r.evidence, r.judge = newEvidence(next.Order), judge.New()
+			r.evidence, r.judge = newEvidence(next.Order, turn.Now), judge.New()
 		}
 		if next.Stage != r.progress.Stage || next.Order != r.progress.Order {
 			r.stageSince = turn.Now
 			actions = append(actions, note(string(s.name), fmt.Sprintf("version %s: stage %s after %s, published by %s",
 				r.spec.To, next.Stage, p.elapsed(r, turn.Now).Round(time.Millisecond), p.leader.lease.Holder)))
 		}
+		if r.firstOrder == 0 {
+			r.firstOrder = next.Order
+		}
 		r.progress, r.progressAt = next, turn.Now
 		if next.Stage == mulberrybeam.StageRolledBack {
 			actions = append(actions, p.markBad(s, "the leader has rolled it back")...)
--- a/version/promoter/promoter.go
+++ b/version/promoter/promoter.go
@@ -21,9 +21,12 @@
 	bounds  mulberrybeam.HostBounds
 	encoder mulberrybeam.RecordEncoder
 
-	listed   map[mulberrybeam.ObjectKind]bool
-	targets  map[mulberrybeam.InstanceID]*target
-	hosts    map[mulberrybeam.ProcessID]mulberrybeam.EntryHost
+	listed  map[mulberrybeam.ObjectKind]bool
+	targets map[mulberrybeam.InstanceID]*target
+	hosts   map[mulberrybeam.ProcessID]mulberrybeam.EntryHost
+	// registeredAt is when the registration of a host was last seen to change.
+	registeredAt map[mulberrybeam.ProcessID]time.Duration
+
 	services map[mulberrybeam.ServiceName]*service
 	leader   leadership
 	// statusTickets are the writes of statuses in flight.
@@ -66,6 +69,9 @@
 	progressAt time.Duration
 	stageSince time.Duration
 	bad        bool
+	// firstOrder is the first number that a leader gave to the order. Only that one has
+	// a part of the slack, since the next leader gives another if the lease is lost.
+	firstOrder uint64
 	// firstRevision is the revision at which this process first saw the order.
 	firstRevision uint64
 	// decided is the last stage that this process chose as the leader.
@@ -87,6 +93,7 @@
 		hosts:    map[mulberrybeam.ProcessID]mulberrybeam.EntryHost{},
 		services: map[mulberrybeam.ServiceName]*service{},
 
+		registeredAt:  map[mulberrybeam.ProcessID]time.Duration{},
 		statusTickets: map[mulberrybeam.Ticket]mulberrybeam.ServiceName{},
 	}
 }
@@ -166,10 +173,7 @@
 	case mulberrybeam.ObjectTarget:
 		p.applyTarget(turn, mulberrybeam.InstanceID(name), record.Target)
 	case mulberrybeam.ObjectHost:
-		delete(p.hosts, mulberrybeam.ProcessID(name))
-		if record.Host != nil {
-			p.hosts[record.Host.ID] = *record.Host
-		}
+		p.applyHost(turn, mulberrybeam.ProcessID(name), record.Host)
 	case mulberrybeam.ObjectRollout:
 		return p.applyOrder(turn, mulberrybeam.ServiceName(name), record.Rollout, removed)
 	case mulberrybeam.ObjectLease:
@@ -186,6 +190,18 @@
 	return nil
 }
 
+func (p *Promoter) applyHost(turn mulberrybeam.Turn, id mulberrybeam.ProcessID, host *mulberrybeam.EntryHost) {
+	if host == nil {
+		delete(p.hosts, id)
+		delete(p.registeredAt, id)
+		return
+	}
+	if known, found := p.hosts[id]; !found || known != *host {
+		p.registeredAt[id] = turn.Now
+	}
+	p.hosts[id] = *host
+}
+
 func (p *Promoter) applyTarget(turn mulberrybeam.Turn, id mulberrybeam.InstanceID, entry *mulberrybeam.LiveTarget) {
 	if entry == nil {
 		delete(p.targets, id)
--- a/version/promoter/promoter_test.go
+++ b/version/promoter/promoter_test.go
@@ -82,10 +82,23 @@
 	}
 }
 
+// runScenarios runs scenarios over seeds.
+func runScenarios(t *testing.T, scenarios map[string]scenario) {
+	for name, test := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				for _, problem := range test.run(newModel(seed, hosts)) {
+					t.Errorf("seed %d: %s", seed, problem)
+				}
+			}
+		})
+	}
+}
+
 // Guards against exposure, rollback or completion that do not hold for some kind
-// of version, load or failure.
+// of version or load.
 func TestRollouts(t *testing.T) {
-	for name, test := range map[string]scenario{
+	runScenarios(t, map[string]scenario{
 		"good":        {nil, mulberrybeam.RolloutSucceeded},
 		"bad at once": rolledBack(failing(0.3)),
 		"bad later": rolledBack(func(m *model, _ mulberrybeam.SoftwareVersion, _ bool, _ string) bool {
@@ -95,6 +108,23 @@
 			m.slow, m.isBad = 4, failing(0.3)
 			return nil
 		}, mulberrybeam.RolloutRolledBack},
+		"bad under load": rolledBack(func(m *model, _ mulberrybeam.SoftwareVersion, loaded bool, _ string) bool {
+			return loaded && m.random.Float64() < 0.5
+		}),
+		"bad on one route": rolledBack(func(m *model, _ mulberrybeam.SoftwareVersion, _ bool, route string) bool {
+			return route == "b" && m.random.Float64() < 0.6
+		}),
+		"one faulty target": succeeds(func(m *model) { m.faulty = "v21" }),
+		"few requests":      succeeds(func(m *model) { m.rate = 4 }),
+		"idle":              succeeds(func(m *model) { m.rate = 0 }),
+		"long requests":     succeeds(func(m *model) { m.runTime = 3 * time.Second }),
+	})
+}
+
+// Guards against exposure, rollback or completion that do not hold when a host, a
+// link or the store fails.
+func TestRolloutsWithDisturbances(t *testing.T) {
+	runScenarios(t, map[string]scenario{
 		"zone is cut off": {func(m *model) map[time.Duration]func() {
 			zone := append(m.hosts[:hosts/3:hosts/3], m.leader())
 			return map[time.Duration]func(){
@@ -118,21 +148,12 @@
 			}
 			return at
 		}, mulberrybeam.RolloutRolledBack},
-		"bad under load": rolledBack(func(m *model, _ mulberrybeam.SoftwareVersion, loaded bool, _ string) bool {
-			return loaded && m.random.Float64() < 0.5
-		}),
-		"bad on one route": rolledBack(func(m *model, _ mulberrybeam.SoftwareVersion, _ bool, route string) bool {
-			return route == "b" && m.random.Float64() < 0.6
-		}),
-		"one faulty target":     succeeds(func(m *model) { m.faulty = "v21" }),
-		"few requests":          succeeds(func(m *model) { m.rate = 4 }),
-		"idle":                  succeeds(func(m *model) { m.rate = 0 }),
-		"long requests":         succeeds(func(m *model) { m.runTime = 3 * time.Second }),
 		"leader dies in sample": disturbed(0, 3*time.Second, freezeLeader),
 		"leader dies in load":   disturbed(0, 6*time.Second, freezeLeader),
 		"leader dies at full":   disturbed(0, 7200*time.Millisecond, freezeLeader),
 		"leader restarts":       disturbed(0, 4*time.Second, restartLeader),
 		"lease is lost":         disturbed(0, 3*time.Second, loseLease),
+		"host is dead":          succeeds(func(m *model) { m.hosts[5].frozen = true }),
 		"host is cut off":       disturbed(0.2, 2*time.Second, func(m *model) { m.hosts[3].cut = true }),
 		"leader pauses in load": {func(m *model) map[time.Duration]func() {
 			var paused *host
@@ -148,15 +169,7 @@
 				6 * time.Second: func() { m.down = false },
 			}
 		}, mulberrybeam.RolloutRolledBack},
-	} {
-		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(seeds) {
-				for _, problem := range test.run(newModel(seed, hosts)) {
-					t.Errorf("seed %d: %s", seed, problem)
-				}
-			}
-		})
-	}
+	})
 }
 
 // Guards against a model in which the bounds hold whatever the code does.
--- a/version/promoter/publish.go
+++ b/version/promoter/publish.go
@@ -64,7 +64,7 @@
 		Credit:     shareMargin * p.bounds.ExposureShare,
 		ValidUntil: p.leader.freshAt + time.Duration(freshFraction*float64(p.bounds.RollbackWithin)),
 	}
-	if r.fromStart && p.listed[mulberrybeam.ObjectHost] {
+	if r.fromStart && p.listed[mulberrybeam.ObjectHost] && r.progress.Order == r.firstOrder {
 		rollout.InitialCredit = p.initialCredit(r.progress.Order)
 	}
 	switch {
--- a/version/promoter/stage.go
+++ b/version/promoter/stage.go
@@ -22,7 +22,7 @@
 	giveUpFraction = 12
 	minGiveUp      = time.Second
 	// minNewResponses is the number of responses that a version must have given by
-	// the last call if the old one gave idleResponses.
+	// the last call, unless the old one gave fewer than idleResponses.
 	minNewResponses = 10
 	idleResponses   = 200
 )
@@ -64,6 +64,10 @@
 // hasCapacity reports whether the new version can take over.
 func (s Situation) hasCapacity() bool { return s.WarmSlots > 0 && 2*s.WarmSlots >= s.OldSlots }
 
+// isIdle reports whether there are so few requests that the slack covers those that
+// show a bad version.
+func (s Situation) isIdle() bool { return s.Verdict.OldResponses < idleResponses }
+
 // NextStage returns the stage that follows from a situation, and why.
 func NextStage(s Situation) (mulberrybeam.RolloutStage, string) {
 	switch {
@@ -100,7 +104,7 @@
 		return mulberrybeam.StageRolledBack, "doubt at the last call"
 	case s.Good:
 		return mulberrybeam.StageFull, "the version is good"
-	case s.Verdict.NewResponses < minNewResponses && s.Verdict.OldResponses >= idleResponses:
+	case s.Verdict.NewResponses < minNewResponses && !s.isIdle():
 		return mulberrybeam.StageRolledBack, "the version does not respond"
 	}
 	return mulberrybeam.StageFull, "nothing is known against the version"
@@ -112,6 +116,8 @@
 		return mulberrybeam.StageSample, "a target of the version is warm"
 	case s.Stage == mulberrybeam.StageSample && s.Elapsed >= s.fullAt()/2 && s.WarmSlots > 0 && !s.Verdict.Doubt:
 		return mulberrybeam.StageLoad, "the sample shows nothing against the version"
+	case s.Stage >= mulberrybeam.StageSample && s.Elapsed >= s.fullAt() && s.isIdle() && !s.Verdict.Doubt && s.hasCapacity():
+		return mulberrybeam.StageFull, "the service is nearly idle, and nothing is known against the version"
 	case s.Stage == mulberrybeam.StageLoad && s.Elapsed >= s.fullAt() && s.Good && !s.Verdict.Doubt && s.hasCapacity():
 		return mulberrybeam.StageFull, "the version is good"
 	}
--- a/version/promoter/stage_test.go
+++ b/version/promoter/stage_test.go
@@ -37,6 +37,8 @@
 		"good with few slots":         {load, 6, func(s *promoter.Situation) { s.Good, s.WarmSlots = true, 8 }, load},
 		"good, leader hears few":      {load, 6, func(s *promoter.Situation) { s.Good, s.Heard = true, false }, load},
 		"bad, leader hears few":       {load, 6, func(s *promoter.Situation) { s.Verdict.Bad, s.Heard = true, false }, rolledBack},
+		"idle":                        {load, 6, func(s *promoter.Situation) { s.Verdict = judge.Verdict{OldResponses: 20} }, full},
+		"idle with doubt":             {load, 6, func(s *promoter.Situation) { s.Verdict = judge.Verdict{OldResponses: 20, Doubt: true} }, load},
 		"last call":                   {load, 9, nil, full},
 		"last call with doubt":        {load, 9, func(s *promoter.Situation) { s.Good, s.Verdict.Doubt = true, true }, rolledBack},
 		"last call of an idle one":    {sample, 9, func(s *promoter.Situation) { s.Verdict = judge.Verdict{OldResponses: 20} }, full},
