Use replaced targets of a service without an order

A host that missed the success of an order, or saw all targets replaced without one, had no target that it may use. Where no order is under way and no known version serves, all registered versions that were not rolled back are used.

--- a/version/promoter/evidence.go
+++ b/version/promoter/evidence.go
@@ -151,5 +151,6 @@
 		return nil
 	}
 	s.active.bad = true
+	s.rolledBack[s.active.spec.To] = true
 	return []mulberrybeam.Action{note(string(s.name), "version "+string(s.active.spec.To)+" is bad: "+why)}
 }
--- a/version/promoter/order.go
+++ b/version/promoter/order.go
@@ -66,8 +66,12 @@
 		}
 		s.settled = true
 		delete(s.barred, status.To)
+		delete(s.rolledBack, status.To)
 	case status.State == mulberrybeam.RolloutRolledBack,
 		status.State == mulberrybeam.RolloutRunning && status.To != ordered:
+		if status.State == mulberrybeam.RolloutRolledBack {
+			s.rolledBack[status.To] = true
+		}
 		// The only version that is left stays in use.
 		if s.knows(status.To) && len(s.known) == 1 {
 			return
--- a/version/promoter/promoter.go
+++ b/version/promoter/promoter.go
@@ -52,6 +52,9 @@
 	// that a rollout has succeeded, so that only its version is known.
 	barred  map[mulberrybeam.SoftwareVersion]bool
 	settled bool
+	// rolledBack are the barred versions that were rolled back. The others belong to
+	// orders that were replaced.
+	rolledBack map[mulberrybeam.SoftwareVersion]bool
 	// active is the rollout in progress, or nil.
 	active *rollout
 }
@@ -120,6 +123,7 @@
 	default:
 		return nil
 	}
+	actions = append(actions, p.learnReplacements(turn.Now, event)...)
 	return append(actions, p.publish()...)
 }
 
@@ -212,10 +216,7 @@
 		updated.coldUntil = max(updated.coldUntil, last.coldUntil)
 	}
 	p.targets[id] = updated
-	if s := p.serviceOf(entry.Service); p.ready() && len(s.known) == 0 && s.active == nil && !s.barred[entry.Software] {
-		// The first target of a new service.
-		s.known[entry.Software] = turn.Now
-	}
+	p.serviceOf(entry.Service)
 }
 
 // ready reports whether it is known which versions may be used.
@@ -239,6 +240,7 @@
 	if s == nil {
 		s = &service{
 			name: name, known: map[mulberrybeam.SoftwareVersion]time.Duration{}, barred: map[mulberrybeam.SoftwareVersion]bool{},
+			rolledBack: map[mulberrybeam.SoftwareVersion]bool{},
 		}
 		p.services[name] = s
 	}
--- /dev/null
+++ b/version/promoter/replace_test.go
@@ -0,0 +1,113 @@
+package promoter_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulberrybeam"
+	"mulberrybeam/platform"
+	"mulberrybeam/version/promoter"
+)
+
+// single is one host whose feeds list orders before targets.
+type single struct {
+	machine *promoter.Promoter
+	now     time.Duration
+}
+
+func newSingle(order *mulberrybeam.RolloutOrder, versions ...mulberrybeam.SoftwareVersion) *single {
+	h := &single{machine: promoter.New("h0", bounds, platform.Encoder{})}
+	orders, targets := map[string]mulberrybeam.Record{}, map[string]mulberrybeam.Record{}
+	if order != nil {
+		orders["s"] = mulberrybeam.Record{Rollout: order}
+	}
+	for _, version := range versions {
+		targets[fmt.Sprint(version, 0)] = targetRecord(version, 0)
+	}
+	h.step(mulberrybeam.RecordsListed{Kind: mulberrybeam.ObjectRollout, Records: orders})
+	h.step(mulberrybeam.RecordsListed{Kind: mulberrybeam.ObjectTarget, Records: targets})
+	return h
+}
+
+func (h *single) step(event mulberrybeam.Event) []mulberrybeam.Action {
+	h.now += time.Second
+	return h.machine.Step(mulberrybeam.Turn{Now: h.now, Rand: rand.New(rand.NewPCG(1, 1))}, event)
+}
+
+func (h *single) register(version mulberrybeam.SoftwareVersion) {
+	h.step(mulberrybeam.RecordChanged{Kind: mulberrybeam.ObjectTarget, Name: fmt.Sprint(version, 0), Record: targetRecord(version, 0)})
+}
+
+func (h *single) remove(version mulberrybeam.SoftwareVersion) {
+	h.step(mulberrybeam.RecordChanged{Kind: mulberrybeam.ObjectTarget, Name: fmt.Sprint(version, 0), Removed: true})
+}
+
+func (h *single) put(order *mulberrybeam.RolloutOrder) {
+	h.step(mulberrybeam.RecordChanged{Kind: mulberrybeam.ObjectRollout, Name: "s", Record: mulberrybeam.Record{Rollout: order}, Removed: order == nil})
+}
+
+// usable returns the versions from v1 to v3 that may be used.
+func (h *single) usable() string {
+	pool := []mulberrybeam.FleetTarget{}
+	for _, version := range []mulberrybeam.SoftwareVersion{"v1", "v2", "v3"} {
+		pool = append(pool, mulberrybeam.FleetTarget{LiveTarget: *targetRecord(version, 0).Target})
+	}
+	snapshot := &mulberrybeam.Snapshot{Fleet: &mulberrybeam.Fleet{Targets: map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget{"s": pool}}}
+	h.machine.FillSnapshot(snapshot)
+	text := ""
+	for _, target := range snapshot.Fleet.Targets["s"] {
+		text += string(target.Software)
+	}
+	return text
+}
+
+func orderTo(to mulberrybeam.SoftwareVersion, state mulberrybeam.RolloutState, about mulberrybeam.SoftwareVersion) *mulberrybeam.RolloutOrder {
+	return &mulberrybeam.RolloutOrder{
+		Service: "s", To: to, Duration: duration, Revision: 5, Status: mulberrybeam.RolloutStatus{State: state, To: about},
+	}
+}
+
+// Guards against a service that is left without targets although no order is under
+// way, and against the use of a version that was rolled back.
+func TestServiceKeepsTargetsWithoutOrder(t *testing.T) {
+	for name, test := range map[string]struct {
+		host *single
+		act  func(h *single)
+		want string
+	}{
+		"order is deleted before its success is seen": {newSingle(nil, "v1"), func(h *single) {
+			h.register("v2")
+			h.put(orderTo("v2", mulberrybeam.RolloutRunning, "v2"))
+			h.put(nil)
+			h.remove("v1")
+		}, "v1v2"},
+		"targets are replaced without an order": {newSingle(nil, "v1"), func(h *single) {
+			h.register("v3")
+			h.remove("v1")
+		}, "v1v3"},
+		"the old targets drain": {newSingle(nil, "v1"), func(h *single) {
+			h.register("v3")
+			record := targetRecord("v1", 0)
+			record.Target.Draining = true
+			h.step(mulberrybeam.RecordChanged{Kind: mulberrybeam.ObjectTarget, Name: "v10", Record: record})
+		}, "v1v3"},
+		"status names a version that is gone": {newSingle(orderTo("v2", mulberrybeam.RolloutSucceeded, "v2"), "v3"), nil, "v2v3"},
+		"one of two versions was rolled back": {newSingle(orderTo("v2", mulberrybeam.RolloutRolledBack, "v2"), "v2"), func(h *single) {
+			h.register("v3")
+		}, "v3"},
+		"only a rolled-back version is left": {newSingle(orderTo("v2", mulberrybeam.RolloutRolledBack, "v2"), "v2"), nil, ""},
+		"an order is under way":              {newSingle(orderTo("v2", mulberrybeam.RolloutRunning, "v2"), "v2"), nil, "v2"},
+		"a known version serves":             {newSingle(nil, "v1"), func(h *single) { h.register("v3") }, "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if test.act != nil {
+				test.act(test.host)
+			}
+			is.New(t).Equal(test.host.usable(), test.want)
+		})
+	}
+}
