Test versions that were listed beside another one

A host that started after the new targets had registered took their version for known, and as the leader moved it to the full stage at once. An order now goes to full directly only if one to its version has succeeded, or this process has seen it as the only version. Targets are reviewed only if their version or draining state changes.

--- a/version/promoter/leader.go
+++ b/version/promoter/leader.go
@@ -59,7 +59,7 @@
 	r := s.active
 	situation := Situation{
 		Stage: r.progress.Stage, Elapsed: p.elapsed(r, now), Duration: r.spec.Duration, InStage: now - r.stageSince,
-		Verdict: r.judge.Verdict(), Known: s.knows(r.spec.To), Heard: r.evidence.heard(now),
+		Verdict: r.judge.Verdict(), Known: s.isProven(r.spec.To), Heard: r.evidence.heard(now),
 		Drained: r.evidence.drained(r.progress.Stage, now, p.registeredAt),
 	}
 	situation.Verdict.Bad = situation.Verdict.Bad || r.bad
--- a/version/promoter/model_test.go
+++ b/version/promoter/model_test.go
@@ -44,6 +44,9 @@
 	// faulty is a target that fails half of its requests.
 	faulty mulberrybeam.InstanceID
 
+	// listsAll makes hosts that start list new targets also before the order.
+	listsAll bool
+
 	order    *mulberrybeam.RolloutOrder
 	lease    *mulberrybeam.Object
 	revision uint64
@@ -111,7 +114,7 @@
 	}
 	for i := range newTargets {
 		for _, version := range []mulberrybeam.SoftwareVersion{"v1", "v2", "v3"} {
-			if version != "v1" && m.order == nil {
+			if version != "v1" && m.order == nil && !m.listsAll {
 				continue
 			}
 			targets[fmt.Sprint(version, i)] = targetRecord(version, i)
--- a/version/promoter/order.go
+++ b/version/promoter/order.go
@@ -38,7 +38,7 @@
 		s.active.spec = *order
 		return nil
 	}
-	if since, known := s.known[order.To]; known && !s.settled && turn.Now-since < provenAfter && len(s.known) > 1 {
+	if since, known := s.known[order.To]; known && !s.settled && turn.Now-since < provenAfter && p.servesOther(s, order.To) {
 		// Its targets were listed before the order was.
 		delete(s.known, order.To)
 	}
@@ -65,6 +65,7 @@
 			s.known = map[mulberrybeam.SoftwareVersion]time.Duration{status.To: 0}
 		}
 		s.settled = true
+		s.proven[status.To] = true
 		delete(s.barred, status.To)
 		delete(s.rolledBack, status.To)
 	case status.State == mulberrybeam.RolloutRolledBack,
--- a/version/promoter/promoter.go
+++ b/version/promoter/promoter.go
@@ -28,7 +28,10 @@
 	registeredAt map[mulberrybeam.ProcessID]time.Duration
 
 	services map[mulberrybeam.ServiceName]*service
-	leader   leadership
+	// mustReview reports a change of targets or orders that may decide which versions
+	// are known. Most changes of targets do not.
+	mustReview bool
+	leader     leadership
 	// statusTickets are the writes of statuses in flight.
 	statusTickets map[mulberrybeam.Ticket]mulberrybeam.ServiceName
 
@@ -48,6 +51,9 @@
 	// known are the versions that served all requests before, with the time since
 	// when this process knows that.
 	known map[mulberrybeam.SoftwareVersion]time.Duration
+	// proven are the known versions to which an order needs no test: an order to them
+	// has succeeded, or this process has seen them as the only one of the service.
+	proven map[mulberrybeam.SoftwareVersion]bool
 	// barred are versions whose rollout has ended without success. settled reports
 	// that a rollout has succeeded, so that only its version is known.
 	barred  map[mulberrybeam.SoftwareVersion]bool
@@ -123,7 +129,7 @@
 	default:
 		return nil
 	}
-	actions = append(actions, p.learnReplacements(turn.Now, event)...)
+	actions = append(actions, p.reviewVersions(turn.Now)...)
 	return append(actions, p.publish()...)
 }
 
@@ -179,6 +185,7 @@
 	case mulberrybeam.ObjectHost:
 		p.applyHost(turn, mulberrybeam.ProcessID(name), record.Host)
 	case mulberrybeam.ObjectRollout:
+		p.mustReview = true
 		return p.applyOrder(turn, mulberrybeam.ServiceName(name), record.Rollout, removed)
 	case mulberrybeam.ObjectLease:
 		if name != mulberrybeam.RolloutLeaseName {
@@ -209,12 +216,16 @@
 func (p *Promoter) applyTarget(turn mulberrybeam.Turn, id mulberrybeam.InstanceID, entry *mulberrybeam.LiveTarget) {
 	if entry == nil {
 		delete(p.targets, id)
+		p.mustReview = true
 		return
 	}
 	updated := &target{LiveTarget: *entry, coldUntil: turn.Now + entry.ColdFor}
 	if last := p.targets[id]; last != nil && last.StartedAt == entry.StartedAt {
 		updated.coldUntil = max(updated.coldUntil, last.coldUntil)
 	}
+	if last := p.targets[id]; last == nil || last.Service != entry.Service || last.Software != entry.Software || last.Draining != entry.Draining {
+		p.mustReview = true
+	}
 	p.targets[id] = updated
 	p.serviceOf(entry.Service)
 }
@@ -240,7 +251,7 @@
 	if s == nil {
 		s = &service{
 			name: name, known: map[mulberrybeam.SoftwareVersion]time.Duration{}, barred: map[mulberrybeam.SoftwareVersion]bool{},
-			rolledBack: map[mulberrybeam.SoftwareVersion]bool{},
+			rolledBack: map[mulberrybeam.SoftwareVersion]bool{}, proven: map[mulberrybeam.SoftwareVersion]bool{},
 		}
 		p.services[name] = s
 	}
--- a/version/promoter/publish.go
+++ b/version/promoter/publish.go
@@ -59,7 +59,9 @@
 func (p *Promoter) fleetRollout(s *service) *mulberrybeam.FleetRollout {
 	r := s.active
 	rollout := &mulberrybeam.FleetRollout{
-		To: r.spec.To, Order: r.progress.Order, Stage: r.progress.Stage, Known: s.knows(r.spec.To),
+		To: r.spec.To, Order: r.progress.Order, Stage: r.progress.Stage,
+		// Without another version to use, a known one serves as before the order.
+		Known:      s.isProven(r.spec.To) || s.knows(r.spec.To) && !p.servesOther(s, r.spec.To),
 		ByTarget:   r.progress.Stage == mulberrybeam.StageLoad || len(p.newTargets(s)) <= maxCountedTargets,
 		Credit:     shareMargin * p.bounds.ExposureShare,
 		ValidUntil: p.leader.freshAt + time.Duration(freshFraction*float64(p.bounds.RollbackWithin)),
--- a/version/promoter/replace.go
+++ b/version/promoter/replace.go
@@ -9,27 +9,14 @@
 	"mulberrybeam"
 )
 
-// learnReplacements makes versions known for services that a change of targets or
-// orders has left without a target that may be used.
-func (p *Promoter) learnReplacements(now time.Duration, event mulberrybeam.Event) []mulberrybeam.Action {
-	if !p.ready() {
-		return nil
-	}
-	switch event := event.(type) {
-	case mulberrybeam.RecordsListed:
-		if event.Kind != mulberrybeam.ObjectTarget && event.Kind != mulberrybeam.ObjectRollout {
-			return nil
-		}
-	case mulberrybeam.RecordChanged:
-		if event.Kind != mulberrybeam.ObjectTarget && event.Kind != mulberrybeam.ObjectRollout {
-			return nil
-		}
-		if entry := event.Record.Target; entry != nil && !entry.Draining && p.serviceOf(entry.Service).knows(entry.Software) {
-			return nil
-		}
-	default:
+// reviewVersions handles changes of targets and orders. It makes versions known for
+// services that are left without a target that may be used, and records which
+// versions are the only one of their service.
+func (p *Promoter) reviewVersions(now time.Duration) []mulberrybeam.Action {
+	if !p.ready() || !p.mustReview {
 		return nil
 	}
+	p.mustReview = false
 	registered := map[mulberrybeam.ServiceName]map[mulberrybeam.SoftwareVersion]bool{}
 	served := map[mulberrybeam.ServiceName]bool{}
 	for _, entry := range p.targets {
@@ -44,14 +31,34 @@
 	var actions []mulberrybeam.Action
 	for _, name := range slices.Sorted(maps.Keys(registered)) {
 		s := p.serviceOf(name)
-		if s.active != nil || served[name] {
-			continue
+		versions := slices.Sorted(maps.Keys(registered[name]))
+		if s.active == nil && !served[name] {
+			actions = append(actions, s.learnReplacement(now, versions)...)
+		}
+		if only := versions[0]; len(versions) == 1 && s.knows(only) && (s.active == nil || s.active.spec.To != only) {
+			s.proven[only] = true
 		}
-		actions = append(actions, s.learnReplacement(now, slices.Sorted(maps.Keys(registered[name])))...)
 	}
 	return actions
 }
 
+// isProven reports whether an order to a version needs no test. A version that was
+// listed beside another one at the start may be one that was started for the order.
+func (s *service) isProven(version mulberrybeam.SoftwareVersion) bool {
+	return s.knows(version) && s.proven[version]
+}
+
+// servesOther reports whether a target of another known version than this one
+// serves.
+func (p *Promoter) servesOther(s *service, version mulberrybeam.SoftwareVersion) bool {
+	for _, entry := range p.targets {
+		if entry.Service == s.name && !entry.Draining && entry.Software != version && s.knows(entry.Software) {
+			return true
+		}
+	}
+	return false
+}
+
 // learnReplacement makes the registered versions known that were not rolled back.
 // Without it, a host that missed the success of an order, or the replacement of all
 // targets without an order, would have no targets.
--- a/version/promoter/replace_test.go
+++ b/version/promoter/replace_test.go
@@ -111,3 +111,20 @@
 		})
 	}
 }
+
+// Guards against hosts that list the targets of a new version at their start,
+// before there is an order to it, and then take it for one that needs no test.
+func TestVersionListedBesideAnotherIsTested(t *testing.T) {
+	for seed := range uint64(seeds) {
+		is := is.New(t)
+		m := newModel(seed, hosts)
+		m.now, m.isBad, m.listsAll = 2*time.Second, failing(0.3), true
+		for _, h := range m.hosts {
+			m.start(h)
+		}
+		const at = 15 * time.Second
+		m.run(at+duration, map[time.Duration]func(){at: func() { m.putOrder("v2") }})
+		is.Equal(m.order.Status, mulberrybeam.RolloutStatus{State: mulberrybeam.RolloutRolledBack, To: "v2"})
+		is.True(float64(m.exposed) <= bounds.ExposureShare*float64(m.requestsThen)+bounds.ExposureSlack)
+	}
+}
--- a/version/promoter/stage.go
+++ b/version/promoter/stage.go
@@ -39,7 +39,8 @@
 	// WarmSlots and OldSlots are the slots of warm targets of the new version and of
 	// those of the old one.
 	WarmSlots, OldSlots int
-	// Known reports that the new version served all requests before.
+	// Known reports that the new version served all requests before: an order to it
+	// has succeeded, or it was seen as the only version of the service.
 	Known bool
 	// Heard reports that the leader hears from most hosts.
 	Heard bool
