Begin the full stage without a verdict only within the slack

A version that was not judged in time got all requests at the last call. At 27 requests a second, one that fails 8% of them got about half of all requests. Counting only responses of the old version, as expected requests, exceeded the bound in the model at 8 to 16 requests a second. Good versions with too few requests for a verdict are rolled back, which the tests of the last call expect now. One faulty target fails no good version, since the last call judges also without each target.

--- a/version/promoter/evidence.go
+++ b/version/promoter/evidence.go
@@ -1,9 +1,11 @@
 package promoter
 
 import (
+	"slices"
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/version/judge"
 )
 
 const (
@@ -85,6 +87,29 @@
 	return sums
 }
 
+// goodWithoutOne reports whether the version is judged good by the counts without
+// those of one target, of at least two targets.
+func (e *evidence) goodWithoutOne(now time.Duration, targets int) bool {
+	counted := map[mulberrybeam.InstanceID]bool{}
+	for key := range e.totals {
+		if key.isNew && key.target != "" {
+			counted[key.target] = true
+		}
+	}
+	if len(counted) < minLoadedTargets {
+		return false
+	}
+	for id := range counted {
+		without := slices.DeleteFunc(e.sums(), func(counts mulberrybeam.RolloutCounts) bool { return counts.New && counts.Target == id })
+		rest := judge.New()
+		rest.Observe(now, without, targets-1)
+		if rest.Verdict().Good {
+			return true
+		}
+	}
+	return false
+}
+
 // heard reports whether this process hears from at least half of the hosts that
 // it heard of during the order.
 func (e *evidence) heard(now time.Duration) bool {
--- a/version/promoter/leader.go
+++ b/version/promoter/leader.go
@@ -62,8 +62,13 @@
 		Verdict: r.judge.Verdict(), Known: s.isProven(r.spec.To), Heard: r.evidence.heard(now),
 		Drained: r.evidence.drained(r.progress.Stage, now, p.registeredAt),
 	}
+	situation.CountedFor = now - r.evidence.since
+	situation.Share, situation.Slack = p.bounds.ExposureShare, p.bounds.ExposureSlack
 	situation.Verdict.Bad = situation.Verdict.Bad || r.bad
 	situation.Good = r.progress.Good || situation.Verdict.Good
+	if !situation.Good && situation.Stage < mulberrybeam.StageFull && situation.Elapsed >= situation.lastCallAt() {
+		situation.GoodWithoutOne = r.evidence.goodWithoutOne(now, len(p.newTargets(s)))
+	}
 	for _, target := range p.targets {
 		switch {
 		case target.Service != s.name || target.Draining:
--- a/version/promoter/promoter_test.go
+++ b/version/promoter/promoter_test.go
@@ -116,8 +116,14 @@
 		}),
 		"one faulty target": succeeds(func(m *model) { m.faulty = "v21" }),
 		"few requests":      succeeds(func(m *model) { m.rate = 4 }),
-		"idle":              succeeds(func(m *model) { m.rate = 0 }),
-		"long requests":     succeeds(func(m *model) { m.runTime = 3 * time.Second }),
+		// A good version whose requests do not suffice for a verdict is rolled back.
+		"too few requests": {func(m *model) map[time.Duration]func() { m.rate = 27; return nil }, mulberrybeam.RolloutRolledBack},
+		"weakly bad with few requests": {func(m *model) map[time.Duration]func() {
+			m.rate, m.isBad = 27, failing(0.08)
+			return nil
+		}, mulberrybeam.RolloutRolledBack},
+		"idle":          succeeds(func(m *model) { m.rate = 0 }),
+		"long requests": succeeds(func(m *model) { m.runTime = 3 * time.Second }),
 	})
 }
 
--- a/version/promoter/stage.go
+++ b/version/promoter/stage.go
@@ -21,21 +21,26 @@
 	// as long.
 	giveUpFraction = 12
 	minGiveUp      = time.Second
-	// minNewResponses is the number of responses that a version must have given by
-	// the last call, unless the old one gave fewer than idleResponses.
-	minNewResponses = 10
-	idleResponses   = 200
 )
 
 // Situation is what a leader knows of a rollout.
 type Situation struct {
 	Stage             mulberrybeam.RolloutStage
 	Elapsed, Duration time.Duration
+	// CountedFor is the time in which the responses of the verdict were counted. It differs
+	// from Elapsed if the counts or the time have begun again.
+	CountedFor time.Duration
+	// Share and Slack are the fraction of all requests and the number beyond it that a
+	// bad version may get.
+	Share, Slack float64
 	// InStage is the time since this process saw the stage.
 	InStage time.Duration
 	Verdict judge.Verdict
 	// Good reports that the version was judged good, also by an earlier leader.
 	Good bool
+	// GoodWithoutOne reports that the version is judged good without one of its
+	// targets, so that one faulty target does not fail the last call.
+	GoodWithoutOne bool
 	// WarmSlots and OldSlots are the slots of warm targets of the new version and of
 	// those of the old one.
 	WarmSlots, OldSlots int
@@ -65,9 +70,18 @@
 // hasCapacity reports whether the new version can take over.
 func (s Situation) hasCapacity() bool { return s.WarmSlots > 0 && 2*s.WarmSlots >= s.OldSlots }
 
-// isIdle reports whether there are so few requests that the slack covers those that
-// show a bad version.
-func (s Situation) isIdle() bool { return s.Verdict.OldResponses < idleResponses }
+// isIdle reports whether so few requests are expected until the deadline that the
+// slack covers them if the version is bad, together with those that it has had
+// beyond its share. Responses of the new version count as requests too: in the load
+// stage most go there. The wave of the load is not known, so that slackMargin
+// leaves room for an increase.
+func (s Situation) isIdle() bool {
+	exposed := float64(s.Verdict.NewResponses)
+	all := float64(s.Verdict.OldResponses) + exposed
+	expected := all * float64(max(s.Duration-s.Elapsed, 0)) / float64(max(s.CountedFor, 1))
+	beyond := exposed + expected - s.Share*(all+expected)
+	return max(expected, beyond) <= slackMargin*s.Slack
+}
 
 // NextStage returns the stage that follows from a situation, and why.
 func NextStage(s Situation) (mulberrybeam.RolloutStage, string) {
@@ -105,10 +119,12 @@
 		return mulberrybeam.StageRolledBack, "doubt at the last call"
 	case s.Good:
 		return mulberrybeam.StageFull, "the version is good"
-	case s.Verdict.NewResponses < minNewResponses && !s.isIdle():
-		return mulberrybeam.StageRolledBack, "the version does not respond"
+	case s.GoodWithoutOne:
+		return mulberrybeam.StageFull, "the version is good without one target"
+	case s.isIdle():
+		return mulberrybeam.StageFull, "the service is nearly idle, and nothing is known against the version"
 	}
-	return mulberrybeam.StageFull, "nothing is known against the version"
+	return mulberrybeam.StageRolledBack, "too few responses to judge the version"
 }
 
 func (s Situation) advance() (mulberrybeam.RolloutStage, string) {
