--- a/process/tallier/tallier.go
+++ b/process/tallier/tallier.go
@@ -30,6 +30,8 @@
 	order  uint64
 	credit float64
 	counts map[row]*mulberrybeam.RolloutCounts
+	// newest is the highest sequence of a rollout that was seen.
+	newest uint64
 	// sealed is the sequence of the rollout from which on old targets get nothing,
 	// or 0.
 	sealed uint64
@@ -99,7 +101,7 @@
 
 // Report returns the counts of a service and whether its old targets are idle.
 // From a rollout in the full stage on, old targets get no attempt of an earlier
-// choice.
+// choice. A rollout that is older than one seen before changes nothing.
 func (t *Tallier) Report(service mulberrybeam.ServiceName, rollout *mulberrybeam.FleetRollout, now time.Duration) mulberrybeam.RolloutReport {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -108,6 +110,10 @@
 	report := mulberrybeam.RolloutReport{
 		Service: service, Order: rollout.Order, Bad: rollout.Stage == mulberrybeam.StageRolledBack,
 	}
+	if rollout.Sequence < state.newest {
+		// A snapshot that was read before a newer one may be reported after it.
+		return report
+	}
 	state.seal(rollout, now)
 	if state.sealed > 0 && state.runningExcept(rollout.To) == 0 {
 		report.Drained = rollout.Stage
@@ -146,6 +152,7 @@
 // follow starts new counts for a newer order. A request may still hold the
 // rollout of an earlier one.
 func (s *tally) follow(rollout *mulberrybeam.FleetRollout) {
+	s.newest = max(s.newest, rollout.Sequence)
 	if rollout.Order <= s.order {
 		return
 	}
--- a/process/tallier/tallier_test.go
+++ b/process/tallier/tallier_test.go
@@ -67,6 +67,22 @@
 	is.Equal(tally.Report("s", rollout(mulberrybeam.StageRolledBack, 4), 0).Drained, mulberrybeam.StageWaiting)
 }
 
+// Guards against a late report on an earlier stage that opens old targets, after
+// this process has reported that it does not use them.
+func TestStaleReportKeepsSeal(t *testing.T) {
+	is := is.New(t)
+	tally, full := tallier.New(), rollout(mulberrybeam.StageFull, 2)
+	load := rollout(mulberrybeam.StageLoad, 1)
+	is.Equal(tally.Report("s", full, 0).Drained, mulberrybeam.StageFull)
+	is.Equal(tally.Report("s", load, 0).Drained, mulberrybeam.StageWaiting)
+	_, allowed := begin(tally, "v1", load)
+	is.True(!allowed)
+	is.Equal(tally.Report("s", full, 0).Drained, mulberrybeam.StageFull)
+	is.Equal(tally.Report("s", rollout(mulberrybeam.StageRolledBack, 3), 0).Drained, mulberrybeam.StageWaiting)
+	_, allowed = begin(tally, "v1", rollout(mulberrybeam.StageRolledBack, 3))
+	is.True(allowed)
+}
+
 // Guards against outcomes that count for the wrong version or order.
 func TestCounts(t *testing.T) {
 	is := is.New(t)
