End rollouts of unusable orders, and restart the time of edited ones

An order that was edited to content that cannot be decoded, or to another service, left a rollout whose status writes failed for ever. It now counts as deleted. The same order with another duration begins the time again, without a new initial credit.

--- a/version/promoter/order.go
+++ b/version/promoter/order.go
@@ -16,15 +16,8 @@
 func (p *Promoter) applyOrder(turn mulberrybeam.Turn, name mulberrybeam.ServiceName, order *mulberrybeam.RolloutOrder, removed bool) []mulberrybeam.Action {
 	s := p.serviceOf(name)
 	publish := mulberrybeam.PublishSnapshot{}
-	switch {
-	case removed && s.active != nil:
-		text := fmt.Sprintf("the order to version %s was deleted, it gets no requests", s.active.spec.To)
-		s.active = nil
-		return []mulberrybeam.Action{note(string(name), text), publish}
-	case removed || order == nil:
-		return nil
-	case order.Service != name:
-		return []mulberrybeam.Action{note(string(name), "the order names the service "+string(order.Service)+", it is ignored")}
+	if removed || order == nil || order.Service != name {
+		return s.endOrder(order, removed)
 	}
 	s.applyStatus(order.Status, order.To)
 	switch {
@@ -35,8 +28,7 @@
 		s.active = nil
 		return []mulberrybeam.Action{note(string(name), fmt.Sprintf("rollout to version %s: %s", order.To, order.Status.State)), publish}
 	case s.active != nil && s.active.spec.To == order.To:
-		s.active.spec = *order
-		return nil
+		return p.updateOrder(turn, s, *order)
 	}
 	if since, known := s.known[order.To]; known && !s.settled && turn.Now-since < provenAfter && p.servesOther(s, order.To) {
 		// Its targets were listed before the order was.
@@ -50,6 +42,41 @@
 	return append([]mulberrybeam.Action{note(string(name), text), publish}, p.applyProgress(turn)...)
 }
 
+// endOrder ends the rollout of an order that was deleted or that the system cannot
+// carry out, because it is nil or names another service.
+func (s *service) endOrder(order *mulberrybeam.RolloutOrder, removed bool) []mulberrybeam.Action {
+	text := "the order was deleted"
+	switch {
+	case removed && s.active == nil:
+		return nil
+	case removed:
+	case order == nil:
+		text = "the order cannot be decoded"
+	default:
+		text = "the order names the service " + string(order.Service)
+	}
+	if s.active == nil {
+		return []mulberrybeam.Action{note(string(s.name), text+", it is ignored")}
+	}
+	text = fmt.Sprintf("%s, version %s gets no requests", text, s.active.spec.To)
+	s.active = nil
+	return []mulberrybeam.Action{note(string(s.name), text), mulberrybeam.PublishSnapshot{}}
+}
+
+// updateOrder adopts an order to the same version. Another duration begins the time
+// again, but neither the stages nor the account.
+func (p *Promoter) updateOrder(turn mulberrybeam.Turn, s *service, order mulberrybeam.RolloutOrder) []mulberrybeam.Action {
+	r := s.active
+	last := r.spec.Duration
+	r.spec = order
+	if order.Duration == last {
+		return nil
+	}
+	r.seenAt, r.retimed = turn.Now, true
+	return []mulberrybeam.Action{note(string(s.name), fmt.Sprintf("order to version %s within %s instead of %s, revision %d, the time begins again",
+		order.To, order.Duration, last, order.Revision))}
+}
+
 // knows reports whether a version served all requests before.
 func (s *service) knows(version mulberrybeam.SoftwareVersion) bool {
 	_, known := s.known[version]
@@ -104,6 +131,10 @@
 		if r.firstOrder == 0 {
 			r.firstOrder = next.Order
 		}
+		if next.Elapsed < r.progress.Elapsed {
+			// The leader has begun the time again too.
+			r.retimed = false
+		}
 		r.progress, r.progressAt = next, turn.Now
 		if next.Stage == mulberrybeam.StageRolledBack {
 			actions = append(actions, p.markBad(s, "the leader has rolled it back")...)
@@ -128,7 +159,7 @@
 // of later than the leader.
 func (p *Promoter) elapsed(r *rollout, now time.Duration) time.Duration {
 	elapsed := now - r.seenAt
-	if r.progress.Order > 0 {
+	if r.progress.Order > 0 && !r.retimed {
 		elapsed = max(elapsed, r.progress.Elapsed+now-r.progressAt)
 	}
 	return elapsed
--- a/version/promoter/promoter.go
+++ b/version/promoter/promoter.go
@@ -72,6 +72,9 @@
 	// it did when the order was given.
 	seenAt    time.Duration
 	fromStart bool
+	// retimed reports that the time has begun again at seenAt, and that the leader has
+	// not published a time that began again yet.
+	retimed bool
 	// progress is what the leader has published, with the time at which this process
 	// read it, and stageSince when it first read the stage.
 	progress   mulberrybeam.RolloutProgress
--- a/version/promoter/replace_test.go
+++ b/version/promoter/replace_test.go
@@ -128,3 +128,51 @@
 		is.True(float64(m.exposed) <= bounds.ExposureShare*float64(m.requestsThen)+bounds.ExposureSlack)
 	}
 }
+
+// Guards against a rollout that goes on, with status writes that fail, after its
+// order was edited to content that cannot be carried out.
+func TestUnusableOrderEndsRollout(t *testing.T) {
+	elsewhere := orderTo("v2", mulberrybeam.RolloutRunning, "v2")
+	elsewhere.Service = "other"
+	for name, order := range map[string]*mulberrybeam.RolloutOrder{"undecodable": nil, "another service": elsewhere} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newSingle(nil, "v1")
+			h.register("v2")
+			h.put(orderTo("v2", mulberrybeam.RolloutRunning, "v2"))
+			is.Equal(h.usable(), "v1v2")
+			h.step(mulberrybeam.RecordChanged{Kind: mulberrybeam.ObjectRollout, Name: "s", Record: mulberrybeam.Record{Rollout: order}})
+			is.Equal(h.usable(), "v1")
+		})
+	}
+}
+
+// Guards against a deadline that stays, or a credit that is given again, when an
+// order is written again with another duration.
+func TestOrderWithAnotherDuration(t *testing.T) {
+	const at = 7 * time.Second
+	for seed := range uint64(seeds) {
+		is := is.New(t)
+		m := newModel(seed, hosts)
+		m.isBad = func(m *model, _ mulberrybeam.SoftwareVersion, _ bool, _ string) bool {
+			return m.random.Float64() < 0.1
+		}
+		m.rate = 27
+		credit := 0.0
+		m.run(at+2*duration, map[time.Duration]func(){
+			at: func() {
+				credit = m.hosts[0].rollout.InitialCredit
+				m.revision++
+				m.order.Duration, m.order.Revision = 2*duration, m.revision
+				m.announce(mulberrybeam.ObjectRollout, "s", m.orderRecord())
+			},
+			at + 10*time.Second: func() {
+				is.Equal(m.order.Status.State, mulberrybeam.RolloutRunning) // the last call of 24 s is after 20 s
+				is.Equal(m.hosts[0].rollout.InitialCredit, credit)
+			},
+		})
+		is.Equal(m.order.Status.State, mulberrybeam.RolloutRolledBack)
+		is.True(m.doneAt > at+18*time.Second)
+		is.True(float64(m.exposed) <= bounds.ExposureShare*float64(m.requestsThen)+bounds.ExposureSlack)
+	}
+}
