--- a/process/controller/option.go
+++ b/process/controller/option.go
@@ -15,6 +15,7 @@
 	objects  mulberrybeam.ObjectClient
 	peers    mulberrybeam.PeerClient
 	engines  mulberrybeam.OrderClient
+	statuses mulberrybeam.StatusClient
 	observe  ObserveFunc
 	recorder mulberrybeam.Recorder
 	// observeWait is called with the time that an event waited in a lane.
@@ -60,6 +61,11 @@
 	return func(d *dependencies) { d.engines = engines }
 }
 
+// WithStatusClient sets the client that replaces the status of objects.
+func WithStatusClient(statuses mulberrybeam.StatusClient) Option {
+	return func(d *dependencies) { d.statuses = statuses }
+}
+
 // WithObserveFunc sets the function that polls targets for their load reports and
 // cache events.
 func WithObserveFunc(observe ObserveFunc) Option {
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -32,6 +32,7 @@
 
 // Meter updates metrics from timeline entries. It is safe for concurrent use.
 type Meter struct {
+	meter           metric.Meter
 	events          metric.Int64Counter
 	refusals        metric.Int64Counter
 	firstToken      metric.Float64Histogram
@@ -46,7 +47,6 @@
 	workspaces      map[mulberrybeam.WorkspaceName]bool
 	environment     attribute.KeyValue
 	zone            attribute.KeyValue
-	instruments     metric.Meter
 }
 
 // New returns a meter, the handler of its Prometheus endpoint, and a function
@@ -59,12 +59,12 @@
 	}
 	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
 	m := &Meter{
+		meter:       provider.Meter("mulberrybeam"),
 		workspaces:  map[mulberrybeam.WorkspaceName]bool{},
 		environment: attribute.String("environment", string(environment)),
 		zone:        attribute.String("zone", string(zone)),
 	}
-	m.instruments = provider.Meter("mulberrybeam")
-	if err := m.createInstruments(m.instruments); err != nil {
+	if err := m.createInstruments(m.meter); err != nil {
 		return nil, nil, nil, err
 	}
 	cleanup := func() { _ = provider.Shutdown(context.Background()) }
@@ -122,7 +122,7 @@
 			observer.Observe(gauge.Read(), m.attributes())
 			return nil
 		}
-		_, err := m.instruments.Int64ObservableGauge(gauge.Name, metric.WithDescription(gauge.Description),
+		_, err := m.meter.Int64ObservableGauge(gauge.Name, metric.WithDescription(gauge.Description),
 			metric.WithUnit(gauge.Unit), metric.WithInt64Callback(callback))
 		if err != nil {
 			return err
--- a/process/starter/feeds.go
+++ b/process/starter/feeds.go
@@ -68,6 +68,11 @@
 	// maxTargetPause limits the pause for targets in a large fleet. With 380 hosts it
 	// would be 3.6 s, longer than a drained target may get requests.
 	maxTargetPause = time.Second
+	// rolloutAgeFraction is the largest age of what a host learns of rollouts from another
+	// one, as a fraction of the time for a rollback.
+	rolloutAgeFraction = 0.4
+	// renewalPause is the pause after a renewal of the leader of rollouts.
+	renewalPause = 50 * time.Millisecond
 	// maxUnscaledHosts is the number of entry hosts up to which the pauses apply
 	// unchanged. With more hosts they grow in proportion, because each change
 	// costs one call by every host.
@@ -89,15 +94,28 @@
 // Feeds returns the feeds for all kinds of objects, with wait times that meet the
 // deadlines in bounds.
 func Feeds(bounds mulberrybeam.HostBounds) []Feed {
-	return []Feed{
+	feeds := []Feed{
 		{mulberrybeam.ObjectDeployment, configWait(bounds), 0, 0},
 		{mulberrybeam.ObjectTarget, targetWait, changePause, maxTargetPause},
 		{mulberrybeam.ObjectEvacuation, clampWait(orDefault(bounds.EvacuateWithin, defaultEvacuateWithin) - retryMargin), 0, 0},
 		{mulberrybeam.ObjectWeights, clampWait(orDefault(bounds.VersionWithin, defaultVersionWithin) - retryMargin), 0, 0},
 		{mulberrybeam.ObjectHost, maxWait, hostPause, 0},
-		{mulberrybeam.ObjectLease, maxWait, changePause, 0},
+		leaseFeed(bounds),
 		{mulberrybeam.ObjectCrash, maxWait, crashPause, 0},
 	}
+	if bounds.UsesRollouts() {
+		feeds = append(feeds, Feed{mulberrybeam.ObjectRollout, clampWait(bounds.RollbackWithin), 0, 0})
+	}
+	return feeds
+}
+
+// leaseFeed returns the feed for leases. Where rollouts are in use, hosts stop
+// sending to the new version unless they see its leader's renewals in time.
+func leaseFeed(bounds mulberrybeam.HostBounds) Feed {
+	if !bounds.UsesRollouts() {
+		return Feed{mulberrybeam.ObjectLease, maxWait, changePause, 0}
+	}
+	return Feed{mulberrybeam.ObjectLease, clampWait(bounds.RollbackWithin), renewalPause, 0}
 }
 
 // configWait returns the longest wait of a call for the configuration.
@@ -133,12 +151,18 @@
 	policies := map[mulberrybeam.ObjectKind]mulberrybeam.PropagationPolicy{
 		mulberrybeam.ObjectHost: unbounded, mulberrybeam.ObjectLease: unbounded, mulberrybeam.ObjectCrash: unbounded,
 	}
-	for kind, age := range map[mulberrybeam.ObjectKind]time.Duration{
+	ages := map[mulberrybeam.ObjectKind]time.Duration{
 		mulberrybeam.ObjectDeployment: configAge,
 		mulberrybeam.ObjectTarget:     orDefault(bounds.DrainWithin, defaultDrainWithin) - recheckMargin,
 		mulberrybeam.ObjectEvacuation: orDefault(bounds.EvacuateWithin, defaultEvacuateWithin) - recheckMargin,
 		mulberrybeam.ObjectWeights:    orDefault(bounds.VersionWithin, defaultVersionWithin) - recheckMargin,
-	} {
+	}
+	if bounds.UsesRollouts() {
+		// A stage holds for a part of the time for a rollback after the last renewal.
+		ages[mulberrybeam.ObjectLease] = time.Duration(rolloutAgeFraction * float64(bounds.RollbackWithin))
+		ages[mulberrybeam.ObjectRollout] = ages[mulberrybeam.ObjectLease]
+	}
+	for kind, age := range ages {
 		age = min(age, maxConfirmAge)
 		// A confirmation may be two waits old when the next one comes.
 		if wait := (age - relayMargin) / 2; wait >= minFollowerWait {
--- a/process/starter/starter.go
+++ b/process/starter/starter.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -30,8 +31,10 @@
 	"mulberrybeam/process/recorder"
 	"mulberrybeam/process/registrar"
 	"mulberrybeam/process/reserver"
+	"mulberrybeam/process/tallier"
 	"mulberrybeam/process/tracker"
 	"mulberrybeam/request/relayer"
+	"mulberrybeam/version/promoter"
 	"mulberrybeam/version/upgrader"
 )
 
@@ -52,13 +55,18 @@
 
 // Process is a running entry process.
 type Process struct {
-	settings  atomic.Pointer[mulberrybeam.HostSettings]
-	now       func() time.Duration
-	control   *controller.Controller
-	recorder  *recorder.Ring
-	monitor   *monitor.Monitor
-	requester *requester.Requester
-	catalog   *cataloger.Cataloger
+	settings atomic.Pointer[mulberrybeam.HostSettings]
+	now      func() time.Duration
+	control  *controller.Controller
+	recorder *recorder.Ring
+	monitor  *monitor.Monitor
+	// tallier is nil where rollouts are not in use. incarnation identifies this run
+	// in its reports on rollouts.
+	tallier     *tallier.Tallier
+	meter       *meter.Meter
+	incarnation uint64
+	requester   *requester.Requester
+	catalog     *cataloger.Cataloger
 	// propagator is the source of the feeds. observeFeed counts their results.
 	propagator  *propagator.Propagator
 	observeFeed func(kind mulberrybeam.ObjectKind, source string, age time.Duration)
@@ -95,7 +103,15 @@
 		meter.Observe(entry)
 	}))
 	p.recordEvent("start", "zone "+string(settings.Zone)+", caller address "+settings.CallerAddress)
+	if settings.Bounds.UsesRollouts() {
+		p.tallier = tallier.New()
+		p.incarnation = rand.Uint64()
+	}
 	p.startControl(settings, meter)
+	if err := p.exportRollouts(); err != nil {
+		p.runCleanups()
+		return nil, err
+	}
 	if err := p.listen(settings, metricsPort, metrics); err != nil {
 		p.runCleanups()
 		return nil, err
@@ -117,6 +133,9 @@
 		Self: settings.ID, Fleet: p.fleet, Loads: p.monitor.OwnLoads, Receive: p.monitor.ReceiveUpdate,
 		OnError: func(err error) { p.recordEvent("load share dropped", err.Error()) },
 	}
+	if p.tallier != nil {
+		b.Rollouts, b.Receive = p.rolloutReports, p.receiveUpdate
+	}
 	stop, err := b.Listen(settings.PeerAddress)
 	if err != nil {
 		return err
@@ -137,9 +156,14 @@
 		upgrader.New(settings.ID, settings.Bounds, platform.Encoder{}),
 		registrar.New(mulberrybeam.EntryHost{ID: settings.ID, Zone: settings.Zone, Address: settings.PeerAddress}, platform.Encoder{}),
 	}
+	if p.tallier != nil {
+		// After the tracker, whose fleet it filters.
+		machines = append(machines, promoter.New(settings.ID, settings.Bounds, platform.Encoder{}))
+	}
 	control, stopControl := controller.New(machines,
 		controller.WithIdentity(settings.ID, settings.Zone),
 		controller.WithObjects(store),
+		controller.WithStatusClient(store),
 		controller.WithOrderClient(engines),
 		controller.WithObserveFunc(func(ctx context.Context, target mulberrybeam.Target, _ uint64) mulberrybeam.TargetObserved {
 			report, err := engines.Report(ctx, target)
@@ -185,6 +209,9 @@
 		p.workers.Go(func() { feedLoop.Run(ctx) })
 	}
 	p.workers.Go(func() { p.propagator.Run(ctx) })
+	if p.tallier != nil {
+		p.workers.Go(func() { p.reportRollouts(ctx) })
+	}
 	p.workers.Go(func() { p.sweep(ctx) })
 	p.workers.Go(func() { stores.Run(ctx) })
 	p.cleanups = append(p.cleanups, func() {
@@ -235,6 +262,7 @@
 		Codec:    platform.Codec{},
 		Sender:   p.requester,
 		Monitor:  p.monitor,
+		Tallier:  p.tallier,
 		Budgets:  monitor.NewBudgets(retryBudgetFraction*bounds.RetryBudgetRatio, minRetriesPerSecond),
 		Recorder: p.recorder,
 		Catalog:  p.catalog,
--- a/request/chooser/candidates.go
+++ b/request/chooser/candidates.go
@@ -48,7 +48,7 @@
 		if !regionAllowed(fleet, query.Rule, target.Zone) {
 			continue
 		}
-		if hasWeightsBefore(query.MinVersion, query.Model, target) {
+		if hasWeightsBefore(query.MinVersion, query.Model, target) || query.Usable != nil && !query.Usable(target) {
 			continue
 		}
 		stats := view.TargetStats(target.ID)
--- a/request/chooser/chooser.go
+++ b/request/chooser/chooser.go
@@ -83,6 +83,8 @@
 	// MinVersion excludes engines that report an older weight version. 0 excludes none.
 	MinVersion int
 	Tried      []mulberrybeam.InstanceID
+	// Usable reports whether the request may use a target. Nil allows all.
+	Usable func(target *mulberrybeam.FleetTarget) bool
 	// MayWait reports that the request can wait until an engine has capacity.
 	MayWait bool
 	// ColdOvershoot is a factor on a cold target's rate, and ColdSlack a number
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"mulberrybeam/connection/requester"
 	"mulberrybeam/process/monitor"
 	"mulberrybeam/process/reserver"
+	"mulberrybeam/process/tallier"
 	"mulberrybeam/request/fetcher"
 )
 
@@ -34,6 +35,9 @@
 	Codec    mulberrybeam.CallCodec
 	Sender   Sender
 	Monitor  *monitor.Monitor
+	// Tallier counts what rollouts are judged by. It is nil where rollouts are not
+	// in use.
+	Tallier  *tallier.Tallier
 	Budgets  *monitor.Budgets
 	Catalog  fetcher.Catalog
 	Recorder mulberrybeam.Recorder
