broadcaster: receive datagrams of any size

The counts of a rollout on six routes or more exceed 16 KB, so that a datagram would be cut and its loads lost with it (found in the review).

--- a/process/broadcaster/broadcaster.go
+++ b/process/broadcaster/broadcaster.go
@@ -23,9 +23,10 @@
 	// maxPeersPerRound limits the number of peers contacted in one round. A
 	// larger fleet is covered by a random selection in each round.
 	maxPeersPerRound = 32
-	// maxDatagramBytes is the size of the receive buffer in bytes, enough
-	// for the loads of a few hundred targets.
-	maxDatagramBytes = 16 << 10
+	// maxDatagramBytes is the size of the receive buffer in bytes, that of the largest
+	// UDP datagram. The counts of a rollout on many routes take more than the loads of
+	// a few hundred targets.
+	maxDatagramBytes = 64 << 10
 	// maxTargetsPerDatagram limits the number of targets in one datagram.
 	maxTargetsPerDatagram = 200
 	// readRetryDelay is the delay before the next read after a failed one.
