--- a/version/promoter/stage_test.go
+++ b/version/promoter/stage_test.go
@@ -11,6 +11,14 @@
 	"mulberrybeam/version/promoter"
 )
 
+// stageCase is a situation of a leader and the stage that follows from it.
+type stageCase struct {
+	stage   mulberrybeam.RolloutStage
+	seconds float64
+	change  func(s *promoter.Situation)
+	want    mulberrybeam.RolloutStage
+}
+
 // Guards against a stage that exposes more requests than the evidence, the
 // capacity or the time allows, and against a rollout that does not end.
 func TestNextStage(t *testing.T) {
@@ -19,12 +27,7 @@
 		full, final, rolledBack = mulberrybeam.StageFull, mulberrybeam.StageFinal, mulberrybeam.StageRolledBack
 	)
 	busy := judge.Verdict{NewResponses: 100, OldResponses: 1000}
-	for name, test := range map[string]struct {
-		stage   mulberrybeam.RolloutStage
-		seconds float64
-		change  func(s *promoter.Situation)
-		want    mulberrybeam.RolloutStage
-	}{
+	for name, test := range map[string]stageCase{
 		"no warm target":               {waiting, 2, func(s *promoter.Situation) { s.WarmSlots = 0 }, waiting},
 		"warm target":                  {waiting, 2, nil, sample},
 		"sample is short":              {sample, 2, nil, sample},
