--- a/version/promoter/replace_test.go
+++ b/version/promoter/replace_test.go
@@ -112,6 +112,18 @@
 	}
 }
 
+// Guards against a host that restarted during a rollout and refuses requests until
+// an order back to the only version that it knows has gone through the stages.
+func TestOrderBackAfterRestart(t *testing.T) {
+	is := is.New(t)
+	h := newSingle(orderTo("v2", mulberrybeam.RolloutRunning, "v2"), "v1", "v2")
+	h.put(orderTo("v1", mulberrybeam.RolloutRunning, "v2"))
+	is.Equal(h.usable(), "v1")
+	snapshot := &mulberrybeam.Snapshot{Fleet: &mulberrybeam.Fleet{}}
+	h.machine.FillSnapshot(snapshot)
+	is.True(snapshot.Fleet.Rollouts["s"].Known)
+}
+
 // Guards against hosts that list the targets of a new version at their start,
 // before there is an order to it, and then take it for one that needs no test.
 func TestVersionListedBesideAnotherIsTested(t *testing.T) {
