--- a/review/standins2/deployment.go
+++ b/review/standins2/deployment.go
@@ -331,6 +331,21 @@
 	return e, nil
 }
 
+// crashAny ends one of the engines without notice.
+func (d *deployment) crashAny() {
+	d.mutex.Lock()
+	var engine *runningEngine
+	for _, e := range d.engines {
+		engine = e
+		break
+	}
+	d.mutex.Unlock()
+	if engine != nil {
+		d.note("engine %s crashes by itself", engine.id)
+		_ = engine.command.Process.Kill()
+	}
+}
+
 // reply is what a client got.
 type reply struct {
 	status int
