--- a/review/standins2/sessions.go
+++ b/review/standins2/sessions.go
@@ -14,15 +14,18 @@
 )
 
 const (
-	// Sessions are long: each request repeats the parts of sessionParts earlier turns.
+	// A request of a session names sessionParts parts of sessionPartSize tokens, beside its
+	// own, and takes sessionEvents events.
 	sessionParts     = 16
 	sessionPartSize  = 40
 	sessionEvents    = 20
 	sessionInterval  = 200 * time.Millisecond
 	sessionPerSecond = 90
 	sessionTime      = 60 * time.Second
-	sessionDeadly    = 2 * time.Second
-	sessionCrash     = 6 * time.Second
+	// Requests with the deadly part come every sessionDeadly. Every sessionCrash an engine
+	// crashes by itself.
+	sessionDeadly = 2 * time.Second
+	sessionCrash  = 6 * time.Second
 )
 
 // runSessions sends requests with a part that crashes engines beside many long sessions.
