--- a/review/standins2/sessions.go
+++ b/review/standins2/sessions.go
@@ -36,19 +36,15 @@
 		parts, _ = strconv.Atoi(text)
 	}
 	var mutex sync.Mutex
-	arrivedAt, crashedAt, deadlyIDs := map[string]time.Time{}, []time.Time{}, map[string]bool{}
-	late := 0
+	crashedAt, deadlyIDs, late := []time.Time{}, map[string]bool{}, 0
 	report := func(engine, word string, at time.Time, what string) {
 		mutex.Lock()
 		defer mutex.Unlock()
 		switch word {
 		case "run":
-			arrivedAt[what] = at
-			if deadlyIDs[what] {
-				d.noteAt(at, "engine %s runs %s with the deadly part", engine, what)
-				if len(crashedAt) >= decisiveCrash && at.Sub(crashedAt[decisiveCrash-1]) > stabilityWindow {
-					late++
-				}
+			d.noteAt(at, "engine %s runs %s, deadly: %t", engine, what, deadlyIDs[what])
+			if deadlyIDs[what] && len(crashedAt) >= decisiveCrash && at.Sub(crashedAt[decisiveCrash-1]) > stabilityWindow {
+				late++
 			}
 		case "crash":
 			crashedAt = append(crashedAt, at)
@@ -82,8 +78,8 @@
 			d.note("client sends %s with the deadly part to %s", id, entry.name)
 		}
 		got := send(client, entry, http.MethodPost, "/advice/"+id, id, header, "prompt of "+id, 15*time.Second)
+		d.note("client got for %s from %s: status %d, %d events, error %v", id, entry.name, got.status, countEvents(got.body), got.err)
 		if isDeadly {
-			d.note("client got for %s: status %d, %d events, error %v", id, got.status, countEvents(got.body), got.err)
 			return
 		}
 		mutex.Lock()
