matcher: require keys when the last workspace is removed

Cause: the decoder of the configuration made the same deployment of an absent field "tenants", with which requests need no key, and of an empty list. The matcher took a deployment without workspaces for one without keys and skipped the checks of the key and of its age.

Change: Deployment.Keyless is set only where the field is absent; the zero value requires keys. The line for a revision in force says which keys it accepts.

--- a/fleet.go
+++ b/fleet.go
@@ -23,7 +23,10 @@
 	Rules      []Rule
 	Pools      map[ServiceName]Pool
 	Workspaces []WorkspaceSpec
-	Limits     ClientLimits
+	// Keyless reports that requests need no API key. A deployment without workspaces
+	// needs them all the same, and refuses every request that is not public.
+	Keyless bool
+	Limits  ClientLimits
 }
 
 // Rule maps the requests for a host and path prefix to services and sets their
--- a/process/starter/starter_test.go
+++ b/process/starter/starter_test.go
@@ -155,6 +155,33 @@
 	}
 }
 
+// Guards against requests that run with a revoked key, an unknown one or none once
+// the last workspace was removed.
+func TestKeysAreRefusedWithoutWorkspaces(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, answerOK)
+	call := func(key string) int {
+		status, _ := h.get(t, h.settings.CallerAddress+"/a/b", key)
+		return status
+	}
+	configure := func(version int, tenants string) {
+		h.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","path_prefix":"/a/","kind":"unsafe","service":"s"},
+			{"name":"v%[1]d","host":"h","path_prefix":"/v%[1]d/","kind":"unsafe","service":"s","public":true}],"services":[{"name":"s"}]%s}`, version, tenants))
+		h.awaitStatus(t, "the configuration is not in force", http.StatusOK, fmt.Sprint(h.settings.CallerAddress, "/v", version, "/"), "")
+	}
+	configure(4, `,"tenants":[]`)
+	for _, key := range []string{"k", "unknown", ""} {
+		is.Equal(call(key), http.StatusUnauthorized)
+	}
+	configure(5, `,"tenants":[{"name":"w","api_keys":["k"]}]`)
+	is.Equal(call("k"), http.StatusOK)
+	configure(6, "")
+	is.Equal(call(""), http.StatusOK)
+	for _, want := range []string{"revision 4 is in force, workspaces with keys: 0", "revision 6 is in force, requests need no key"} {
+		is.True(strings.Contains(h.log.String(), want))
+	}
+}
+
 // Guards against API keys that are accepted although the platform has not
 // confirmed them for a long time.
 func TestKeysAreRefusedInALongOutage(t *testing.T) {
--- a/process/tracker/tracker.go
+++ b/process/tracker/tracker.go
@@ -244,7 +244,16 @@
 	}
 	t.deployment = deployment
 	t.stale.deployment = true
-	return []mulberrybeam.Action{recordEntry(mulberrybeam.EntryConfiguration, "", "revision "+formatNumber(deployment.Revision)+" is in force")}
+	return []mulberrybeam.Action{recordEntry(mulberrybeam.EntryConfiguration, "",
+		"revision "+formatNumber(deployment.Revision)+" is in force, "+describeKeys(deployment))}
+}
+
+// describeKeys says which API keys a deployment accepts.
+func describeKeys(deployment *mulberrybeam.Deployment) string {
+	if deployment.Keyless {
+		return "requests need no key"
+	}
+	return "workspaces with keys: " + formatNumber(len(deployment.Workspaces))
 }
 
 func (t *Tracker) updateTarget(turn mulberrybeam.Turn, id mulberrybeam.InstanceID, target *mulberrybeam.LiveTarget) []mulberrybeam.Action {
--- a/request/matcher/matcher.go
+++ b/request/matcher/matcher.go
@@ -45,7 +45,7 @@
 	if rule == nil {
 		return Match{}, unknown(fleet, query, mulberrybeam.CodeNotFound, "no route matches the host and path")
 	}
-	if len(fleet.Deployment.Workspaces) == 0 {
+	if fleet.Deployment.Keyless {
 		return Match{Rule: rule}, nil
 	}
 	workspace := fleet.Keys[query.Key]
--- a/request/matcher/matcher_test.go
+++ b/request/matcher/matcher_test.go
@@ -107,6 +107,43 @@
 	}
 }
 
+// Guards against requests that run without a valid key because the deployment has no
+// workspace left.
+func TestKeysAreCheckedWithoutWorkspaces(t *testing.T) {
+	cases := []struct {
+		name, path, key string
+		keyless         bool
+		now             time.Duration
+		rule            string
+		code            mulberrybeam.Code
+	}{
+		{name: "revoked key", path: "/a/b/", key: "k", code: mulberrybeam.CodeUnauthorized},
+		{name: "no key", path: "/a/b/", code: mulberrybeam.CodeUnauthorized},
+		{name: "configuration not confirmed recently", path: "/a/b/", key: "k", now: 15 * time.Second, code: mulberrybeam.CodePlatformDown},
+		{name: "public", path: "/a/open/", rule: "open"},
+		{name: "keyless", path: "/a/b/", keyless: true, rule: "deep"},
+		{name: "keyless with a key", path: "/a/b/", key: "k", keyless: true, rule: "deep"},
+		{name: "keyless, configuration not confirmed recently", path: "/a/b/", keyless: true, now: 15 * time.Second, rule: "deep"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := fleet()
+			fleet.Deployment, fleet.Keys = &mulberrybeam.Deployment{Keyless: c.keyless}, nil
+			match, err := matcher.Decide(fleet, matcher.Query{
+				Host: "h", Path: c.path, Key: c.key, Now: max(c.now, 11*time.Second), FailClosed: true, MaxKeyAge: 4 * time.Second,
+			})
+			if c.code != "" {
+				is.Equal(mulberrybeam.CodeOf(err), c.code)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(match.Rule.Name, c.rule)
+			is.True(match.Workspace == nil)
+		})
+	}
+}
+
 // Guards against services that get requests although their weight is 0.
 func TestPickService(t *testing.T) {
 	is := is.New(t)
