tracker: ignore empty API keys

What callers saw: with an empty string among a tenant's api_keys, requests without a key ran as that tenant.

Cause: a missing header is read as the empty key, which the map of keys contained. Empty keys are left out of the map now.

TestEmptyKeysGrantNothing failed before ("[ k] != [k]").

--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -80,7 +80,10 @@
 	keys := map[string]*mulberrybeam.WorkspaceSpec{}
 	for i := range deployment.Workspaces {
 		for _, key := range deployment.Workspaces[i].Keys {
-			keys[key] = &deployment.Workspaces[i]
+			// The empty key is that of callers without one.
+			if key != "" {
+				keys[key] = &deployment.Workspaces[i]
+			}
 		}
 	}
 	return keys
--- a/process/tracker/tracker_test.go
+++ b/process/tracker/tracker_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,6 +89,16 @@
 	is.Equal(f.fleet().Hosts["h"][0].Prefix, "/a/b/")
 }
 
+// Guards against callers without a key that are taken for a workspace with an empty one.
+func TestEmptyKeysGrantNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	changed := deployment(6)
+	changed.Deployment.Workspaces = []mulberrybeam.WorkspaceSpec{{Name: "w", Keys: []string{"", "k"}}}
+	f.sendChange(mulberrybeam.ObjectDeployment, "main", changed, false)
+	is.Equal(slices.Collect(maps.Keys(f.fleet().Keys)), []string{"k"})
+}
+
 // A target that is draining, or whose entry cannot be read, must get no new
 // requests.
 func TestDrainingTargetsGetNoRequests(t *testing.T) {
