requester: report answers that were reset while the request was written

Cause: a connection reports its reset once. If a write gets the error, the read after it gets the end of the stream, which ends a body that has no length. The result of the write was used for the reuse of the connection only. Clients on net/http have the same gap.

Change: at the end of such a body the result of writing the request is awaited, and a request that was not written completely makes the answer a cut one. connection/responsechecker has the check for the relay's connections and, as a transport, for clients on net/http.

--- a/connection/dialer/dialer.go
+++ b/connection/dialer/dialer.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"mulberrybeam/connection/responsechecker"
 )
 
 const (
@@ -65,5 +67,5 @@
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	return &http.Client{Transport: transport}, transport.CloseIdleConnections
+	return &http.Client{Transport: responsechecker.Transport{RoundTripper: transport}}, transport.CloseIdleConnections
 }
--- a/connection/encoder/encoder.go
+++ b/connection/encoder/encoder.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/responsechecker"
 )
 
 const (
@@ -87,7 +88,7 @@
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	client := &http.Client{
-		Transport: transport,
+		Transport: responsechecker.Transport{RoundTripper: transport},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/connection/requester/requester.go
+++ b/connection/requester/requester.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/responsechecker"
 )
 
 const (
@@ -158,7 +159,10 @@
 		if pc.answers(head.Request, message.ID) {
 			pc.source.unlimit()
 			answer := &Answer{Status: response.StatusCode, Header: response.Header, Head: head, body: response.Body}
-			answer.Framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+			answer.Framed = responsechecker.IsFramed(response)
+			if !answer.Framed {
+				answer.body = io.NopCloser(responsechecker.NewBody(response.Body, func() error { return <-pc.writeResult }))
+			}
 			pc.reuseUntil = c.now() + idleTimeout(response)
 			if response.Close {
 				pc.reuseUntil = 0
--- a/request/relayer/cuthead_test.go
+++ b/request/relayer/cuthead_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -17,6 +18,8 @@
 type cutAnswer struct {
 	bytes string
 	reset bool
+	// early answers before the body of the request was read, and leaves it unread.
+	early bool
 }
 
 func (c cutAnswer) serve(conn net.Conn) {
@@ -25,8 +28,13 @@
 	if err != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, request.Body)
+	if !c.early {
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
 	_, _ = io.WriteString(conn, c.bytes)
+	if c.early {
+		time.Sleep(10 * time.Millisecond) // until the answer was read
+	}
 	if c.reset {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
@@ -95,7 +103,7 @@
 					rule.MaxAttempts = 1
 					h := newHarness(t, rule, respondsStamped(""))
 					fleet := *h.fleet.Load()
-					fleet.Targets["s"][0].Address = cutAnswer{test.answer[:length], reset}.listen(t)
+					fleet.Targets["s"][0].Address = cutAnswer{bytes: test.answer[:length], reset: reset}.listen(t)
 					h.fleet.Store(&fleet)
 					result := h.call(nil)
 					if length == len(test.answer) {
@@ -112,3 +120,58 @@
 		})
 	}
 }
+
+// Guards against an answer without a length that a target sent while the upload was
+// still being written, and whose part before a reset reaches the caller as a success.
+func TestAnswerResetDuringUploadIsNoSuccess(t *testing.T) {
+	const (
+		rounds      = 10
+		uploadBytes = 8 << 20
+		head        = "HTTP/1.1 200 OK\r\nMulberrybeam-Request-Id: r1\r\nMulberrybeam-Response-Stamp: s\r\n"
+		streamHead  = head + "Content-Type: text/event-stream\r\n"
+		events      = "id: 1\ndata: x\n\n"
+	)
+	onceStream := streamRule
+	onceStream.Guarantee, onceStream.Resumable = mulberrybeam.GuaranteeAtMostOnce, false
+	for name, test := range map[string]struct {
+		rule   mulberrybeam.Rule
+		answer string
+		// status is that of the answer that the caller gets, complete says whether its
+		// body is, and runs counts the attempts after the first.
+		status   int
+		complete bool
+		runs     int
+	}{
+		"once":               {onceRule, head + "\r\npart", http.StatusBadGateway, true, 0},
+		"repeatable":         {repeatableRule, head + "\r\npart", http.StatusOK, true, 1},
+		"once, larger":       {onceRule, head + "\r\n" + strings.Repeat("part", 32<<10), http.StatusOK, false, 0},
+		"once, stream":       {onceStream, streamHead + "\r\n" + events, http.StatusOK, false, 0},
+		"resumable stream":   {streamRule, streamHead + "\r\n" + events, http.StatusOK, true, 1},
+		"once, with length":  {onceRule, head + "Content-Length: 5\r\n\r\nwhole", http.StatusOK, true, 0},
+		"once, failed early": {onceRule, strings.Replace(head, "200 OK", "500 Failed", 1) + "\r\npart", http.StatusBadGateway, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for range rounds {
+				is := is.New(t)
+				whole := respondsStamped("whole")
+				if test.rule.Streaming {
+					whole = withContentType("text/event-stream", resumesStream)
+				}
+				rule := test.rule
+				rule.Timeout = 10 * time.Second
+				h := newHarness(t, rule, respondsStamped(""), whole)
+				fleet := *h.fleet.Load()
+				deployment := *fleet.Deployment
+				deployment.Limits.MaxBodyBytes = uploadBytes
+				fleet.Deployment = &deployment
+				fleet.Targets["s"][0].Address = cutAnswer{bytes: test.answer, reset: true, early: true}.listen(t)
+				h.fleet.Store(&fleet)
+				got := h.send(strings.Repeat("x", uploadBytes), nil)
+				is.Equal(got.err == nil, test.complete)
+				is.Equal(got.status, test.status)
+				is.Equal(h.requestCount(), test.runs)
+			}
+		})
+	}
+}
--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -149,8 +149,10 @@
 	err    error
 }
 
-func (h *harness) call(change func(http.Header)) callResult {
-	request, err := http.NewRequest(http.MethodPost, h.url+"/a/b?c=1", strings.NewReader("body"))
+func (h *harness) call(change func(http.Header)) callResult { return h.send("body", change) }
+
+func (h *harness) send(body string, change func(http.Header)) callResult {
+	request, err := http.NewRequest(http.MethodPost, h.url+"/a/b?c=1", strings.NewReader(body))
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -165,8 +167,8 @@
 		return callResult{err: err}
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return callResult{response.StatusCode, response.Header, string(body), err}
+	received, err := io.ReadAll(response.Body)
+	return callResult{response.StatusCode, response.Header, string(received), err}
 }
 
 func (h *harness) requestCount() int {
