responsechecker: refuse answers with an invalid status

A plain 000 gave 502. mulberrybeamd took status 000 of an engine or the platform for a success, and an order of an entry host answered with 000 counted as not carried out.

Cause: net/http accepts any three digits. Every status below 200 was skipped as an interim response, and other callers compare with 300 only.

Change: a final response has a status from 200 to 599; anything else but an interim response fails the exchange, after which the request may have run.

--- a/connection/encoder/encoder_test.go
+++ b/connection/encoder/encoder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -20,6 +21,15 @@
 func serveResponse(t *testing.T, status int, body string) encoder.Call {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if status < http.StatusContinue {
+			// net/http sends no such status.
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %03d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+				_ = conn.Close()
+			}
+			return
+		}
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, body)
 	}))
@@ -52,6 +62,7 @@
 		"not-run at top level": {503, `{"not-run":true}`, mulberrybeam.Failure{Code: mulberrybeam.CodeTargetFailed}},
 		"not JSON":             {502, `<html>`, mulberrybeam.Failure{Code: mulberrybeam.CodeTargetFailed}},
 		"redirect":             {302, ``, mulberrybeam.Failure{Code: mulberrybeam.CodeTargetRefused}},
+		"status 000":           {0, `{"instance":"i"}`, mulberrybeam.Failure{Code: mulberrybeam.CodeTargetFailed}},
 		"truncated JSON":       {200, `{"instance":`, mulberrybeam.Failure{Code: mulberrybeam.CodeTargetFailed}},
 		"too large":            {200, strings.Repeat(" ", 8<<20+1), mulberrybeam.Failure{Code: mulberrybeam.CodeTargetFailed}},
 	}
--- a/connection/requester/requester.go
+++ b/connection/requester/requester.go
@@ -186,8 +186,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if !responsechecker.IsInterim(response.StatusCode) {
+			return response, responsechecker.CheckStatus(response.StatusCode)
 		}
 	}
 }
--- a/connection/responsechecker/responsechecker.go
+++ b/connection/responsechecker/responsechecker.go
@@ -1,5 +1,5 @@
-// Package responsechecker finds responses that are incomplete although the HTTP library
-// accepts them.
+// Package responsechecker finds responses that are invalid or incomplete although the
+// HTTP library accepts them.
 package responsechecker
 
 import (
@@ -8,6 +8,27 @@
 	"net/http"
 )
 
+const (
+	// minFinalStatus and maxStatus are the bounds of the status of a final response, as
+	// in RFC 9110, section 15.
+	minFinalStatus = 200
+	maxStatus      = 599
+)
+
+// CheckStatus returns an error if a final response may not have the status. Status 101
+// is an error too, because no request asks for another protocol.
+func CheckStatus(status int) error {
+	if status < minFinalStatus || status > maxStatus {
+		return fmt.Errorf("invalid status %03d", status)
+	}
+	return nil
+}
+
+// IsInterim reports whether a response with the status is followed by another one.
+func IsInterim(status int) bool {
+	return status >= http.StatusContinue && status < minFinalStatus && status != http.StatusSwitchingProtocols
+}
+
 // IsFramed reports whether the end of a response is marked. Otherwise its body ends with
 // its connection.
 func IsFramed(response *http.Response) bool {
--- a/connection/responsechecker/responsechecker_test.go
+++ b/connection/responsechecker/responsechecker_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -57,6 +58,41 @@
 	return response.StatusCode, string(body), err
 }
 
+// Guards against a response with an invalid status that counts as a success, since it is
+// below 300.
+func TestInvalidStatus(t *testing.T) {
+	for _, c := range []struct {
+		status string
+		valid  bool
+	}{
+		{"000", false},
+		{"001", false},
+		{"099", false},
+		{"+20", false},
+		{"101", false},
+		{"200", true},
+		{"204", true},
+		{"404", true},
+		{"599", true},
+		{"600", false},
+		{"999", false},
+	} {
+		t.Run(c.status, func(t *testing.T) {
+			is := is.New(t)
+			url := serve(t, func(conn *net.TCPConn, _ io.Reader) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n", c.status)
+			})
+			for _, size := range []int{0, 4} {
+				status, _, err := post(newClient(t), url, size)
+				is.Equal(err == nil, c.valid)
+				if c.valid {
+					is.Equal(fmt.Sprint(status), c.status)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a response without a length that was reset while the request was being
 // written and counts as complete, and against a complete one that counts as cut.
 func TestResetWhileTheRequestIsWritten(t *testing.T) {
--- a/connection/responsechecker/transport.go
+++ b/connection/responsechecker/transport.go
@@ -7,8 +7,9 @@
 	"net/http/httptrace"
 )
 
-// Transport is an http.RoundTripper whose bodies report a response that was cut while the
-// request was being written.
+// Transport is an http.RoundTripper that returns an error for a response with an invalid
+// status, and whose bodies report a response that was cut while the request was being
+// written.
 type Transport struct {
 	http.RoundTripper
 }
@@ -24,6 +25,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := CheckStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
 	if written != nil && !IsFramed(response) {
 		awaitWritten := func() error { return written.await(request.Context()) }
 		response.Body = &checkedBody{NewBody(response.Body, awaitWritten), response.Body}
--- a/request/relayer/cuthead_test.go
+++ b/request/relayer/cuthead_test.go
@@ -175,3 +175,49 @@
 		})
 	}
 }
+
+// Guards against an answer with an invalid status that reaches the caller, or whose body
+// is taken for the answer.
+func TestAnswerWithInvalidStatusIsNoAnswer(t *testing.T) {
+	const (
+		fields = "Mulberrybeam-Request-Id: r1\r\nMulberrybeam-Response-Stamp: s\r\n"
+		sound  = "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nfirst"
+	)
+	for name, test := range map[string]struct {
+		answer string
+		valid  bool
+	}{
+		"000":                         {answer: "HTTP/1.1 000 X\r\n" + fields + "Content-Length: 5\r\n\r\nfirst"},
+		"000, without length":         {answer: "HTTP/1.1 000 X\r\n" + fields + "\r\nfirst"},
+		"000, not executed":           {answer: "HTTP/1.1 000 X\r\n" + fields + "Mulberrybeam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+		"000, body that is an answer": {answer: "HTTP/1.1 000 X\r\n" + fields + "\r\n" + sound},
+		"000, then an answer":         {answer: "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + sound},
+		"099, then an answer":         {answer: "HTTP/1.1 099 X\r\n\r\n" + sound},
+		"101, then an answer":         {answer: "HTTP/1.1 101 Switching Protocols\r\n\r\n" + sound},
+		"600":                         {answer: "HTTP/1.1 600 X\r\n" + fields + "Content-Length: 5\r\n\r\nfirst"},
+		"999":                         {answer: "HTTP/1.1 999 X\r\n" + fields + "Content-Length: 5\r\n\r\nfirst"},
+		"interim, then an answer":     {answer: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + sound, valid: true},
+	} {
+		for _, rule := range []mulberrybeam.Rule{onceRule, repeatableRule} {
+			t.Run(name+", "+string(rule.Guarantee), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				h := newHarness(t, rule, respondsStamped(""), respondsStamped("second"))
+				fleet := *h.fleet.Load()
+				fleet.Targets["s"][0].Address = cutAnswer{bytes: test.answer}.listen(t)
+				h.fleet.Store(&fleet)
+				got := h.call(nil)
+				is.NoErr(got.err)
+				switch {
+				case test.valid:
+					is.Equal(got.body, "first")
+				case rule.Idempotent():
+					is.Equal(got.body, "second")
+				default:
+					is.Equal(got.status, http.StatusBadGateway)
+					is.Equal(h.requestCount(), 0) // it may have run
+				}
+			})
+		}
+	}
+}
