parttracker: drop suspects before parts whose requests are refused

Cause: at most 512 parts are tracked, and the one with the oldest crash was dropped for a new one. A part whose requests are refused has no new crashes, so it was always the oldest; one crash beside 40 sessions with 16 parts each brings 640 new ones.

Change: such a part is dropped only if there is no other. The bound on the state is the same.

TestConvictionOutlivesManySuspects failed before ("0 != 1", the request ran).

--- a/process/parttracker/evidence.go
+++ b/process/parttracker/evidence.go
@@ -28,6 +28,20 @@
 	}
 }
 
+// refusable reports whether enough crashes count against the part to refuse its requests.
+func (e *evidence) refusable() bool { return e.Crashes >= quarantiner.ConvictionThreshold }
+
+// compareNeed is negative if e is to be dropped before other.
+func (e *evidence) compareNeed(other *evidence) int {
+	switch {
+	case e.refusable() == other.refusable():
+		return cmp.Compare(e.LastCrashAt, other.LastCrashAt)
+	case e.refusable():
+		return 1
+	}
+	return -1
+}
+
 // uncleared returns the crashes that count against the part.
 func (e *evidence) uncleared() []mulberrybeam.InstanceID {
 	var targets []mulberrybeam.InstanceID
--- a/process/parttracker/parttracker.go
+++ b/process/parttracker/parttracker.go
@@ -138,17 +138,14 @@
 	return actions
 }
 
-// track returns the evidence for a part, and drops that of the part with the oldest
-// crash if there is too much.
+// track returns the evidence for a part, and drops that of another one if there is too
+// much.
 func (t *Tracker) track(part mulberrybeam.SharedPart) *evidence {
 	if known, found := t.parts[part]; found {
 		return known
 	}
 	if len(t.parts) >= maxParts {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(t.parts)), func(a, b mulberrybeam.SharedPart) int {
-			return cmp.Or(cmp.Compare(t.parts[a].LastCrashAt, t.parts[b].LastCrashAt), cmp.Compare(a, b))
-		})
-		delete(t.parts, oldest)
+		delete(t.parts, t.leastNeeded())
 		t.stale = true
 	}
 	known := &evidence{crashes: map[mulberrybeam.InstanceID]*crash{}}
@@ -156,6 +153,20 @@
 	return known
 }
 
+// leastNeeded returns the part with the oldest crash. One whose requests can be refused is
+// returned only if there is no other: because of the refusals it has no new crashes, so
+// that it would be the oldest.
+func (t *Tracker) leastNeeded() mulberrybeam.SharedPart {
+	var least mulberrybeam.SharedPart
+	var known *evidence
+	for part, other := range t.parts {
+		if known == nil || cmp.Or(other.compareNeed(known), cmp.Compare(part, least)) < 0 {
+			least, known = part, other
+		}
+	}
+	return least
+}
+
 func (t *Tracker) applyClearance(turn mulberrybeam.Turn, clearance mulberrybeam.PartClearance) []mulberrybeam.Action {
 	known := t.track(clearance.Part)
 	for _, target := range clearance.Targets {
--- a/process/parttracker/parttracker_test.go
+++ b/process/parttracker/parttracker_test.go
@@ -266,6 +266,50 @@
 	is.Equal(s.refused[deadly], 1)
 }
 
+// Guards against a convicted part that is forgotten, and crashes targets again, because
+// other crashes bring more parts than are tracked.
+func TestConvictionOutlivesManySuspects(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 1, 1)
+	crash := func(target string, part mulberrybeam.SharedPart) {
+		s.deliver(0, mulberrybeam.TargetCrashed{Crash: mulberrybeam.CrashRecord{
+			Target: mulberrybeam.InstanceID(target), Parts: []mulberrybeam.SharedPart{part},
+		}})
+	}
+	for i := range 3 {
+		crash(fmt.Sprint("deadly", i), deadly)
+	}
+	s.play(2*time.Second, 0, 0, nil)
+	for i := range 2000 {
+		// Two crashes make a part a suspect.
+		part := mulberrybeam.SharedPart(fmt.Sprint("m/", i))
+		crash("first", part)
+		crash("second", part)
+	}
+	s.send(&run{parts: []mulberrybeam.SharedPart{deadly}})
+	is.Equal(s.refused[deadly], 1)
+}
+
+// Guards against a new part that is not convicted because convictions fill the state.
+func TestNewPartIsConvictedBesideManyConvictions(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 1, 1)
+	for i := range 2001 {
+		part := deadly
+		if i < 2000 {
+			part = mulberrybeam.SharedPart(fmt.Sprint("m/", i))
+		}
+		for target := range 3 {
+			s.deliver(0, mulberrybeam.TargetCrashed{Crash: mulberrybeam.CrashRecord{
+				Target: mulberrybeam.InstanceID(fmt.Sprint(i, "-", target)), Parts: []mulberrybeam.SharedPart{part},
+			}})
+		}
+	}
+	s.play(2*time.Second, 0, 0, nil)
+	s.send(&run{parts: []mulberrybeam.SharedPart{deadly}})
+	is.Equal(s.refused[deadly], 1)
+}
+
 // Guards against more state than the limit, however many parts are in flight at
 // crashes.
 func TestSuspectsAreBounded(t *testing.T) {
