quarantiner: let one host at a time try a refused part

Cause: turn n belonged to n+1 hosts, and turns went on while nobody sent the part. Each host keeps to one trial a turn; nothing kept to a number for all.

Change: a turn belongs to one host. A case of TestDecideParts asked for three trials in the third turn, which is the fault; it asks for one.

--- a/request/quarantiner/part.go
+++ b/request/quarantiner/part.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"slices"
 	"time"
 	"unicode/utf8"
 
@@ -65,11 +64,9 @@
 	firstTrialDelay  = 8 * time.Second
 	trialDelayFactor = 3
 	maxTrialDelay    = time.Minute
-	// trialTurn is the length of a turn in which some hosts may send one request
-	// each as a trial. The first turn is of one host, and each further one of one
-	// more, so that a part that is sent often is tried by few hosts, and one that
-	// is sent seldom is tried at all. No trial begins later than trialWindow after
-	// the start of a turn, since hosts learn of a crash at different times.
+	// trialTurn is the length of a turn in which one host may send one request as a
+	// trial. No trial begins later than trialWindow after the start of a turn, since
+	// hosts learn of a crash at different times.
 	trialTurn   = 3 * time.Second
 	trialWindow = 1500 * time.Millisecond
 )
@@ -156,12 +153,10 @@
 	return decision
 }
 
-// hasTurn reports whether the host takes part in a turn.
+// hasTurn reports whether a turn is that of the host.
 func hasTurn(query PartQuery, part mulberrybeam.SharedPart, turn int) bool {
 	count := len(query.Hosts)
-	first, size := turn*(turn+1)/2, turn+1
-	position := slices.Index(ranker.Top(string(part), query.Hosts, count), query.Self)
-	return position >= 0 && (position-first%count+count)%count < size
+	return ranker.Top(string(part), query.Hosts, count)[turn%count] == query.Self
 }
 
 // TrialDelay returns the time from the last crash of a convicted part to the next
--- a/request/quarantiner/part_test.go
+++ b/request/quarantiner/part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -48,7 +49,8 @@
 		{"first trial, interrupted", suspect(3, 0), last + 8*time.Second, true, 0, quarantiner.Refuse},
 		{"end of a turn", suspect(3, 0), last + 10*time.Second, false, 0, quarantiner.Refuse},
 		{"after a failed trial", suspect(4, 1), last + 23*time.Second, false, 0, quarantiner.Refuse},
-		{"third turn, of three hosts", suspect(3, 0), last + 14*time.Second, false, 3, quarantiner.Refuse},
+		{"third turn", suspect(3, 0), last + 14*time.Second, false, 1, quarantiner.Refuse},
+		{"after half a minute without requests", suspect(3, 0), last + 33*time.Second, false, 1, quarantiner.Refuse},
 		{"second trial", suspect(4, 1), last + 24*time.Second, false, 1, quarantiner.Refuse},
 	}
 	for _, c := range cases {
@@ -72,6 +74,33 @@
 	}
 }
 
+// Guards against trials by several hosts at once after a time without requests, and
+// against a host that never has a turn.
+func TestHostsTakeTurnsWithTrials(t *testing.T) {
+	is := is.New(t)
+	const maxHosts, seconds = 9, 90
+	var hosts []mulberrybeam.ProcessID
+	for len(hosts) < maxHosts {
+		hosts = append(hosts, mulberrybeam.ProcessID(fmt.Sprint("host-", len(hosts))))
+		hadTurn := map[mulberrybeam.ProcessID]bool{}
+		for now := time.Duration(0); now < seconds*time.Second; now += 100 * time.Millisecond {
+			trials := 0
+			for _, host := range hosts {
+				decision := quarantiner.DecideParts(quarantiner.PartQuery{
+					Parts: []mulberrybeam.SharedPart{"m/p"}, Suspects: map[mulberrybeam.SharedPart]mulberrybeam.PartSuspicion{"m/p": {Crashes: 3}},
+					Hosts: hosts, Self: host, Now: now,
+				})
+				if decision.Verdict == quarantiner.RunIsolated {
+					hadTurn[host] = true
+					trials++
+				}
+			}
+			is.True(trials <= 1)
+		}
+		is.Equal(len(hadTurn), len(hosts))
+	}
+}
+
 // Guards against two trials by one host with requests that have two convicted parts.
 func TestTrialNamesAllConvictedParts(t *testing.T) {
 	is := is.New(t)
