parttracker: let completed copies of a request speak for it

Cause: crashes were counted by the request's fingerprint, and nothing counted for it. The count began anew with each process that read the records. Prompt parts had clearances and trials, requests had not.

Change: a request is a part that all its copies share, with the threshold of two crashes that it had. Complete answers clear it on all hosts, and a refused one is tried again. The count in process/tracker is gone.

Tests: TestRepeatedRequestIsServedAfterCrashes failed before ("503 != 200"). TestCrashesAreCountedUntilTheyExpire tested the count; its expectations are those of TestCrashesOfRequestsAreCountedUntilTheyExpire now.

--- a/fleet.go
+++ b/fleet.go
@@ -280,10 +280,7 @@
 	Peers []EntryHost
 	// Regions maps zones to their regions.
 	Regions map[ZoneName]RegionName
-	// Crashes counts the targets whose connection broke during a request, by
-	// the request's fingerprint.
-	Crashes map[Fingerprint]int
-	// Suspects are the prompt parts that may crash targets.
+	// Suspects are the requests and prompt parts that may crash targets.
 	Suspects map[SharedPart]PartSuspicion
 	// Rollouts are the rollouts in progress by service.
 	Rollouts map[ServiceName]*FleetRollout
--- a/name.go
+++ b/name.go
@@ -17,8 +17,8 @@
 // ModelName is the name of a model as callers write it in a request.
 type ModelName string
 
-// SharedPart identifies a prompt part that several requests to a model may share,
-// as "model/part".
+// SharedPart identifies what several requests may share that crashes targets: a prompt
+// part, as "model/part", or all of a request that callers repeat.
 type SharedPart string
 
 // ServiceName is the name of a service.
--- a/process/parttracker/evidence.go
+++ b/process/parttracker/evidence.go
@@ -29,7 +29,7 @@
 }
 
 // refusable reports whether enough crashes count against the part to refuse its requests.
-func (e *evidence) refusable() bool { return e.Crashes >= quarantiner.ConvictionThreshold }
+func (e *evidence) refusable() bool { return e.Crashes >= e.threshold }
 
 // compareNeed is negative if e is to be dropped before other.
 func (e *evidence) compareNeed(other *evidence) int {
@@ -80,7 +80,7 @@
 	before := e.Crashes
 	uncleared := e.uncleared()
 	e.Crashes = len(uncleared)
-	if e.Crashes >= quarantiner.ConvictionThreshold && before < quarantiner.ConvictionThreshold {
+	if e.refusable() && before < e.threshold {
 		e.Since = turn.Now
 	}
 	e.FailedTrials = 0
--- a/process/parttracker/parttracker.go
+++ b/process/parttracker/parttracker.go
@@ -1,6 +1,7 @@
-// Package parttracker is the control state machine that tracks which shared prompt
-// parts were in flight at crashed targets, and clears those that have completed. It
-// fills in the suspects of the fleet.
+// Package parttracker is the control state machine that tracks which requests and shared
+// prompt parts were in flight at crashed targets, and clears those that have completed.
+// It fills in the suspects of the fleet. A request that callers repeat is a part that all
+// its copies share.
 //
 // A part that crashes targets never completes. A completed request therefore clears
 // its parts of all crashes until then, also at the other hosts, which learn of it
@@ -45,6 +46,8 @@
 type evidence struct {
 	crashes map[mulberrybeam.InstanceID]*crash
 	mulberrybeam.PartSuspicion
+	// threshold is the number of crashes from which requests with the part are refused.
+	threshold int
 	// convicted is set once the timeline says that requests with the part are
 	// refused.
 	convicted bool
@@ -122,7 +125,7 @@
 
 func (t *Tracker) addCrash(turn mulberrybeam.Turn, record mulberrybeam.CrashRecord) []mulberrybeam.Action {
 	var actions []mulberrybeam.Action
-	for _, part := range record.Parts {
+	for _, part := range partsOf(record) {
 		known := t.track(part)
 		if _, found := known.crashes[record.Target]; found {
 			continue
@@ -138,6 +141,15 @@
 	return actions
 }
 
+// partsOf returns the parts that a crash counts against: the shared parts of the prompt
+// and the request itself.
+func partsOf(record mulberrybeam.CrashRecord) []mulberrybeam.SharedPart {
+	if record.Fingerprint == (mulberrybeam.Fingerprint{}) {
+		return record.Parts
+	}
+	return append(slices.Clone(record.Parts), quarantiner.RequestPart(record.Fingerprint))
+}
+
 // track returns the evidence for a part, and drops that of another one if there is too
 // much.
 func (t *Tracker) track(part mulberrybeam.SharedPart) *evidence {
@@ -148,7 +160,7 @@
 		delete(t.parts, t.leastNeeded())
 		t.stale = true
 	}
-	known := &evidence{crashes: map[mulberrybeam.InstanceID]*crash{}}
+	known := &evidence{crashes: map[mulberrybeam.InstanceID]*crash{}, threshold: quarantiner.Threshold(part)}
 	t.parts[part] = known
 	return known
 }
--- a/process/parttracker/verdict.go
+++ b/process/parttracker/verdict.go
@@ -24,7 +24,7 @@
 func (t *Tracker) suspicion(known *evidence) mulberrybeam.PartSuspicion {
 	suspicion := known.PartSuspicion
 	if t.explained(known) {
-		suspicion.Crashes = min(suspicion.Crashes, quarantiner.ConvictionThreshold-1)
+		suspicion.Crashes = min(suspicion.Crashes, known.threshold-1)
 	}
 	return suspicion
 }
@@ -33,7 +33,7 @@
 // more. An innocent part that is often in the same prompts as one that crashes targets
 // is then not held responsible for it.
 func (t *Tracker) explained(known *evidence) bool {
-	if known.Crashes < quarantiner.ConvictionThreshold {
+	if !known.refusable() {
 		return false
 	}
 	for _, other := range t.parts {
@@ -60,7 +60,7 @@
 // recordVerdict records that requests with a part are refused from now on, or are no
 // longer refused.
 func (t *Tracker) recordVerdict(turn mulberrybeam.Turn, part mulberrybeam.SharedPart, known *evidence) []mulberrybeam.Action {
-	convicted := quarantiner.Convicted(t.suspicion(known), turn.Now)
+	convicted := quarantiner.Convicted(part, t.suspicion(known), turn.Now)
 	if convicted == known.convicted {
 		return nil
 	}
@@ -70,7 +70,7 @@
 		return verdictEntry(mulberrybeam.EntryConviction, part, fmt.Sprintf(
 			"requests with the part are refused: it was in flight at the crashes of %v and has not completed since, next trial at the earliest %s after the last one",
 			known.uncleared(), quarantiner.TrialDelay(known.FailedTrials).Round(time.Second)))
-	case known.Crashes >= quarantiner.ConvictionThreshold:
+	case known.refusable():
 		return verdictEntry(mulberrybeam.EntryAcquittal, part, "requests with the part are no longer refused: another part was in flight at all its crashes and at more")
 	}
 	return verdictEntry(mulberrybeam.EntryAcquittal, part, "requests with the part are no longer refused: one of them got a complete answer")
--- a/process/tracker/fleet.go
+++ b/process/tracker/fleet.go
@@ -13,8 +13,8 @@
 // staleParts tells which parts of the fleet do not match the machine's state any
 // more.
 type staleParts struct {
-	deployment, weights, hosts, crashes bool
-	targets                             map[mulberrybeam.InstanceID]bool
+	deployment, weights, hosts bool
+	targets                    map[mulberrybeam.InstanceID]bool
 }
 
 // refreshFleet builds the stale parts of the fleet from the machine's state. The
@@ -37,12 +37,6 @@
 		t.fleet.PeerAddresses = t.peerAddresses()
 		t.fleet.Peers = t.peers()
 	}
-	if t.stale.crashes {
-		t.fleet.Crashes = make(map[mulberrybeam.Fingerprint]int, len(t.crashes))
-		for crash := range t.crashes {
-			t.fleet.Crashes[crash.fingerprint]++
-		}
-	}
 	wavesChanged := t.refreshTargets()
 	if t.stale.weights {
 		t.scheduleNewWeights()
--- a/process/tracker/tracker.go
+++ b/process/tracker/tracker.go
@@ -1,6 +1,6 @@
 // Package tracker is the control state machine that tracks the objects in the
 // platform's store: the deployment, its targets, evacuated zones, desired
-// weights, entry hosts, leases and crashes. It fills in the fleet, which is the
+// weights, entry hosts and leases. It fills in the fleet, which is the
 // part of the snapshot that requests are routed by.
 package tracker
 
@@ -18,10 +18,6 @@
 // these targets register again within about two seconds.
 const ReregisterGrace = 2500 * time.Millisecond
 
-// crashRetention is how long a crash is counted after this process learned of
-// it.
-const crashRetention = 2 * time.Minute
-
 // maxWeightHistory is the number of weight versions of a model that are remembered.
 const maxWeightHistory = 64
 
@@ -49,7 +45,6 @@
 	weightHistory         map[mulberrybeam.ModelName][]mulberrybeam.DesiredWeights
 	hosts                 map[mulberrybeam.ProcessID]mulberrybeam.EntryHost
 	upgradedEngines       map[mulberrybeam.InstanceID]mulberrybeam.UpgradedEngine
-	crashes               map[crashKey]time.Duration
 
 	// missing are the targets that are kept although the store lacks them.
 	missing map[mulberrybeam.InstanceID]bool
@@ -67,12 +62,6 @@
 
 var _ mulberrybeam.StateMachine = (*Tracker)(nil)
 
-// crashKey identifies a request and a target that crashed during it.
-type crashKey struct {
-	fingerprint mulberrybeam.Fingerprint
-	target      mulberrybeam.InstanceID
-}
-
 // trackedTarget is a registered target with state derived from earlier
 // registrations.
 type trackedTarget struct {
@@ -89,7 +78,7 @@
 		self: self, regions: regions,
 		fleet:           mulberrybeam.Fleet{Regions: regions, Targets: map[mulberrybeam.ServiceName][]mulberrybeam.FleetTarget{}},
 		published:       map[mulberrybeam.InstanceID]*mulberrybeam.FleetTarget{},
-		stale:           staleParts{weights: true, hosts: true, crashes: true, targets: map[mulberrybeam.InstanceID]bool{}},
+		stale:           staleParts{weights: true, hosts: true, targets: map[mulberrybeam.InstanceID]bool{}},
 		missing:         map[mulberrybeam.InstanceID]bool{},
 		schedules:       map[mulberrybeam.ModelName]*wavescheduler.Schedule{},
 		listed:          map[mulberrybeam.ObjectKind]bool{},
@@ -100,7 +89,6 @@
 		weightHistory:   map[mulberrybeam.ModelName][]mulberrybeam.DesiredWeights{},
 		hosts:           map[mulberrybeam.ProcessID]mulberrybeam.EntryHost{},
 		upgradedEngines: map[mulberrybeam.InstanceID]mulberrybeam.UpgradedEngine{},
-		crashes:         map[crashKey]time.Duration{},
 	}
 }
 
@@ -227,11 +215,6 @@
 		if name != mulberrybeam.RolloutLeaseName {
 			t.setUpgradedEngines(record.Lease)
 		}
-	case mulberrybeam.ObjectCrash:
-		if record.Crash != nil {
-			t.crashes[crashKey{record.Crash.Fingerprint, record.Crash.Target}] = turn.Now
-			t.stale.crashes = true
-		}
 	}
 	return nil
 }
@@ -357,8 +340,7 @@
 	return []mulberrybeam.Action{recordEntry(mulberrybeam.EntryConfiguration, string(desired.Model), "weight version "+formatNumber(desired.Version)+" is the new goal")}
 }
 
-// expire removes missing targets that did not register again in time, and old
-// crashes.
+// expire removes missing targets that did not register again in time.
 func (t *Tracker) expire(now time.Duration) []mulberrybeam.Action {
 	var entries []mulberrybeam.Action
 	for id := range t.missing {
@@ -369,12 +351,6 @@
 			entries = append(entries, recordEntry(mulberrybeam.EntryMember, string(id), "target removed"))
 		}
 	}
-	for crash, seenAt := range t.crashes {
-		if now-seenAt > crashRetention {
-			delete(t.crashes, crash)
-			t.stale.crashes = true
-		}
-	}
 	return entries
 }
 
--- a/request/quarantiner/part.go
+++ b/request/quarantiner/part.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"strings"
 	"time"
 	"unicode/utf8"
 
@@ -39,12 +40,31 @@
 	return shared
 }
 
+// requestPrefix begins the name of a request. Names of prompt parts have a slash, or are
+// hashes.
+const requestPrefix = "request:"
+
+// RequestPart returns the part that stands for all of a request. Callers that share it
+// sent the same request.
+func RequestPart(fingerprint mulberrybeam.Fingerprint) mulberrybeam.SharedPart {
+	return mulberrybeam.SharedPart(requestPrefix + hex.EncodeToString(fingerprint[:]))
+}
+
+// Threshold returns the number of crashed targets from which requests with a part are
+// refused.
+func Threshold(part mulberrybeam.SharedPart) int {
+	if strings.HasPrefix(string(part), requestPrefix) {
+		return RefusalThreshold
+	}
+	return ConvictionThreshold
+}
+
 const (
 	// SuspicionThreshold is the number of crashed targets from which an
 	// interrupted request with the part is not sent again at once.
 	SuspicionThreshold = 2
 	// ConvictionThreshold is the number of crashed targets from which requests
-	// with the part are refused.
+	// with a prompt part are refused.
 	ConvictionThreshold = 3
 	// ConvictionDelay is the time between the last of these crashes and the
 	// refusals. In it, completed requests clear parts that many requests share
@@ -100,8 +120,8 @@
 }
 
 // Convicted reports whether requests with a part are refused.
-func Convicted(suspicion mulberrybeam.PartSuspicion, now time.Duration) bool {
-	return suspicion.Crashes >= ConvictionThreshold && now >= suspicion.Since+ConvictionDelay
+func Convicted(part mulberrybeam.SharedPart, suspicion mulberrybeam.PartSuspicion, now time.Duration) bool {
+	return suspicion.Crashes >= Threshold(part) && now >= suspicion.Since+ConvictionDelay
 }
 
 // DecideParts returns the strictest decision over the parts of a request.
@@ -131,8 +151,8 @@
 
 func decidePart(query PartQuery, part mulberrybeam.SharedPart, suspicion mulberrybeam.PartSuspicion) PartDecision {
 	decision := PartDecision{Verdict: RunNormally, Part: part, Crashes: suspicion.Crashes}
-	if !Convicted(suspicion, query.Now) {
-		undecided := suspicion.Crashes >= ConvictionThreshold ||
+	if !Convicted(part, suspicion, query.Now) {
+		undecided := suspicion.Crashes >= Threshold(part) ||
 			query.Interrupted && suspicion.Crashes >= SuspicionThreshold && query.Now < suspicion.LastCrashAt+ConvictionDelay
 		if undecided {
 			decision.Verdict = Wait
@@ -173,6 +193,6 @@
 func PartRefusal(decision PartDecision, notRun bool) error {
 	return &mulberrybeam.Failure{
 		Code: mulberrybeam.CodeCrashesTargets, Step: mulberrybeam.StepAdmit, NotRun: notRun, RetryAfter: decision.RetryAfter,
-		Message: fmt.Sprintf("%d targets crashed while requests with prompt part %s were in flight", decision.Crashes, decision.Part),
+		Message: fmt.Sprintf("%d targets crashed while requests with part %s were in flight", decision.Crashes, decision.Part),
 	}
 }
--- a/request/relayer/exchange.go
+++ b/request/relayer/exchange.go
@@ -15,7 +15,6 @@
 	"mulberrybeam/connection/pauser"
 	"mulberrybeam/process/reserver"
 	"mulberrybeam/request/matcher"
-	"mulberrybeam/request/quarantiner"
 	"mulberrybeam/request/resumer"
 	"mulberrybeam/request/retrier"
 )
@@ -105,10 +104,6 @@
 		ID: e.inbound.ID, Repeatable: match.Rule.Idempotent(),
 		Arrived: e.arrivedAt, Deadline: e.arrivedAt + e.timeout(), Fingerprint: e.fingerprint(),
 	}
-	suspicion := quarantiner.Suspicion{CrashesBefore: e.fleet.Crashes[e.requestInfo.Fingerprint]}
-	if verdict, crashes := quarantiner.Decide(suspicion); verdict == quarantiner.Refuse {
-		return quarantiner.Refusal(verdict, crashes, suspicion)
-	}
 	service, found := matcher.PickService(e.random, match.Rule)
 	if !found {
 		return &mulberrybeam.Failure{
--- a/request/relayer/part.go
+++ b/request/relayer/part.go
@@ -39,11 +39,21 @@
 	return quarantiner.SharedParts(e.inbound.Model, e.inbound.Parts)
 }
 
+// suspectableParts returns the parts of the request that may have crashed a target.
+func (e *exchange) suspectableParts() []mulberrybeam.SharedPart {
+	return append(e.sharedParts(), e.requestPart())
+}
+
+func (e *exchange) requestPart() mulberrybeam.SharedPart {
+	return quarantiner.RequestPart(e.requestInfo.Fingerprint)
+}
+
 // reportCompletedParts reports the parts of a completed request to the control
-// loop.
+// loop. An engine that answers with an error may not have read the prompt.
 func (a *attempt) reportCompletedParts(response *requester.Answer) {
 	switch {
-	case response.Status != http.StatusOK:
+	case response.Status >= http.StatusInternalServerError:
+	case response.Status != http.StatusOK && len(a.sharedParts()) > 0:
 	case a.provesCompletion(response):
 		a.postCompletedParts()
 	case !response.Framed && !a.partsReported && a.hasSuspectParts():
@@ -51,16 +61,18 @@
 	}
 }
 
-// hasSuspectParts reports whether targets have crashed with a part of the prompt.
+// hasSuspectParts reports whether targets have crashed with the request or a part of
+// its prompt.
 func (e *exchange) hasSuspectParts() bool {
 	suspects := e.Fleet().Suspects
-	return slices.ContainsFunc(e.sharedParts(), func(part mulberrybeam.SharedPart) bool { return suspects[part].Crashes > 0 })
+	return len(suspects) > 0 &&
+		slices.ContainsFunc(e.suspectableParts(), func(part mulberrybeam.SharedPart) bool { return suspects[part].Crashes > 0 })
 }
 
 // postPartsIfTargetLives reports the parts as completed if the target has not crashed
 // at the end of its response.
 func (a *attempt) postPartsIfTargetLives() {
-	parts, address, post, sender := a.sharedParts(), a.target.Address, a.Post, a.Sender
+	parts, address, post, sender := a.suspectableParts(), a.target.Address, a.Post, a.Sender
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), livenessDelay+crashCheckTimeout)
 		defer cancel()
@@ -79,8 +91,15 @@
 }
 
 func (a *attempt) postCompletedParts() {
+	if a.partsReported {
+		return
+	}
 	parts := a.sharedParts()
-	if len(parts) == 0 || a.partsReported {
+	// Most requests are never repeated, so only a suspect is reported.
+	if suspects := a.Fleet().Suspects; len(suspects) > 0 && suspects[a.requestPart()].Crashes > 0 {
+		parts = append(parts, a.requestPart())
+	}
+	if len(parts) == 0 {
 		return
 	}
 	a.partsReported = true
@@ -95,16 +114,19 @@
 	return response.Framed && (!counted || a.splitter.Events > a.eventsBefore)
 }
 
-// decideParts decides whether the prompt's parts may run. interrupted is set for
-// a request that may have run on a target.
+// decideParts decides whether the request and its prompt's parts may run. interrupted is
+// set for a request that may have run on a target.
 func (e *exchange) decideParts(interrupted bool) quarantiner.PartDecision {
+	if len(e.fleet.Suspects) == 0 {
+		return quarantiner.PartDecision{Verdict: quarantiner.RunNormally}
+	}
 	return quarantiner.DecideParts(quarantiner.PartQuery{
-		Parts: e.sharedParts(), Suspects: e.fleet.Suspects, Hosts: e.fleet.EntryHosts,
+		Parts: e.suspectableParts(), Suspects: e.fleet.Suspects, Hosts: e.fleet.EntryHosts,
 		Self: e.settings.ID, Now: e.Now(), Interrupted: interrupted,
 	})
 }
 
-// checkParts returns a Failure if the prompt has a part that crashes targets. It
+// checkParts returns a Failure if the request, or a part of its prompt, crashes targets. It
 // waits while that is being decided.
 func (e *exchange) checkParts(ctx context.Context) error {
 	waitedFor := mulberrybeam.SharedPart("")
