relayer: do not tell answers complete that ended with their target

Crashes that ended answers so were not counted, and a prompt part that crashes engines was not found.

Cause: the kernel closes the connections of a process that ends like one that has answered, and a body without a length ends with its connection.

Change: at such an end the target's address is tried; if it refuses connections, the answer was cut and the crash is reported.

TestAnswerCutByCrashIsNotComplete failed before in its eight cases.

--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -39,11 +40,13 @@
 	if err != nil {
 		return a.recordInterruption(ctx, "response body was interrupted", err)
 	}
+	whole := len(buffered) <= limit
+	if whole && a.mayBeCut(ctx, response) {
+		return a.recordInterruption(ctx, "response body may have been cut", errTargetStopped)
+	}
 	a.writeHeader(response)
-	if len(buffered) <= limit {
-		_, err = a.writer.Write(buffered)
-	} else if _, err = a.writer.Write(buffered); err == nil {
-		_, err = io.Copy(a.writer, response)
+	if _, err = a.writer.Write(buffered); err == nil && !whole {
+		err = a.forwardRest(ctx, response)
 	}
 	if err != nil {
 		a.recordEntry(mulberrybeam.EntryInterruption, string(a.target.ID), "response interrupted: "+err.Error())
@@ -53,6 +56,29 @@
 	return nil
 }
 
+// forwardRest forwards the rest of a body that is too large to be buffered.
+func (a *attempt) forwardRest(ctx context.Context, response *requester.Answer) error {
+	_, err := io.Copy(a.writer, response)
+	if err == nil && a.mayBeCut(ctx, response) {
+		a.reportCrash()
+		return errTargetStopped
+	}
+	return err
+}
+
+var errTargetStopped = errors.New("the response ended with its connection and the target accepts none")
+
+// mayBeCut reports whether a body that ended with its connection may be incomplete: when
+// the process of a target ends, its connections are closed as after a complete response.
+func (a *attempt) mayBeCut(ctx context.Context, response *requester.Answer) bool {
+	if response.Framed {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	return a.Sender.RefusesConnections(ctx, a.target.Address)
+}
+
 // forwardStream forwards events as they arrive. Of a repeatable stream, it
 // forwards complete events only, so that the stream can go on at another target,
 // which is asked to take over when no event is completed for too long. The header
@@ -113,6 +139,8 @@
 	case received.err != io.EOF:
 	case a.splitter.InsideEvent() && isEventStream(response):
 		return false, a.recordInterruption(ctx, fmt.Sprintf("stream ended inside the event after event %q", a.splitter.LastID), io.ErrUnexpectedEOF)
+	case a.mayBeCut(ctx, response):
+		return false, a.recordInterruption(ctx, fmt.Sprintf("stream may have been cut after event %q", a.splitter.LastID), errTargetStopped)
 	default:
 		w.dropStandby()
 		return true, a.finishStream(flusher, response)
--- a/request/relayer/liveness_test.go
+++ b/request/relayer/liveness_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,8 +73,12 @@
 					header.Set("Mulberrybeam-Model", "m")
 					header.Set("Mulberrybeam-Prompt-Prefix", deadlyPart+":10,own:10")
 				})
-				is.NoErr(got.err)
-				is.Equal(got.body, c.body)
+				if crashes {
+					is.True(got.err != nil || got.status != http.StatusOK)
+				} else {
+					is.NoErr(got.err)
+					is.Equal(got.body, c.body)
+				}
 				for range 100 {
 					if h.completions.Load() > 0 {
 						break
@@ -85,3 +90,55 @@
 		}
 	}
 }
+
+// Guards against an answer without a length that is told to be complete although it ended
+// with the process of its target, whose connections are closed like any other, and against
+// a crash that is not counted because such an answer hides it.
+func TestAnswerCutByCrashIsNotComplete(t *testing.T) {
+	const eventStream = "text/event-stream"
+	onceStream := streamRule
+	onceStream.Guarantee, onceStream.Resumable = mulberrybeam.GuaranteeAtMostOnce, false
+	large := strings.Repeat("x", 128<<10)
+	for name, c := range map[string]struct {
+		rule              mulberrybeam.Rule
+		contentType, body string
+		// status and whole are what the caller gets; whole is empty if the answer is
+		// broken off.
+		status int
+		whole  string
+	}{
+		"resumable stream":       {streamRule, eventStream, eventText(2), http.StatusOK, eventText(6)},
+		"stream, at most once":   {onceStream, eventStream, eventText(2), http.StatusOK, ""},
+		"body":                   {repeatableRule, "text/plain", "part", http.StatusOK, "whole"},
+		"body, at most once":     {onceRule, "text/plain", "part", http.StatusBadGateway, "target-failed\n"},
+		"large body":             {repeatableRule, "text/plain", large, http.StatusOK, ""},
+		"empty stream":           {streamRule, eventStream, "", http.StatusOK, eventText(6)},
+		"empty stream, one try":  {onceStream, eventStream, "", http.StatusBadGateway, "target-failed\n"},
+		"empty body, repeatable": {repeatableRule, "text/plain", "", http.StatusOK, "whole"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			second := respondsStamped("whole")
+			if c.rule.Streaming {
+				second = withContentType(eventStream, resumesStream)
+			}
+			h := newHarness(t, c.rule, respondsStamped(""), second)
+			fleet := *h.fleet.Load()
+			fleet.Targets["s"][0].Address = serveUnframed(t, c.contentType, c.body, true)
+			h.fleet.Store(&fleet)
+			got := h.call(nil)
+			is.Equal(got.err != nil, c.whole == "")
+			is.Equal(got.status, c.status)
+			if c.whole != "" {
+				is.Equal(got.body, c.whole)
+			}
+			select {
+			case crash := <-h.crashes:
+				is.Equal(crash.Crash.Target, fleet.Targets["s"][0].Incarnation())
+			case <-time.After(5 * time.Second):
+				t.Error("the crash was not reported")
+			}
+		})
+	}
+}
