--- a/process/reserver/reserver_test.go
+++ b/process/reserver/reserver_test.go
@@ -138,6 +138,7 @@
 	interrupted := make(chan struct{})
 	first := r.Open("a", func() { close(interrupted) })
 	is.NoErr(first.Grow(t.Context(), 450))
+	silentSince := time.Now()
 	second := r.Open("b", func() {})
 	is.NoErr(second.Grow(t.Context(), 340))
 	is.True(second.Settle())
@@ -151,7 +152,7 @@
 	is.NoErr(third.Grow(context.Background(), 100))
 	is.Equal(r.Stats(), reserver.Stats{HeldBytes: 550, Holders: 2, Refused: 1})
 	is.Equal(len(lines), 1)
-	time.Sleep(time.Until(start.Add(limits.StallAfter)))
+	time.Sleep(time.Until(silentSince.Add(limits.StallAfter)))
 	is.True(r.EvictStalled())
 	<-interrupted
 	first.Close()
