cataloger: write nothing to a store that has restarted for a while

Cause: a host relies on the content of a store for 1.9 s after its last answer, assuming that a restart takes longer. A host that notices at once has the parts written again while others let engines fetch them.

Change: a host that notices a new run has nothing written there until every host must have forgotten the run before and its fetches have ended, 6.4 s; fetches are bounded for that.

TestRestartedStoreGetsNoPartsUntilItsEarlierContentIsForgotten and TestFetchesAreBounded failed before. TestCatalogTracksContentOfAStore asked for a writable store right after its first answer, and lets time pass now.

--- a/process/cataloger/cataloger.go
+++ b/process/cataloger/cataloger.go
@@ -8,13 +8,20 @@
 	"time"
 
 	"mulberrybeam"
+	"mulberrybeam/request/fetcher"
 )
 
 const (
 	// contentTTL is how long the known content of a store is valid after its
-	// last answer. A store that restarts is away for longer, so that a part
-	// that is written again after the restart is not taken for the old one.
+	// last answer.
 	contentTTL = 1900 * time.Millisecond
+	// answerDelay is how long an answer of a store may be on its way.
+	answerDelay = 500 * time.Millisecond
+	// settleTime is how long no parts are written to a store whose new run this process
+	// has noticed. Until then other processes may rely on the content of the run
+	// before, and their fetches may be in progress; a fetch does not notice that the
+	// part is being written again.
+	settleTime = answerDelay + contentTTL + fetcher.MaxFetchTime
 	// claimTTL is how long the claim of one request keeps others from writing
 	// the same part.
 	claimTTL = 2500 * time.Millisecond
@@ -52,6 +59,8 @@
 	parts map[mulberrybeam.PartKey]int
 	// confirmedAt is when the store last answered.
 	confirmedAt time.Duration
+	// settledAt is when parts may be written to this run of the store.
+	settledAt time.Duration
 	// listed is set from the time the store is listed until its content is
 	// discarded.
 	listed bool
@@ -75,13 +84,13 @@
 	return address, true
 }
 
-// Writable reports whether a store answers and has room for this many more
-// tokens.
+// Writable reports whether a store answers, has not restarted lately and has room for this
+// many more tokens.
 func (c *Cataloger) Writable(address string, tokens int) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	s := c.stores[address]
-	return s != nil && c.isFresh(s) && float64(s.used+tokens) <= maxFillRatio*float64(s.capacity)
+	return s != nil && c.isFresh(s) && c.now() >= s.settledAt && float64(s.used+tokens) <= maxFillRatio*float64(s.capacity)
 }
 
 // Claim reports whether the caller should have a part written. If so, further
@@ -123,6 +132,10 @@
 		return
 	}
 	c.removeAllParts(address, s)
+	if s.boot != list.Boot || s.settledAt == 0 {
+		// A process that has just started does not know when the run began.
+		s.settledAt = c.now() + settleTime
+	}
 	s.boot, s.listed, s.confirmedAt = list.Boot, true, c.now()
 	for _, part := range list.Parts {
 		c.addPart(address, s, part)
--- a/process/cataloger/cataloger_test.go
+++ b/process/cataloger/cataloger_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,8 +85,15 @@
 // startFollower runs a follower of one store with a capacity of 100 tokens, in
 // a fleet whose engines all have weight version 2.
 func startFollower(t *testing.T, s *fakeStore) *cataloger.Cataloger {
+	catalog, _ := startFollowerWithClock(t, s)
+	return catalog
+}
+
+// startFollowerWithClock is like startFollower. The returned function lets time pass.
+func startFollowerWithClock(t *testing.T, s *fakeStore) (*cataloger.Cataloger, func(time.Duration)) {
 	begin := time.Now()
-	catalog := cataloger.New(func() time.Duration { return time.Since(begin) })
+	var skipped atomic.Int64
+	catalog := cataloger.New(func() time.Duration { return time.Since(begin) + time.Duration(skipped.Load()) })
 	fleet := &mulberrybeam.Fleet{
 		Complete:      true,
 		ContextStores: []mulberrybeam.ContextStore{{Address: "s:1", Capacity: 100}},
@@ -109,7 +117,7 @@
 		cancel()
 		<-done
 	})
-	return catalog
+	return catalog, func(duration time.Duration) { skipped.Add(int64(duration)) }
 }
 
 // Stopping the follower must wait for calls to stores. Otherwise they would use
@@ -155,8 +163,10 @@
 func TestCatalogTracksContentOfAStore(t *testing.T) {
 	is := is.New(t)
 	s := &fakeStore{boot: 1, parts: []mulberrybeam.PartChange{stored("2", "a", 60)}}
-	catalog := startFollower(t, s)
+	catalog, skip := startFollowerWithClock(t, s)
 	waitUntil(t, "listed part is not known", hasPart(catalog, key("2", "a")))
+	skip(settleTime)
+	waitUntil(t, "listed part is not known after a time", hasPart(catalog, key("2", "a")))
 	is.True(!catalog.Writable("s:1", 50))
 	is.True(catalog.Writable("s:1", 30))
 	_, known := catalog.Clock()
@@ -171,6 +181,40 @@
 	waitUntil(t, "store that does not answer is still writable", func() bool { return !catalog.Writable("s:1", 1) })
 }
 
+// settleTime is longer than another process may rely on the content of a store's earlier
+// run, and fetch it: 1.9 s after an answer that was up to 0.5 s on its way, and 4 s.
+const settleTime = 6400 * time.Millisecond
+
+// Guards against a part that is written again to a store that has restarted while other
+// hosts, which have not noticed, let engines fetch it.
+func TestRestartedStoreGetsNoPartsUntilItsEarlierContentIsForgotten(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{boot: 1, parts: []mulberrybeam.PartChange{stored("2", "a", 10)}}
+	catalog, skip := startFollowerWithClock(t, s)
+	writable := func() bool { return catalog.Writable("s:1", 1) }
+	confirmed := func() {
+		t.Helper()
+		waitUntil(t, "store is not listed", hasPart(catalog, key("2", "a")))
+	}
+	// It is not known either for how long the first run has lasted.
+	confirmed()
+	is.True(!writable())
+	skip(settleTime)
+	waitUntil(t, "store that has not restarted is not writable", writable)
+	for boot := range uint64(3) {
+		s.update(func() { s.boot, s.parts = boot+2, nil })
+		waitUntil(t, "content of an earlier run is known", func() bool { return !hasPart(catalog, key("2", "a"))() })
+		s.update(func() { s.changes = []mulberrybeam.PartChange{stored("2", "a", 10)} })
+		confirmed()
+		is.True(!writable())
+		skip(settleTime - time.Second)
+		confirmed()
+		is.True(!writable())
+		skip(time.Second)
+		waitUntil(t, "store is not writable for good", writable)
+	}
+}
+
 // Concurrent requests must not all write the same part: only one may claim it
 // until its claim expires.
 func TestPartIsClaimedOnce(t *testing.T) {
--- a/request/fetcher/fetcher.go
+++ b/request/fetcher/fetcher.go
@@ -27,6 +27,10 @@
 	minFetchTimeout = 100 * time.Millisecond
 )
 
+// MaxFetchTime is the longest time that a fetch may take. A store that has restarted gets
+// no parts for so long, since fetches of its earlier content may be in progress.
+const MaxFetchTime = 4 * time.Second
+
 // maxStoreChoices is the number of stores, in rendezvous order, that are
 // considered for a part while the preceding ones are full or unreachable.
 const maxStoreChoices = 3
@@ -79,13 +83,18 @@
 	if len(query.Stores) == 0 && query.Peer == "" || len(query.Parts) < 2 {
 		return Plan{}
 	}
+	now, clockKnown := catalog.Clock()
 	fetchTokens := 0
 	plan := Plan{FetchFrom: make([]string, len(query.Parts)), SaveTo: make([]string, len(query.Parts))}
 	for i, part := range query.Parts[:len(query.Parts)-1] {
 		key := mulberrybeam.PartKey{Salt: query.Salt, Model: query.Model, ID: part.ID}
 		if address, found := catalog.StoreOf(key); found {
-			plan.FetchFrom[i] = address
-			fetchTokens += part.Tokens
+			// A fetch without a deadline could last until the store has restarted and the
+			// part is being written again.
+			if clockKnown {
+				plan.FetchFrom[i] = address
+				fetchTokens += part.Tokens
+			}
 			continue
 		}
 		if query.Peer != "" {
@@ -96,7 +105,7 @@
 			plan.SaveTo[i] = address
 		}
 	}
-	if now, known := catalog.Clock(); known {
+	if clockKnown {
 		plan.FetchDeadline = now + mulberrybeam.EngineClock(query.fetchTimeout(fetchTokens))
 	}
 	return plan
@@ -105,7 +114,7 @@
 // fetchTimeout returns how long the fetches of a prompt may take, of which
 // fetchTokens are fetched.
 func (q Query) fetchTimeout(fetchTokens int) time.Duration {
-	timeout := baseFetchTimeout + time.Duration(fetchTokens)*fetchTimeoutPerToken
+	timeout := min(baseFetchTimeout+time.Duration(fetchTokens)*fetchTimeoutPerToken, MaxFetchTime)
 	tokens := q.Backlog
 	for _, part := range q.Parts {
 		tokens += part.Tokens
--- a/request/fetcher/fetcher_test.go
+++ b/request/fetcher/fetcher_test.go
@@ -16,6 +16,8 @@
 	stored  map[mulberrybeam.PartKey]string
 	full    map[string]bool
 	claimed bool
+	// clockless is set while no store has told the engines' clock.
+	clockless bool
 }
 
 func (c fakeCatalog) StoreOf(key mulberrybeam.PartKey) (string, bool) {
@@ -25,7 +27,7 @@
 func (c fakeCatalog) Writable(address string, _ int) bool { return !c.full[address] }
 func (c fakeCatalog) Claim(mulberrybeam.PartKey) bool     { return !c.claimed }
 func (c fakeCatalog) Clock() (mulberrybeam.EngineClock, bool) {
-	return mulberrybeam.EngineClock(time.Hour), true
+	return mulberrybeam.EngineClock(time.Hour), !c.clockless
 }
 
 var (
@@ -102,6 +104,21 @@
 	}
 }
 
+// Guards against a fetch that lasts until its store has restarted and the part is being
+// written again: one without a deadline, or of a very long prompt.
+func TestFetchesAreBounded(t *testing.T) {
+	is := is.New(t)
+	q := query()
+	q.Parts = []mulberrybeam.PromptPart{{ID: "p1", Tokens: 1_000_000}, {ID: "own", Tokens: 50}}
+	q.TimeToGoal = time.Minute
+	stored := map[mulberrybeam.PartKey]string{{Salt: "3", Model: "m", ID: "p1"}: "s1:1"}
+	plan := fetcher.Decide(fakeCatalog{stored: stored}, q)
+	is.Equal(plan.FetchFrom[0], "s1:1")
+	is.Equal(time.Duration(plan.FetchDeadline)-time.Hour, fetcher.MaxFetchTime)
+	plan = fetcher.Decide(fakeCatalog{stored: stored, clockless: true}, q)
+	is.Equal(plan, fetcher.Plan{FetchFrom: []string{"", ""}, SaveTo: []string{"", ""}})
+}
+
 // Guards against parts that are not distributed by store capacity, and against
 // a choice of store that depends on the order in which stores are listed.
 func TestPartsAreDistributedByCapacity(t *testing.T) {
