relayer: give a process that ends time to close its listener

Cause: the check whether a target has stopped tries its address right after a connection ended. The kernel closes the connections of a killed process before its listener.

Change: both checks wait for 50 ms first, in one function.

TestAnswerCutByCrashIsNotComplete and TestUnframedResponseClearsPartsIfItsTargetLives stop listening 5 ms after the end now, as the kernel does; without the wait they fail.

--- a/request/relayer/answer.go
+++ b/request/relayer/answer.go
@@ -71,12 +71,7 @@
 // mayBeCut reports whether a body that ended with its connection may be incomplete: when
 // the process of a target ends, its connections are closed as after a complete response.
 func (a *attempt) mayBeCut(ctx context.Context, response *requester.Answer) bool {
-	if response.Framed {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-	defer cancel()
-	return a.Sender.RefusesConnections(ctx, a.target.Address)
+	return !response.Framed && hasStopped(ctx, a.Sender, a.target.Address)
 }
 
 // forwardStream forwards events as they arrive. Of a repeatable stream, it
--- a/request/relayer/attempt.go
+++ b/request/relayer/attempt.go
@@ -37,8 +37,11 @@
 	// suspectMargin is added to the cold start time of an unreachable target,
 	// which may have restarted without this process noticing.
 	suspectMargin = 500 * time.Millisecond
-	// crashCheckTimeout is the timeout of the check whether a target has
-	// crashed.
+	// exitDelay is the time before the check whether a target has crashed. The
+	// kernel closes the connections of a process that ends a few milliseconds
+	// before its listener.
+	exitDelay = 50 * time.Millisecond
+	// crashCheckTimeout is the timeout of this check.
 	crashCheckTimeout = 300 * time.Millisecond
 )
 
--- a/request/relayer/liveness_test.go
+++ b/request/relayer/liveness_test.go
@@ -16,7 +16,8 @@
 )
 
 // serveUnframed answers one request with a response that ends with its connection, and
-// stops listening before the end if crashes is set. It returns the address.
+// stops listening if crashes is set: a little later, as the kernel does it for a process
+// that ends. It returns the address.
 func serveUnframed(t *testing.T, contentType, body string, crashes bool) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -34,10 +35,11 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nMulberrybeam-Request-Id: r1\r\nMulberrybeam-Response-Stamp: s\r\nContent-Type: "+contentType+"\r\n\r\n"+body)
+		_ = conn.Close()
 		if crashes {
+			time.Sleep(5 * time.Millisecond)
 			_ = listener.Close()
 		}
-		_ = conn.Close()
 	}()
 	return listener.Addr().String()
 }
--- a/request/relayer/outcome.go
+++ b/request/relayer/outcome.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"mulberrybeam"
+	"mulberrybeam/connection/pauser"
 	"mulberrybeam/connection/requester"
 	"mulberrybeam/process/tallier"
 	"mulberrybeam/request/retrier"
@@ -147,9 +148,7 @@
 	address, post, sender, tallied := a.target.Address, a.Post, a.Sender, a.tallied
 	a.tallied = nil
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-		defer cancel()
-		crashed := sender.RefusesConnections(ctx, address)
+		crashed := hasStopped(context.Background(), sender, address)
 		// A crash of one target, which breaks all its requests at once, is no evidence
 		// against the version of its software.
 		tallied.End(tallier.Outcome{Failed: !crashed})
@@ -159,6 +158,16 @@
 	}()
 }
 
+// hasStopped reports whether the process of a target that closed a connection has ended.
+func hasStopped(ctx context.Context, sender Sender, address string) bool {
+	if !pauser.Pause(ctx, exitDelay) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	return sender.RefusesConnections(ctx, address)
+}
+
 func (a *attempt) recordAttempt(sent, refused bool) {
 	a.history.Attempts = append(a.history.Attempts, retrier.Attempt{
 		Target: mulberrybeam.TargetID(a.target.ID), Sent: sent, Refused: refused,
