parttracker: let a repeated request explain crashes of its prompt parts

Change: crashes at which the same request was in flight each time are explained by it. TestPartsOfRepeatedRequestAreNotConvicted failed before.

--- a/process/parttracker/repeated_test.go
+++ b/process/parttracker/repeated_test.go
@@ -1,12 +1,14 @@
 package parttracker_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"mulberrybeam"
+	"mulberrybeam/platform"
 	"mulberrybeam/process/parttracker"
 	"mulberrybeam/request/quarantiner"
 )
@@ -97,3 +99,21 @@
 	s.deliver(0, mulberrybeam.Tick{})
 	is.Equal(crashes(), 0)
 }
+
+// Guards against the refusal of other requests that share a prompt part with one that
+// crashes targets, also after it was tried again.
+func TestPartsOfRepeatedRequestAreNotConvicted(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(2, 0, 1)
+	for i := range 5 {
+		s.write(platform.Encoder{}.Crash(mulberrybeam.CrashRecord{
+			Fingerprint: repeated, Target: mulberrybeam.InstanceID(fmt.Sprint("e", i)), Parts: []mulberrybeam.SharedPart{"m/beside"},
+		}))
+	}
+	s.play(2*time.Second, 0, 0, nil)
+	s.engines = []*engine{{}}
+	s.send(&run{parts: []mulberrybeam.SharedPart{"m/beside"}})
+	s.send(&run{parts: []mulberrybeam.SharedPart{"m/beside"}, request: repeated})
+	is.Equal(s.refused["m/beside"], 0)
+	is.Equal(s.refused[quarantiner.RequestPart(repeated)], 1)
+}
--- a/process/parttracker/verdict.go
+++ b/process/parttracker/verdict.go
@@ -30,14 +30,15 @@
 }
 
 // explained reports whether another part was in flight at all these crashes and at
-// more. An innocent part that is often in the same prompts as one that crashes targets
-// is then not held responsible for it.
+// more, or a repeated request at all of them. An innocent part that is often in the same
+// prompts as one that crashes targets is then not held responsible for it.
 func (t *Tracker) explained(known *evidence) bool {
 	if !known.refusable() {
 		return false
 	}
 	for _, other := range t.parts {
-		if other.Crashes > known.Crashes && other.covers(known) {
+		isStronger := other.Crashes > known.Crashes || other.Crashes == known.Crashes && other.threshold < known.threshold
+		if isStronger && other.covers(known) {
 			return true
 		}
 	}
