--- a/process/cataloger/cataloger_test.go
+++ b/process/cataloger/cataloger_test.go
@@ -182,8 +182,8 @@
 }
 
 // settleTime is longer than another process may rely on the content of a store's earlier
-// run, and fetch it: 1.9 s after an answer that was up to 0.5 s on its way, and 4 s.
-const settleTime = 6400 * time.Millisecond
+// run, and fetch it: 1.9 s after an answer that was up to 0.5 s on its way, and 2.5 s.
+const settleTime = 4900 * time.Millisecond
 
 // Guards against a part that is written again to a store that has restarted while other
 // hosts, which have not noticed, let engines fetch it.
