cataloger: a process that starts before a filled store does not wait

Shared parts were read again.

Change: a store of which a quarter is full when a process first lists it has run for longer; while a store settles, only parts that were ordered before its restart arrive. The wait after a noticed restart is 4.2 s (answers 0.3 s on their way, fetches of 2 s at most).

--- a/process/cataloger/cataloger.go
+++ b/process/cataloger/cataloger.go
@@ -16,12 +16,15 @@
 	// last answer.
 	contentTTL = 1900 * time.Millisecond
 	// answerDelay is how long an answer of a store may be on its way.
-	answerDelay = 500 * time.Millisecond
+	answerDelay = 300 * time.Millisecond
 	// settleTime is how long no parts are written to a store whose new run this process
 	// has noticed. Until then other processes may rely on the content of the run
 	// before, and their fetches may be in progress; a fetch does not notice that the
 	// part is being written again.
 	settleTime = answerDelay + contentTTL + fetcher.MaxFetchTime
+	// settledFillRatio is the part of a store's capacity that is not filled while it
+	// settles. Only parts that were ordered before the restart arrive in that time.
+	settledFillRatio = 0.25
 	// claimTTL is how long the claim of one request keeps others from writing
 	// the same part.
 	claimTTL = 2500 * time.Millisecond
@@ -132,14 +135,15 @@
 		return
 	}
 	c.removeAllParts(address, s)
-	if s.boot != list.Boot || s.settledAt == 0 {
-		// A process that has just started does not know when the run began.
-		s.settledAt = c.now() + settleTime
-	}
+	isFirst, isNewRun := s.boot == 0, s.boot != list.Boot
 	s.boot, s.listed, s.confirmedAt = list.Boot, true, c.now()
 	for _, part := range list.Parts {
 		c.addPart(address, s, part)
 	}
+	// A process that has just started does not know when the run began.
+	if isNewRun && !(isFirst && float64(s.used) >= settledFillRatio*float64(s.capacity)) {
+		s.settledAt = c.now() + settleTime
+	}
 }
 
 // applyChanges applies changes of a store. It returns false if the store must
--- a/request/fetcher/fetcher.go
+++ b/request/fetcher/fetcher.go
@@ -29,7 +29,7 @@
 
 // MaxFetchTime is the longest time that a fetch may take. A store that has restarted gets
 // no parts for so long, since fetches of its earlier content may be in progress.
-const MaxFetchTime = 2500 * time.Millisecond
+const MaxFetchTime = 2 * time.Second
 
 // maxStoreChoices is the number of stores, in rendezvous order, that are
 // considered for a part while the preceding ones are full or unreachable.
